--- /dev/null
+++ b/source/configuration/submit-configuration.ts
@@ -0,0 +1,96 @@
+/**
+Submits a configuration document to the store.
+*/
+import * as option from 'fp-ts/lib/Option.js';
+import {err, ok, type Result} from 'neverthrow';
+import type {AcceptedConfiguration} from '../decisions/configuration/accepted-configuration.js';
+import {settleSubmission} from '../decisions/configuration/settle-submission.js';
+import {resultCode} from '../generated/result-codes.js';
+import type {KeyValueService} from '../platform/key-value-service.js';
+import {pause} from '../shared/pause.js';
+import {configurationKey} from './configuration-key.js';
+import {parseAccepted} from './parse-accepted.js';
+import {parseDocument} from './parse-document.js';
+
+type Submission = {readonly document: string; readonly author: string; readonly basedOn: number; readonly submissionId: string};
+type Failure = {readonly code: number; readonly errors: readonly string[]; readonly current?: AcceptedConfiguration};
+
+const mostTries = 4;
+const pauseMilliseconds = 300;
+
+const readAccepted = async (store: KeyValueService): Promise<Result<{readonly accepted: option.Option<AcceptedConfiguration>; readonly revision: number}, Failure>> => {
+	const stored = await store.read(configurationKey);
+	return stored
+		.mapErr(({detail}) => ({code: resultCode.storeUnavailable, errors: [detail]}))
+		.map(value => option.isNone(value)
+			? {accepted: option.none, revision: 0}
+			: {
+				accepted: parseAccepted(value.value.value).match(({accepted}) => option.some(accepted), () => option.none),
+				revision: value.value.revision,
+			});
+};
+
+/**
+Writes the document if nothing newer than `basedOn` has been accepted.
+
+Gives the accepted record, or a numbered failure: invalid (with all errors),
+conflict (with the other's record), store unavailable, or outcome unknown. A
+lost answer is settled by reading back and comparing the submission id.
+
+@example
+```
+await submitConfiguration(store, {document, author: 'amna', basedOn: 7, submissionId: newIdentifier()});
+```
+*/
+export const submitConfiguration = async (store: KeyValueService, {document, author, basedOn, submissionId}: Submission): Promise<Result<AcceptedConfiguration, Failure>> => {
+	const parsed = parseDocument(document);
+	if (parsed.isErr()) {
+		return err({code: resultCode.configurationInvalid, errors: parsed.error});
+	}
+
+	const submitted: AcceptedConfiguration = {
+		generation: basedOn + 1, submissionId, author, submittedAt: new Date().toISOString(), document,
+	};
+	let mayHaveWritten = false;
+	for (let tries = 0; tries < mostTries; tries++) {
+		const current = await readAccepted(store); // eslint-disable-line no-await-in-loop
+		if (current.isErr()) {
+			await pause(pauseMilliseconds); // eslint-disable-line no-await-in-loop
+			continue;
+		}
+
+		const settlement = settleSubmission(current.value.accepted, submitted, basedOn);
+		switch (settlement.kind) {
+			case 'accepted': {
+				return ok(submitted);
+			}
+
+			case 'conflict': {
+				return err({code: resultCode.configurationConflict, errors: [describeConflict(settlement.current)], current: settlement.current});
+			}
+
+			case 'superseded or lost': {
+				return err({
+					code: mayHaveWritten ? resultCode.configurationOutcomeUnknown : resultCode.configurationConflict,
+					errors: [describeConflict(settlement.current)],
+					current: settlement.current,
+				});
+			}
+
+			case 'try again': {
+				const swap = {key: configurationKey, expectedRevision: current.value.revision, value: JSON.stringify(submitted)};
+				const swapped = await store.compareAndSwap(swap); // eslint-disable-line no-await-in-loop
+				if (swapped.isOk() && option.isSome(swapped.value)) {
+					return ok(submitted);
+				}
+
+				mayHaveWritten ||= swapped.isErr() && swapped.error.kind === 'unknown';
+			}
+		}
+	}
+
+	return err({code: mayHaveWritten ? resultCode.configurationOutcomeUnknown : resultCode.storeUnavailable, errors: ['the key-value service gave no answer that settles it']});
+};
+
+const describeConflict = ({generation, author, submittedAt}: AcceptedConfiguration): string =>
+	`generation ${generation} was accepted from ${author} at ${submittedAt}`;
--- /dev/null
+++ b/source/decisions/admission/admission-queue.ts
@@ -0,0 +1,293 @@
+/**
+Admission at one target: what runs, what waits, and what is refused.
+
+Importance and urgency are two things. Work waits in order of deadline; when
+there is too much of it, the least important is shed first, and within one
+importance the organisation that holds most of the queue gives way. Work whose
+deadline cannot be met is refused before it runs, at once, with the time after
+which it would have fitted.
+*/
+import {resultCode} from '../../generated/result-codes.js';
+import type {Importance, Load} from '../../generated/messages.js';
+import {assertInvariant} from '../../shared/assert-invariant.js';
+import type {AdmissionEffect} from './admission-effect.js';
+import type {TargetCapacity} from './target-capacity.js';
+import {workCost} from './work-cost.js';
+import type {Work} from './work.js';
+
+const mostQueued = 512;
+const leastRetryAfterMilliseconds = 250;
+const mostRetryAfterMilliseconds = 30_000;
+const fairShareFactor = 2;
+
+const importanceRank: Readonly<Record<Importance, number>> = {low: 0, normal: 1, high: 2};
+
+type Waiting = Work & {readonly occupancyMilliseconds: number; readonly latencyMilliseconds: number; readonly pieces: number};
+type Running = Waiting & {readonly startedAt: number};
+
+/**
+The queue of one target. Deterministic: the caller passes the time.
+
+Invariants: no attempt is both waiting and running; the pieces of running work
+never exceed the engine's; each attempt offered is answered by exactly one
+`run` or `refuse`, unless it is cancelled first.
+
+@example
+```
+const queue = new AdmissionQueue(capacity);
+for (const effect of queue.offer(work, clock())) { ... }
+```
+*/
+export class AdmissionQueue {
+	#capacity: TargetCapacity;
+	#waiting: readonly Waiting[] = [];
+	readonly #running = new Map<string, Running>();
+	#usedPieces = 0;
+	#open = true;
+	#paused = false;
+
+	constructor(capacity: TargetCapacity) {
+		this.#capacity = capacity;
+	}
+
+	get runningCount(): number {
+		return this.#running.size;
+	}
+
+	get waitingCount(): number {
+		return this.#waiting.length;
+	}
+
+	get isOpen(): boolean {
+		return this.#open;
+	}
+
+	/** Takes newer figures of the target's speed and memory. */
+	updateCapacity(capacity: TargetCapacity): void {
+		this.#capacity = capacity;
+	}
+
+	/** Offers new work: it runs, waits or is refused, and others may be shed to make room. */
+	offer(work: Work, now: number): readonly AdmissionEffect[] {
+		const known = this.#running.has(work.attemptId) || this.#waiting.some(waiting => waiting.attemptId === work.attemptId);
+		assertInvariant(!known, resultCode.admissionInvariantBroken, `attempt ${work.attemptId} offered twice`);
+		if (!this.#open) {
+			return [refusal(work, resultCode.targetLeaving, leastRetryAfterMilliseconds)];
+		}
+
+		const waiting: Waiting = {...work, ...workCost(work, this.#capacity)};
+		if (this.#capacity.kind === 'engine' && waiting.pieces > this.#capacity.totalPieces) {
+			return [refusal(work, resultCode.requestTooLarge, mostRetryAfterMilliseconds)];
+		}
+
+		this.#waiting = insertByDeadline(this.#waiting, waiting);
+		const shed = this.#shedUntilFeasible(waiting, now);
+		return [...shed, ...this.#start(now)];
+	}
+
+	/** Records that running work has ended and starts what now fits. */
+	complete(attemptId: string, now: number): readonly AdmissionEffect[] {
+		const ended = this.#running.get(attemptId);
+		if (ended !== undefined) {
+			this.#running.delete(attemptId);
+			this.#usedPieces -= ended.pieces;
+		}
+
+		return this.#start(now);
+	}
+
+	/** Takes waiting work out; false when it does not wait here. */
+	withdraw(attemptId: string): boolean {
+		const before = this.#waiting.length;
+		this.#waiting = this.#waiting.filter(waiting => waiting.attemptId !== attemptId);
+		return this.#waiting.length < before;
+	}
+
+	/** Refuses waiting work whose deadline can no longer be met. */
+	expire(now: number): readonly AdmissionEffect[] {
+		const hopeless = this.#waiting.filter(waiting => now + waiting.latencyMilliseconds > waiting.deadlineAt);
+		this.#waiting = this.#waiting.filter(waiting => !hopeless.includes(waiting));
+		return [
+			...hopeless.map(waiting => refusal(waiting, resultCode.deadlineUnreachable, this.#retryAfter(waiting, now))),
+			...this.#start(now),
+		];
+	}
+
+	/** Lets waiting work stay but starts none, while the target is being changed. */
+	pause(): void {
+		this.#paused = true;
+	}
+
+	/** Starts work again after a pause. */
+	resume(now: number): readonly AdmissionEffect[] {
+		this.#paused = false;
+		return this.#start(now);
+	}
+
+	/** Takes no work from now on and refuses what waits; running work is left alone. */
+	close(): readonly AdmissionEffect[] {
+		this.#open = false;
+		const refused = this.#waiting.map(waiting => refusal(waiting, resultCode.targetLeaving, leastRetryAfterMilliseconds));
+		this.#waiting = [];
+		return refused;
+	}
+
+	/** Takes work again after a cancelled departure or a finished change. */
+	reopen(): void {
+		this.#open = true;
+	}
+
+	/** The exact load at this moment, for reports and answers. */
+	load(now: number): Omit<Load, 'role'> {
+		const totalPieces = this.#capacity.kind === 'engine' ? this.#capacity.totalPieces : 0;
+		return {
+			prefillTokensPerSecond: this.#capacity.kind === 'engine' ? this.#capacity.prefillTokensPerSecond : 0,
+			decodeTokensPerSecond: this.#capacity.kind === 'engine' ? this.#capacity.decodeTokensPerSecond : 0,
+			running: this.#running.size,
+			queued: this.#waiting.length,
+			queueMilliseconds: this.#hasRoom() && this.#waiting.length === 0 ? 0 : this.#backlog(now) + sum(this.#waiting),
+			queuedPromptTokens: this.#waiting.reduce((tokens, waiting) => tokens + waiting.promptTokens, 0),
+			freePieces: totalPieces - this.#usedPieces,
+			totalPieces,
+			leaving: !this.#open,
+		};
+	}
+
+	/** Sheds the least valuable work until all that waits can meet its deadline and the queue is within bounds. */
+	#shedUntilFeasible(newcomer: Waiting, now: number): readonly AdmissionEffect[] {
+		const effects: AdmissionEffect[] = [];
+		for (;;) {
+			const late = this.#firstLate(now);
+			const isOverfull = this.#waiting.length > mostQueued;
+			if (late === undefined && !isOverfull) {
+				return effects;
+			}
+
+			const victim = this.#victim(late, newcomer);
+			effects.push(refusal(victim, this.#shedCode(victim, newcomer, isOverfull), this.#retryAfter(victim, now)));
+			this.#waiting = this.#waiting.filter(waiting => waiting !== victim);
+		}
+	}
+
+	/** The first work, in order of deadline, that would end too late if all ahead of it ran. */
+	#firstLate(now: number): Waiting | undefined {
+		const canStartAtOnce = this.#hasRoom() && this.#waiting.length === 1;
+		let ahead = canStartAtOnce ? 0 : this.#backlog(now);
+		return this.#waiting.find(waiting => {
+			const endsAt = now + ahead + waiting.latencyMilliseconds;
+			ahead += waiting.occupancyMilliseconds;
+			return endsAt > waiting.deadlineAt;
+		});
+	}
+
+	/** Of the work that delays `late`, the least important; of those, from the organisation that holds most; of those, the newest deadline. */
+	#victim(late: Waiting | undefined, newcomer: Waiting): Waiting {
+		const candidates = late === undefined ? this.#waiting : this.#waiting.slice(0, this.#waiting.indexOf(late) + 1);
+		const held = new Map<string, number>();
+		for (const waiting of this.#waiting) {
+			held.set(waiting.organisation, (held.get(waiting.organisation) ?? 0) + waiting.occupancyMilliseconds);
+		}
+
+		return candidates.reduce((least, waiting) => {
+			const byImportance = importanceRank[waiting.importance] - importanceRank[least.importance];
+			if (byImportance !== 0) {
+				return byImportance < 0 ? waiting : least;
+			}
+
+			const byShare = (held.get(waiting.organisation) ?? 0) - (held.get(least.organisation) ?? 0);
+			if (byShare !== 0) {
+				return byShare > 0 ? waiting : least;
+			}
+
+			return waiting === newcomer || waiting.deadlineAt >= least.deadlineAt ? waiting : least;
+		});
+	}
+
+	#shedCode(victim: Waiting, newcomer: Waiting, isOverfull: boolean): number {
+		if (victim !== newcomer) {
+			return resultCode.shed;
+		}
+
+		if (this.#isOverShare(victim.organisation)) {
+			return resultCode.organisationOverShare;
+		}
+
+		return isOverfull ? resultCode.queueFull : resultCode.deadlineUnreachable;
+	}
+
+	#isOverShare(organisation: string): boolean {
+		const organisations = new Set(this.#waiting.map(waiting => waiting.organisation));
+		const own = this.#waiting.filter(waiting => waiting.organisation === organisation).length;
+		return organisations.size > 1 && own > fairShareFactor * this.#waiting.length / organisations.size;
+	}
+
+	/** Starts waiting work in order of deadline, organisations within their share first, while it fits. */
+	#start(now: number): readonly AdmissionEffect[] {
+		const effects: AdmissionEffect[] = [];
+		while (!this.#paused) {
+			const next = this.#next();
+			if (next === undefined || !this.#fits(next)) {
+				break;
+			}
+
+			this.#waiting = this.#waiting.filter(waiting => waiting !== next);
+			this.#running.set(next.attemptId, {...next, startedAt: now});
+			this.#usedPieces += next.pieces;
+			effects.push({kind: 'run', attemptId: next.attemptId});
+		}
+
+		return effects;
+	}
+
+	#next(): Waiting | undefined {
+		const first = this.#waiting[0];
+		if (first === undefined || this.#waiting.length === 1) {
+			return first;
+		}
+
+		const running = new Map<string, number>();
+		for (const {organisation} of this.#running.values()) {
+			running.set(organisation, (running.get(organisation) ?? 0) + 1);
+		}
+
+		const fairRunning = Math.max(1, fairShareFactor * this.#running.size / Math.max(1, running.size));
+		return this.#waiting.find(waiting => (running.get(waiting.organisation) ?? 0) <= fairRunning) ?? first;
+	}
+
+	#hasRoom(): boolean {
+		return this.#running.size < this.#capacity.mostRunning && !this.#paused;
+	}
+
+	#fits(waiting: Waiting): boolean {
+		if (!this.#hasRoom()) {
+			return false;
+		}
+
+		return this.#capacity.kind === 'plain' || this.#usedPieces + waiting.pieces <= this.#capacity.totalPieces;
+	}
+
+	/** Milliseconds of the target's whole capacity that running work still needs. */
+	#backlog(now: number): number {
+		return [...this.#running.values()].reduce((total, running) => {
+			const elapsedShare = (now - running.startedAt) / Math.max(1, running.latencyMilliseconds);
+			return total + (running.occupancyMilliseconds * Math.max(0, 1 - elapsedShare));
+		}, 0);
+	}
+
+	/** When the work would have fitted: the backlog beyond what its deadline leaves. */
+	#retryAfter(work: Waiting, now: number): number {
+		const excess = this.#backlog(now) + sum(this.#waiting) - Math.max(0, work.deadlineAt - now - work.latencyMilliseconds);
+		return Math.min(mostRetryAfterMilliseconds, Math.max(leastRetryAfterMilliseconds, excess));
+	}
+}
+
+const sum = (waiting: readonly Waiting[]): number => waiting.reduce((total, {occupancyMilliseconds}) => total + occupancyMilliseconds, 0);
+
+const refusal = ({attemptId}: Pick<Work, 'attemptId'>, code: number, retryAfterMilliseconds: number): AdmissionEffect => ({
+	kind: 'refuse', attemptId, code, retryAfterMilliseconds,
+});
+
+const insertByDeadline = (waiting: readonly Waiting[], newcomer: Waiting): readonly Waiting[] => {
+	const index = waiting.findIndex(other => other.deadlineAt > newcomer.deadlineAt);
+	return index === -1 ? [...waiting, newcomer] : waiting.toSpliced(index, 0, newcomer);
+};
--- /dev/null
+++ b/source/decisions/attempts/attempt-table.ts
@@ -0,0 +1,324 @@
+/**
+All attempts at one target: admission, output and what to say of them.
+
+The promises kept here: an attempt that was refused never runs; an attempt that
+arrives twice runs once; an attempt that this process has denied knowing never
+runs later, however late its frame arrives; output is kept until it is
+acknowledged or its gateway has been gone for long; leaving cuts nothing off.
+*/
+import {resultCode} from '../../generated/result-codes.js';
+import type {AttemptMessage, EngineRole, Load} from '../../generated/messages.js';
+import type {AdmissionEffect} from '../admission/admission-effect.js';
+import {AdmissionQueue} from '../admission/admission-queue.js';
+import type {TargetCapacity} from '../admission/target-capacity.js';
+import type {AttemptEffect} from './attempt-effect.js';
+import type {AttemptEvent} from './attempt-event.js';
+import {OutputBuffer} from './output-buffer.js';
+
+const orphanMilliseconds = 15_000;
+const tombstoneMilliseconds = 120_000;
+
+type Attempt = {
+	readonly message: AttemptMessage;
+	link: string | undefined;
+	phase: 'waiting' | 'running' | 'ended';
+	orphanedAt: number | undefined;
+	readonly buffer: OutputBuffer;
+};
+
+type Tombstone = {readonly forgetAt: number; readonly mayHaveRun: boolean};
+
+type EventOf<Kind extends AttemptEvent['kind']> = Extract<AttemptEvent, {readonly kind: Kind}>;
+
+/**
+The state machine of the attempts at one target. Deterministic: the caller passes the time.
+
+@example
+```
+const table = new AttemptTable(capacity);
+table.handle({kind: 'attempt arrived', link, message}, clock()).forEach(perform);
+```
+*/
+export class AttemptTable {
+	role: EngineRole = 'mixed';
+	readonly #attempts = new Map<string, Attempt>();
+	/** Attempts that must never run here any more; in order of the time to forget them. */
+	readonly #tombstones = new Map<string, Tombstone>();
+	readonly #queue: AdmissionQueue;
+
+	constructor(capacity: TargetCapacity) {
+		this.#queue = new AdmissionQueue(capacity);
+	}
+
+	/** True when nothing runs, waits or has unacknowledged output. */
+	get isDrained(): boolean {
+		return this.#attempts.size === 0;
+	}
+
+	/** True when nothing runs at the target. */
+	get isIdle(): boolean {
+		return this.#queue.runningCount === 0;
+	}
+
+	get size(): number {
+		return this.#attempts.size;
+	}
+
+	updateCapacity(capacity: TargetCapacity): void {
+		this.#queue.updateCapacity(capacity);
+	}
+
+	load(now: number): Load {
+		return {...this.#queue.load(now), role: this.role};
+	}
+
+	/** Takes one event and returns what to do, in order. */
+	handle(event: AttemptEvent, now: number): readonly AttemptEffect[] {
+		switch (event.kind) {
+			case 'attempt arrived': {
+				return this.#arrived(event, now);
+			}
+
+			case 'resume': {
+				return this.#resume(event, now);
+			}
+
+			case 'acknowledge': {
+				return this.#acknowledge(event);
+			}
+
+			case 'cancel': {
+				return this.#cancel(event, now);
+			}
+
+			case 'link closed': {
+				return this.#linkClosed(event, now);
+			}
+
+			case 'target output': {
+				return this.#output(event);
+			}
+
+			case 'target finished': {
+				return this.#finished(event, now);
+			}
+
+			case 'tick': {
+				return this.#tick(now);
+			}
+
+			case 'pause': {
+				this.#queue.pause();
+				return [];
+			}
+
+			case 'unpause': {
+				return this.#admit(this.#queue.resume(now), now);
+			}
+
+			case 'leave': {
+				return this.#admit(this.#queue.close(), now);
+			}
+
+			case 'return': {
+				this.#queue.reopen();
+				return [];
+			}
+		}
+	}
+
+	#arrived({link, message}: EventOf<'attempt arrived'>, now: number): readonly AttemptEffect[] {
+		if (this.#tombstones.has(message.attemptId)) {
+			return [{kind: 'count', counter: 'attempt.barred'}];
+		}
+
+		if (this.#attempts.has(message.attemptId)) {
+			return [{kind: 'count', counter: 'attempt.duplicate'}];
+		}
+
+		this.#attempts.set(message.attemptId, {
+			message, link, phase: 'waiting', orphanedAt: undefined, buffer: new OutputBuffer(),
+		});
+		return this.#admit(this.#queue.offer({
+			attemptId: message.attemptId,
+			organisation: message.organisation,
+			importance: message.importance,
+			deadlineAt: now + message.remainingMilliseconds,
+			promptTokens: message.promptTokens,
+			outputTokens: message.outputTokens,
+		}, now), now);
+	}
+
+	#resume({link, attemptId, receivedThrough}: EventOf<'resume'>, now: number): readonly AttemptEffect[] {
+		const attempt = this.#attempts.get(attemptId);
+		if (attempt === undefined) {
+			const mayHaveRun = this.#tombstones.get(attemptId)?.mayHaveRun ?? false;
+			this.#bury(attemptId, mayHaveRun, now);
+			return [{kind: 'send', link, message: {kind: 'attempt unknown', attemptId, mayHaveRun}}];
+		}
+
+		attempt.link = link;
+		attempt.orphanedAt = undefined;
+		attempt.buffer.acknowledge(receivedThrough);
+		return attempt.buffer.after(receivedThrough).map(message => ({kind: 'send', link, message}));
+	}
+
+	#acknowledge({attemptId, receivedThrough}: EventOf<'acknowledge'>): readonly AttemptEffect[] {
+		const attempt = this.#attempts.get(attemptId);
+		attempt?.buffer.acknowledge(receivedThrough);
+		if (attempt?.buffer.isSettled) {
+			this.#attempts.delete(attemptId);
+		}
+
+		return [];
+	}
+
+	/** A cancelled attempt that has not started never will; one that may not be repeated runs to its end. */
+	#cancel({attemptId}: EventOf<'cancel'>, now: number): readonly AttemptEffect[] {
+		const attempt = this.#attempts.get(attemptId);
+		if (attempt === undefined) {
+			this.#bury(attemptId, this.#tombstones.get(attemptId)?.mayHaveRun ?? false, now);
+			return [];
+		}
+
+		switch (attempt.phase) {
+			case 'waiting': {
+				this.#queue.withdraw(attemptId);
+				this.#forget(attemptId, false, now);
+				return [];
+			}
+
+			case 'running': {
+				attempt.link = undefined;
+				attempt.orphanedAt = now;
+				return attempt.message.repeatable ? [{kind: 'stop', attemptId}] : [];
+			}
+
+			case 'ended': {
+				this.#forget(attemptId, true, now);
+				return [];
+			}
+		}
+	}
+
+	#linkClosed({link}: EventOf<'link closed'>, now: number): readonly AttemptEffect[] {
+		for (const attempt of this.#attempts.values()) {
+			if (attempt.link === link) {
+				attempt.link = undefined;
+				attempt.orphanedAt = now;
+			}
+		}
+
+		return [];
+	}
+
+	#output({attemptId, text}: EventOf<'target output'>): readonly AttemptEffect[] {
+		const attempt = this.#attempts.get(attemptId);
+		if (attempt?.phase !== 'running') {
+			return [{kind: 'count', counter: 'target.late-output'}];
+		}
+
+		const message = attempt.buffer.append(sequence => ({
+			kind: 'output' as const, attemptId, sequence, text,
+		}));
+		return attempt.link === undefined ? [] : [{kind: 'send', link: attempt.link, message}];
+	}
+
+	#finished({attemptId, code, status, finishReason, contentType}: EventOf<'target finished'>, now: number): readonly AttemptEffect[] {
+		const attempt = this.#attempts.get(attemptId);
+		if (attempt?.phase !== 'running') {
+			return [{kind: 'count', counter: 'target.late-end'}];
+		}
+
+		attempt.phase = 'ended';
+		const started = this.#admit(this.#queue.complete(attemptId, now), now);
+		if (isRefusalByTarget(code)) {
+			return [...this.#refuse(attemptId, code, 0, now), ...started];
+		}
+
+		const message = attempt.buffer.append(sequence => ({
+			kind: 'finished' as const, attemptId, sequence, code, status, finishReason, contentType, load: this.load(now),
+		}));
+		return attempt.link === undefined ? started : [{kind: 'send', link: attempt.link, message}, ...started];
+	}
+
+	#tick(now: number): readonly AttemptEffect[] {
+		const expired = this.#admit(this.#queue.expire(now), now);
+		const orphaned = [...this.#attempts.entries()].filter(([, attempt]) => attempt.orphanedAt !== undefined && now - attempt.orphanedAt > orphanMilliseconds);
+		const abandoned = orphaned.flatMap(([attemptId, attempt]) => this.#abandon(attemptId, attempt, now));
+		for (const [attemptId, {forgetAt}] of this.#tombstones) {
+			if (forgetAt > now) {
+				break;
+			}
+
+			this.#tombstones.delete(attemptId);
+		}
+
+		return [...expired, ...abandoned];
+	}
+
+	/** Gives up holding an attempt whose gateway has not come back. Work that may not be repeated is never stopped half-way. */
+	#abandon(attemptId: string, attempt: Attempt, now: number): readonly AttemptEffect[] {
+		switch (attempt.phase) {
+			case 'waiting': {
+				this.#queue.withdraw(attemptId);
+				this.#forget(attemptId, false, now);
+				return [{kind: 'count', counter: 'attempt.abandoned-waiting'}];
+			}
+
+			case 'running': {
+				return attempt.message.repeatable ? [{kind: 'stop', attemptId}, {kind: 'count', counter: 'attempt.abandoned-running'}] : [];
+			}
+
+			case 'ended': {
+				this.#forget(attemptId, true, now);
+				return [{kind: 'count', counter: 'attempt.abandoned-ended'}];
+			}
+		}
+	}
+
+	#admit(effects: readonly AdmissionEffect[], now: number): readonly AttemptEffect[] {
+		return effects.flatMap((effect): readonly AttemptEffect[] => {
+			switch (effect.kind) {
+				case 'run': {
+					const attempt = this.#attempts.get(effect.attemptId)!;
+					attempt.phase = 'running';
+					return [{kind: 'run', message: attempt.message}];
+				}
+
+				case 'refuse': {
+					return this.#refuse(effect.attemptId, effect.code, effect.retryAfterMilliseconds, now);
+				}
+			}
+		});
+	}
+
+	#refuse(attemptId: string, code: number, retryAfterMilliseconds: number, now: number): readonly AttemptEffect[] {
+		const link = this.#attempts.get(attemptId)?.link;
+		this.#forget(attemptId, false, now);
+		const counted: AttemptEffect = {kind: 'count', counter: `refused.${code}`};
+		return link === undefined
+			? [counted]
+			: [counted, {
+				kind: 'send',
+				link,
+				message: {
+					kind: 'refused', attemptId, code, retryAfterMilliseconds, load: this.load(now),
+				},
+			}];
+	}
+
+	#forget(attemptId: string, mayHaveRun: boolean, now: number): void {
+		this.#attempts.delete(attemptId);
+		this.#bury(attemptId, mayHaveRun, now);
+	}
+
+	/** Re-inserting keeps the map in order of time. */
+	#bury(attemptId: string, mayHaveRun: boolean, now: number): void {
+		this.#tombstones.delete(attemptId);
+		this.#tombstones.set(attemptId, {forgetAt: now + tombstoneMilliseconds, mayHaveRun});
+	}
+}
+
+/** The target itself never took the request, so the attempt has not run. */
+const isRefusalByTarget = (code: number): boolean => code === resultCode.targetRefusedConnection || code === resultCode.targetLeaving;
--- /dev/null
+++ b/source/decisions/claims/judge-claim.ts
@@ -0,0 +1,29 @@
+/**
+Decides what a claim found in the store means for a request.
+*/
+import {resultCode} from '../../generated/result-codes.js';
+import type {ClaimRecord} from './claim-record.js';
+
+type Judgement = {readonly kind: 'own'} | {readonly kind: 'final'; readonly code: number};
+
+/**
+Returns `own` when this request made the claim, otherwise its final code.
+
+A claim by another request is never overtaken, however old: its call may have run.
+
+@example
+```
+judgeClaim({claimant: 'a', digest: 'd', state: 'claimed'}, {claimant: 'b', digest: 'd'}); // final, 2004
+```
+*/
+export const judgeClaim = (found: ClaimRecord, own: Pick<ClaimRecord, 'claimant' | 'digest'>): Judgement => {
+	if (found.claimant === own.claimant) {
+		return {kind: 'own'};
+	}
+
+	if (found.digest !== own.digest) {
+		return {kind: 'final', code: resultCode.keyReused};
+	}
+
+	return {kind: 'final', code: found.state === 'done' ? resultCode.alreadyExecuted : resultCode.earlierCallUnresolved};
+};
--- /dev/null
+++ b/source/decisions/request/continue-body.ts
@@ -0,0 +1,36 @@
+/**
+Body of a model request that goes on where another engine broke off.
+*/
+
+type ModelBody = {
+	readonly [other: string]: unknown;
+	readonly prompt?: string;
+	readonly messages?: ReadonlyArray<{readonly role?: string; readonly content: string}>;
+	readonly max_tokens?: number;
+};
+
+/**
+Returns the body whose prompt ends in what the caller already has, asking for the rest only.
+
+@example
+```
+continueBody('{"prompt":"oak","max_tokens":3}', ' a', 1); // {"prompt":"oak a","max_tokens":2}
+```
+*/
+export const continueBody = (body: string, emitted: string, emittedParts: number): string => {
+	if (emitted === '') {
+		return body;
+	}
+
+	const parsed = JSON.parse(body) as ModelBody;
+	const {messages, prompt, max_tokens: mostTokens} = parsed;
+	return JSON.stringify({
+		...parsed,
+		...prompt === undefined ? {} : {prompt: prompt + emitted},
+		...messages === undefined ? {} : {messages: continueMessages(messages, emitted), continue_final_message: true}, // eslint-disable-line @typescript-eslint/naming-convention
+		...mostTokens === undefined ? {} : {max_tokens: Math.max(1, mostTokens - emittedParts)}, // eslint-disable-line @typescript-eslint/naming-convention
+	});
+};
+
+const continueMessages = (messages: ReadonlyArray<{readonly role?: string; readonly content: string}>, emitted: string) =>
+	[...messages, {role: 'assistant', content: emitted}];
--- /dev/null
+++ b/source/decisions/request/decide-request.ts
@@ -0,0 +1,243 @@
+/**
+Decides what a gateway does with one request.
+
+The promises kept here: each caller gets its own whole answer, each part once and
+in order; "not run" is said only when no attempt can have run; a request that may
+not be repeated is never handed to a second target once it may have run.
+*/
+import {pipe} from 'fp-ts/lib/function.js';
+import * as option from 'fp-ts/lib/Option.js';
+import {resultCode} from '../../generated/result-codes.js';
+import {assertInvariant} from '../../shared/assert-invariant.js';
+import type {RequestEffect} from './request-effect.js';
+import type {RequestEvent} from './request-event.js';
+import type {RequestState} from './request-state.js';
+
+type Decision = {readonly state: RequestState; readonly effects: readonly RequestEffect[]};
+type EventOf<Kind extends RequestEvent['kind']> = Extract<RequestEvent, {readonly kind: Kind}>;
+
+const mostAttempts = 6;
+/** Parts of output between two acknowledgements. */
+const acknowledgeEvery = 16;
+
+const unchanged = (state: RequestState, ...effects: readonly RequestEffect[]): Decision => ({state, effects});
+
+const finish = (state: RequestState, ...effects: readonly RequestEffect[]): Decision => ({
+	state: {...state, phase: 'done', attempt: option.none},
+	effects,
+});
+
+const isLive = (state: RequestState, attemptId: string): boolean => pipe(
+	state.attempt,
+	option.exists(attempt => attempt.attemptId === attemptId),
+);
+
+const liveTarget = (state: RequestState): readonly string[] => pipe(
+	state.attempt,
+	option.match(() => [], attempt => [attempt.target]),
+);
+
+const isLiveSent = (state: RequestState): boolean => pipe(state.attempt, option.exists(attempt => attempt.sent));
+
+/** True unless it is certain that no attempt, earlier or live, has run. */
+const mayHaveRun = (state: RequestState): boolean => state.mayHaveRun || isLiveSent(state);
+
+const hasRunSafely = (state: RequestState): boolean => state.repeatable || !state.mayHaveRun;
+
+/** Drops the live attempt and picks another target, avoiding those tried. */
+const chooseAgain = (state: RequestState): Decision => {
+	assertInvariant(hasRunSafely(state), resultCode.executionInvariantBroken, `request ${state.requestId} may have run`);
+	const triedTargets = [...state.triedTargets, ...liveTarget(state)];
+	return {
+		state: {
+			...state, phase: 'choosing', attempt: option.none, triedTargets,
+		},
+		effects: [{kind: 'choose target', avoid: triedTargets, isRetry: true}],
+	};
+};
+
+const mayTryAgain = (state: RequestState, mayRetry: boolean): boolean => mayRetry && state.attemptCount < mostAttempts;
+
+/** The final answer for a request none of whose attempts ran. */
+const refuse = (state: RequestState, code: number, retryAfterMilliseconds: number): Decision =>
+	mayHaveRun(state)
+		? finish(state, {kind: 'fail', code: state.emitted === '' ? resultCode.targetLost : resultCode.answerIncomplete})
+		: finish(state, {kind: 'refuse', code, retryAfterMilliseconds});
+
+const onTargetChosen = (state: RequestState, event: EventOf<'target chosen'>): Decision => {
+	assertInvariant(state.phase === 'choosing', resultCode.executionInvariantBroken, 'a second attempt while one is live');
+	assertInvariant(hasRunSafely(state), resultCode.executionInvariantBroken, `request ${state.requestId} may have run`);
+	return {
+		state: {
+			...state,
+			phase: 'waiting',
+			attemptCount: state.attemptCount + 1,
+			attempt: option.some({
+				attemptId: event.attemptId, target: event.target, receivedThrough: 0, sent: false,
+			}),
+		},
+		effects: [{
+			kind: 'send attempt', attemptId: event.attemptId, target: event.target, emitted: state.emitted, emittedParts: state.emittedParts,
+		}],
+	};
+};
+
+const onSent = (state: RequestState, event: EventOf<'sent'>): Decision => isLive(state, event.attemptId)
+	? unchanged({...state, attempt: pipe(state.attempt, option.map(attempt => ({...attempt, sent: true})))})
+	: unchanged(state);
+
+/** The live attempt is known not to have run; earlier ones may have. */
+const afterNotRun = (state: RequestState, code: number, retryAfterMilliseconds: number, mayRetry: boolean): Decision => {
+	const cleared: RequestState = {
+		...state,
+		attempt: pipe(state.attempt, option.map(attempt => ({...attempt, sent: false}))),
+		lastRefusal: option.some({code, retryAfterMilliseconds}),
+	};
+	return mayTryAgain(cleared, mayRetry) ? chooseAgain(cleared) : refuse(cleared, code, retryAfterMilliseconds);
+};
+
+/** The attempt may have run and brings no more output. */
+const afterMayHaveRun = (state: RequestState, code: number, mayRetry: boolean): Decision => {
+	if (state.repeatable && mayTryAgain(state, mayRetry)) {
+		return chooseAgain({...state, mayHaveRun: true});
+	}
+
+	return finish(state, {kind: 'fail', code: state.emitted === '' ? code : resultCode.answerIncomplete});
+};
+
+const onOutput = (state: RequestState, event: EventOf<'output'>, receivedThrough: number): Decision => {
+	if (event.sequence <= receivedThrough) {
+		return unchanged(state, {kind: 'drop', reason: 'duplicate output'});
+	}
+
+	if (event.sequence > receivedThrough + 1) {
+		return unchanged(state, {kind: 'drop', reason: 'gap in output'}, {kind: 'resume attempt', attemptId: event.attemptId, receivedThrough});
+	}
+
+	return {
+		state: {
+			...state,
+			emitted: state.emitted + event.text,
+			emittedParts: state.emittedParts + 1,
+			attempt: pipe(state.attempt, option.map(attempt => ({...attempt, receivedThrough: event.sequence}))),
+		},
+		effects: [
+			{kind: 'write', text: event.text},
+			...event.sequence % acknowledgeEvery === 0 ? [{kind: 'acknowledge' as const, attemptId: event.attemptId, receivedThrough: event.sequence}] : [],
+		],
+	};
+};
+
+const onFinished = (state: RequestState, event: EventOf<'finished'>, receivedThrough: number): Decision => {
+	if (event.sequence > receivedThrough + 1) {
+		return unchanged(state, {kind: 'drop', reason: 'gap in output'}, {kind: 'resume attempt', attemptId: event.attemptId, receivedThrough});
+	}
+
+	assertInvariant(event.sequence === receivedThrough + 1, resultCode.answerInvariantBroken, `end ${event.sequence} after output ${receivedThrough}`);
+	const acknowledge: RequestEffect = {kind: 'acknowledge', attemptId: event.attemptId, receivedThrough: event.sequence};
+	if (event.code === resultCode.ok) {
+		const {status, finishReason, contentType} = event;
+		return finish(state, acknowledge, {
+			kind: 'complete', status, finishReason, contentType,
+		});
+	}
+
+	const next = afterMayHaveRun(state, event.code, event.mayRetry);
+	return {...next, effects: [acknowledge, ...next.effects]};
+};
+
+const cancelLive = (state: RequestState): readonly RequestEffect[] => pipe(
+	state.attempt,
+	option.match((): readonly RequestEffect[] => [], attempt => [{kind: 'cancel attempt', attemptId: attempt.attemptId}]),
+);
+
+const onDeadline = (state: RequestState): Decision => {
+	const last: RequestEffect = mayHaveRun(state)
+		? {kind: 'fail', code: state.emitted === '' ? resultCode.deadlinePassedWhileRunning : resultCode.answerIncomplete}
+		: {kind: 'refuse', code: resultCode.deadlineUnreachable, retryAfterMilliseconds: pipe(state.lastRefusal, option.match(() => 1000, refusal => refusal.retryAfterMilliseconds))};
+	return finish(state, ...cancelLive(state), last);
+};
+
+const onNoTarget = (state: RequestState, event: EventOf<'no target'>): Decision => pipe(
+	state.lastRefusal,
+	option.match(
+		() => refuse(state, event.code, event.retryAfterMilliseconds),
+		refusal => refuse(state, refusal.code, refusal.retryAfterMilliseconds),
+	),
+);
+
+const onAttemptUnknown = (state: RequestState, event: EventOf<'attempt unknown'>, receivedThrough: number): Decision =>
+	event.certainlyNotRun && receivedThrough === 0
+		? afterNotRun(state, resultCode.targetUnreachable, 0, event.mayRetry)
+		: afterMayHaveRun(state, resultCode.targetLost, event.mayRetry);
+
+/**
+Returns the next state and effects; events of attempts that are not live are dropped.
+
+@throws InvariantError when the step would break a promise.
+
+@example
+```
+const {state, effects} = decideRequest(startRequest(facts), {kind: 'target chosen', attemptId, target: 'engine-3'});
+```
+*/
+export const decideRequest = (state: RequestState, event: RequestEvent): Decision => {
+	if (state.phase === 'done') {
+		return unchanged(state, {kind: 'drop', reason: 'no live attempt'});
+	}
+
+	if ('attemptId' in event && event.kind !== 'target chosen' && !isLive(state, event.attemptId)) {
+		return unchanged(state, {kind: 'drop', reason: 'no live attempt'});
+	}
+
+	const receivedThrough = pipe(state.attempt, option.match(() => 0, attempt => attempt.receivedThrough));
+	switch (event.kind) {
+		case 'target chosen': {
+			return onTargetChosen(state, event);
+		}
+
+		case 'no target': {
+			return onNoTarget(state, event);
+		}
+
+		case 'sent': {
+			return onSent(state, event);
+		}
+
+		case 'unsent': {
+			return afterNotRun(state, resultCode.targetUnreachable, 0, event.mayRetry);
+		}
+
+		case 'refused': {
+			return afterNotRun(state, event.code, event.retryAfterMilliseconds, event.mayRetry);
+		}
+
+		case 'link replaced': {
+			return unchanged(state, {kind: 'resume attempt', attemptId: event.attemptId, receivedThrough});
+		}
+
+		case 'attempt unknown': {
+			return onAttemptUnknown(state, event, receivedThrough);
+		}
+
+		case 'target lost': {
+			return afterMayHaveRun(state, resultCode.linkLost, event.mayRetry);
+		}
+
+		case 'output': {
+			return onOutput(state, event, receivedThrough);
+		}
+
+		case 'finished': {
+			return onFinished(state, event, receivedThrough);
+		}
+
+		case 'deadline': {
+			return onDeadline(state);
+		}
+
+		case 'caller gone': {
+			return finish(state, ...cancelLive(state));
+		}
+	}
+};
--- /dev/null
+++ b/source/gateway/gateway.ts
@@ -0,0 +1,252 @@
+/**
+One gateway process: fronts callers, routes, retries, and may lead services.
+*/
+import type {FastifyInstance} from 'fastify';
+import {ConfigurationKeeper} from '../configuration/configuration-keeper.js';
+import {ConfigurationWatcher} from '../configuration/configuration-watcher.js';
+import {isWatcher} from '../decisions/configuration/is-watcher.js';
+import {warmTargets} from '../decisions/links/warm-targets.js';
+import {RetryBudget} from '../decisions/request/retry-budget.js';
+import {TargetDirectory} from '../decisions/routing/target-directory.js';
+import type {GatewaySettings} from '../generated/gateway-settings.js';
+import {EtcdKeyValueService} from '../platform/etcd-key-value-service.js';
+import type {ListedVm} from '../platform/listed-vm.js';
+import {VmList} from '../platform/vm-list.js';
+import {describeCode} from '../shared/describe-code.js';
+import {logger} from '../shared/logger.js';
+import {Metrics} from '../shared/metrics.js';
+import {newIdentifier} from '../shared/new-identifier.js';
+import {parseAddress} from '../shared/parse-address.js';
+import {pause} from '../shared/pause.js';
+import type {CallerSink} from './caller-sink.js';
+import {createCallerServer} from './caller-server.js';
+import type {GatewayRequest} from './gateway-request.js';
+import {IdempotencyClaims} from './idempotency-claims.js';
+import {RequestRunner} from './request-runner.js';
+import {ServiceCatalogue} from './service-catalogue.js';
+import {TargetLinks} from './target-links.js';
+
+const vmListMilliseconds = 1000;
+const exchangeMilliseconds = 5000;
+const drainCheckMilliseconds = 50;
+const defaultRetryShare = 0.2;
+const claimRetryMilliseconds = 1000;
+const defaultBalancerLagMilliseconds = 3000;
+const defaultLongestDrainMilliseconds = 600_000;
+
+const log = logger.child({module: 'gateway'});
+
+/**
+A gateway from its settings.
+
+@example
+```
+const gateway = new Gateway(settings);
+await gateway.start();
+await gateway.stop(); // graceful: cuts off no request
+```
+*/
+export class Gateway {
+	readonly incarnation = newIdentifier();
+	readonly metrics: Metrics;
+	readonly directory = new TargetDirectory();
+	readonly store: EtcdKeyValueService;
+	readonly keeper: ConfigurationKeeper;
+	readonly links: TargetLinks;
+	catalogue: ServiceCatalogue | undefined;
+	readonly #claims: IdempotencyClaims;
+	readonly #watcher: ConfigurationWatcher;
+	readonly #vmList: VmList;
+	readonly #budgets = new Map<string, RetryBudget>();
+	readonly #server: FastifyInstance;
+	#timers: readonly NodeJS.Timeout[] = [];
+	#vms: readonly ListedVm[] = [];
+	#live = 0;
+	#phase: 'serving' | 'leaving' | 'refusing' = 'serving';
+
+	constructor(readonly settings: GatewaySettings) {
+		this.metrics = new Metrics(settings.metrics, settings.name);
+		this.store = new EtcdKeyValueService(settings.platform.keyValueService);
+		this.keeper = new ConfigurationKeeper(this.metrics, document => {
+			this.catalogue = new ServiceCatalogue(document);
+			for (const {name, retryShare} of document.services) {
+				this.#budget(name).setShare(retryShare ?? defaultRetryShare);
+			}
+		});
+		this.links = new TargetLinks({
+			process: settings.name,
+			incarnation: this.incarnation,
+			keeper: this.keeper,
+			metrics: this.metrics,
+			directory: this.directory,
+			onControl() {/* No service is led yet. */},
+		});
+		this.#claims = new IdempotencyClaims(this.store, this.metrics);
+		this.#watcher = new ConfigurationWatcher(this.store, this.keeper);
+		this.#vmList = new VmList(settings.platform.vmList);
+		this.#server = createCallerServer({
+			catalogue: () => this.catalogue,
+			isStopping: () => this.#phase === 'refusing',
+			run: (request, sink) => this.#run(request, sink),
+			onRefused: code => {
+				this.metrics.count(`request.ended.${code}`);
+			},
+		});
+	}
+
+	/** True once a configuration is in force and the VM list has been read, until a stop begins. */
+	get isReady(): boolean {
+		return this.#phase === 'serving' && this.catalogue !== undefined && this.#vms.length > 0;
+	}
+
+	/** Requests without a final answer yet. */
+	get liveRequests(): number {
+		return this.#live;
+	}
+
+	async start(): Promise<void> {
+		this.#watcher.start();
+		await this.#readVmList();
+		this.#timers = [
+			setInterval(() => {
+				void this.#readVmList();
+			}, vmListMilliseconds),
+			setInterval(() => {
+				this.keeper.exchange(Math.random);
+			}, exchangeMilliseconds),
+		];
+		await this.#server.listen(parseAddress(this.settings.listen.callers));
+		log.info({name: this.settings.name, listen: this.settings.listen}, 'gateway started');
+	}
+
+	/** Fails readiness, serves through the balancer's lag, then refuses new work and ends when the last answer is given. */
+	async stop(): Promise<void> {
+		const {balancerLagMilliseconds = defaultBalancerLagMilliseconds, longestDrainMilliseconds = defaultLongestDrainMilliseconds} = this.settings.stopping ?? {};
+		this.#phase = 'leaving';
+		log.info({liveRequests: this.#live}, 'gateway leaving');
+		await pause(balancerLagMilliseconds);
+		this.#phase = 'refusing';
+		const giveUpAt = performance.now() + longestDrainMilliseconds;
+		while (this.#live > 0 && performance.now() < giveUpAt) {
+			await pause(drainCheckMilliseconds); // eslint-disable-line no-await-in-loop
+		}
+
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
+		this.#watcher.stop();
+		this.#claims.close();
+		this.links.closeAll();
+		await this.#server.close();
+		await Promise.all([this.store.close(), this.#vmList.close()]);
+		this.metrics.close();
+		log.info({}, 'gateway stopped');
+	}
+
+	#budget(service: string): RetryBudget {
+		const known = this.#budgets.get(service) ?? new RetryBudget(defaultRetryShare);
+		this.#budgets.set(service, known);
+		return known;
+	}
+
+	#run(request: GatewayRequest, sink: CallerSink): () => void {
+		this.#live += 1;
+		if (!request.repeatable && request.idempotencyKey !== '') {
+			void this.#runClaimed(request, sink);
+			// A claimed call runs to its end, so that its outcome can be recorded.
+			return () => undefined;
+		}
+
+		const runner = this.#createRunner(request, sink, () => {
+			this.#live -= 1;
+		});
+		runner.start();
+		return () => {
+			runner.callerGone();
+		};
+	}
+
+	async #runClaimed(request: GatewayRequest, sink: CallerSink): Promise<void> {
+		const claim = await this.#claims.claim(request);
+		if (claim.isErr()) {
+			this.#live -= 1;
+			if (describeCode(claim.error).outcome === 'not run') {
+				sink.refuse(claim.error, claimRetryMilliseconds);
+			} else {
+				sink.fail(claim.error);
+			}
+
+			return;
+		}
+
+		let outcome: 'ran' | 'not run' | 'unknown' = 'unknown';
+		this.#createRunner(request, {
+			write(text) {
+				sink.write(text);
+			},
+			complete(...end) {
+				outcome = 'ran';
+				sink.complete(...end);
+			},
+			refuse(...refusal) {
+				outcome = 'not run';
+				sink.refuse(...refusal);
+			},
+			fail(code) {
+				outcome = describeCode(code).outcome;
+				sink.fail(code);
+			},
+		}, () => {
+			void this.#settle(claim.value, outcome);
+		}).start();
+	}
+
+	async #settle(claim: Parameters<IdempotencyClaims['settle']>[0], outcome: 'ran' | 'not run' | 'unknown'): Promise<void> {
+		await this.#claims.settle(claim, outcome);
+		this.#live -= 1;
+	}
+
+	#createRunner(request: GatewayRequest, sink: CallerSink, onDone: () => void): RequestRunner {
+		return new RequestRunner(request, sink, {
+			availabilityZone: this.settings.availabilityZone,
+			links: this.links,
+			directory: this.directory,
+			budget: this.#budget(request.service),
+			metrics: this.metrics,
+			onDone,
+		});
+	}
+
+	async #readVmList(): Promise<void> {
+		const read = await this.#vmList.read();
+		if (read.isErr()) {
+			this.metrics.count('vm-list.failed');
+			return;
+		}
+
+		if (read.value._tag === 'Some') {
+			this.#follow(read.value.value);
+		}
+	}
+
+	/** Takes a changed VM list: the list alone may add and forget targets; a sidecar's own word of leaving stands beside it. */
+	#follow(vms: readonly ListedVm[]): void {
+		this.#vms = vms;
+		const targets = vms.filter(({kind}) => kind === 'target');
+		const gateways = vms.filter(({kind, state}) => kind === 'entry' && state === 'live').map(({name}) => name);
+		const listed = new Set(targets.map(({name}) => name));
+		for (const {name} of this.directory.all.filter(view => !listed.has(view.name))) {
+			this.directory.forget(name);
+		}
+
+		for (const vm of targets) {
+			this.directory.learn(vm);
+			this.directory.setListedLeaving(vm.name, vm.state === 'leaving');
+		}
+
+		this.links.update(targets);
+		this.links.keepWarm(warmTargets(this.settings.name, gateways, targets.map(({name}) => name)));
+		this.#watcher.setWatching(isWatcher(this.settings.name, gateways));
+	}
+}
--- /dev/null
+++ b/source/gateway/target-links.ts
@@ -0,0 +1,97 @@
+/**
+The links of one gateway to the sidecars that it needs, opened on demand.
+*/
+import type {ConfigurationKeeper} from '../configuration/configuration-keeper.js';
+import type {TargetDirectory} from '../decisions/routing/target-directory.js';
+import type {Message} from '../generated/messages.js';
+import type {ListedVm} from '../platform/listed-vm.js';
+import {clock} from '../shared/clock.js';
+import type {Metrics} from '../shared/metrics.js';
+import {TargetLink} from './target-link.js';
+
+type TargetLinksOptions = {
+	readonly process: string;
+	readonly incarnation: string;
+	readonly keeper: ConfigurationKeeper;
+	readonly metrics: Metrics;
+	readonly directory: TargetDirectory;
+	readonly onControl: (target: string, message: Message) => void;
+};
+
+/**
+All target links of one gateway, by target name.
+
+@example
+```
+links.update(vms);
+links.get('engine-3')?.start(message, listener);
+```
+*/
+export class TargetLinks {
+	readonly #options: TargetLinksOptions;
+	readonly #links = new Map<string, TargetLink>();
+
+	constructor(options: TargetLinksOptions) {
+		this.#options = options;
+	}
+
+	get(target: string): TargetLink | undefined {
+		return this.#links.get(target);
+	}
+
+	get openCount(): number {
+		return [...this.#links.values()].filter(link => link.isOpen).length;
+	}
+
+	/** Follows the VM list: new targets become reachable, vanished ones are closed. */
+	update(targets: readonly ListedVm[]): void {
+		const listed = new Map(targets.map(vm => [vm.name, vm]));
+		for (const [name, link] of this.#links) {
+			if (listed.get(name)?.address !== link.address) {
+				this.#links.delete(name);
+				link.close();
+			}
+		}
+
+		for (const vm of targets.filter(({name}) => !this.#links.has(name))) {
+			this.#links.set(vm.name, this.#open(vm));
+		}
+	}
+
+	/** Keeps just these links open without work. */
+	keepWarm(names: ReadonlySet<string>): void {
+		for (const [name, link] of this.#links) {
+			link.isWarm = names.has(name);
+			if (link.isWarm) {
+				link.connect();
+			}
+		}
+	}
+
+	closeAll(): void {
+		for (const link of this.#links.values()) {
+			link.close();
+		}
+
+		this.#links.clear();
+	}
+
+	#open({name, address}: ListedVm): TargetLink {
+		const {directory, onControl, ...options} = this.#options;
+		return new TargetLink({
+			...options,
+			target: name,
+			address,
+			onLoad(load) {
+				directory.reported(name, load, clock());
+				directory.setLeaving(name, load.leaving);
+			},
+			onControl(message) {
+				onControl(name, message);
+			},
+			onFailure() {
+				directory.failed(name, clock());
+			},
+		});
+	}
+}
--- /dev/null
+++ b/source/links/link.ts
@@ -0,0 +1,134 @@
+/**
+One open connection between two processes of the system.
+
+It frames messages, checks what arrives, and sends heartbeats. A frame that is
+not a message closes the connection; the peer opens a new one and resumes.
+*/
+import type {WebSocket} from 'ws';
+import type {Message} from '../generated/messages.js';
+import {linkHealth} from '../decisions/links/link-health.js';
+import {clock} from '../shared/clock.js';
+import {decodeMessage} from './decode-message.js';
+import {encodeMessage} from './encode-message.js';
+
+const checkMilliseconds = 250;
+
+type LinkHandlers = {
+	readonly onMessage: (message: Message) => void;
+	readonly onClosed: (reason: string) => void;
+	readonly isInUse: () => boolean;
+	readonly onBytes?: (direction: 'sent' | 'received', bytes: number) => void;
+};
+
+/**
+Wraps an open socket.
+
+@example
+```
+const link = new Link(socket, {onMessage, onClosed, isInUse: () => live.size > 0});
+link.send({kind: 'heartbeat'});
+```
+*/
+export class Link {
+	#lastSentAt = clock();
+	#lastReceivedAt = clock();
+	#lastUsedAt = clock();
+	#closed = false;
+	readonly #socket: WebSocket;
+	readonly #handlers: LinkHandlers;
+	readonly #timer: NodeJS.Timeout;
+
+	constructor(socket: WebSocket, handlers: LinkHandlers) {
+		this.#socket = socket;
+		this.#handlers = handlers;
+		this.#timer = setInterval(() => {
+			this.#check();
+		}, checkMilliseconds);
+		socket.on('message', (data: Uint8Array) => {
+			this.#receive(data);
+		});
+		socket.on('close', () => {
+			this.close('closed by the peer');
+		});
+		socket.on('error', error => {
+			this.close(error.message);
+		});
+	}
+
+	get isOpen(): boolean {
+		return !this.#closed;
+	}
+
+	/** Hands a message to the connection; false when it is already closed and nothing was sent. */
+	send(message: Message): boolean {
+		if (this.#closed || this.#socket.readyState !== this.#socket.OPEN) {
+			return false;
+		}
+
+		const frame = encodeMessage(message);
+		this.#lastSentAt = clock();
+		this.#lastUsedAt = message.kind === 'heartbeat' ? this.#lastUsedAt : this.#lastSentAt;
+		this.#handlers.onBytes?.('sent', frame.byteLength);
+		this.#socket.send(frame);
+		return true;
+	}
+
+	/** Ends the connection at once; what was in flight is resumed on another. */
+	close(reason: string): void {
+		if (this.#closed) {
+			return;
+		}
+
+		this.#closed = true;
+		clearInterval(this.#timer);
+		this.#socket.terminate();
+		this.#handlers.onClosed(reason);
+	}
+
+	#receive(data: Uint8Array): void {
+		if (this.#closed) {
+			return;
+		}
+
+		this.#lastReceivedAt = clock();
+		this.#handlers.onBytes?.('received', data.byteLength);
+		decodeMessage(data).match(message => {
+			if (message.kind !== 'heartbeat') {
+				this.#lastUsedAt = this.#lastReceivedAt;
+				this.#handlers.onMessage(message);
+			}
+		}, reason => {
+			this.close(`6002 malformed frame: ${reason}`);
+		});
+	}
+
+	#check(): void {
+		const action = linkHealth({
+			now: clock(),
+			lastSentAt: this.#lastSentAt,
+			lastReceivedAt: this.#lastReceivedAt,
+			lastUsedAt: this.#lastUsedAt,
+			inUse: this.#handlers.isInUse(),
+		});
+		switch (action) {
+			case 'replace': {
+				this.close('silent');
+				break;
+			}
+
+			case 'close idle': {
+				this.close('idle');
+				break;
+			}
+
+			case 'send heartbeat': {
+				this.send({kind: 'heartbeat'});
+				break;
+			}
+
+			case 'none': {
+				break;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/source/shared/assert-invariant.ts
@@ -0,0 +1,19 @@
+/**
+Assertion of invariants inside decisions, active in production too.
+*/
+import type {ResultCode} from '../generated/result-codes.js';
+import {InvariantError} from './invariant-error.js';
+
+/**
+Throws an {@link InvariantError} with the numbered code unless `condition` holds.
+
+@example
+```
+assertInvariant(sequence === last + 1, resultCode.answerInvariantBroken, 'gap in output');
+```
+*/
+export function assertInvariant(condition: boolean, code: ResultCode, detail: string): asserts condition {
+	if (!condition) {
+		throw new InvariantError(code, detail);
+	}
+}
--- /dev/null
+++ b/source/shared/pause.ts
@@ -0,0 +1,17 @@
+/**
+Waiting in shells.
+*/
+
+/**
+Resolves after `milliseconds`.
+
+@example
+```
+await pause(250);
+```
+*/
+export const pause = async (milliseconds: number): Promise<void> => {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+};
--- /dev/null
+++ b/source/sidecar/attempt-runner.ts
@@ -0,0 +1,101 @@
+/**
+Runs attempts at the target and carries out what the attempt table decides.
+*/
+import type {AttemptEffect} from '../decisions/attempts/attempt-effect.js';
+import type {AttemptEvent} from '../decisions/attempts/attempt-event.js';
+import type {AttemptTable} from '../decisions/attempts/attempt-table.js';
+import type {AttemptMessage, Message} from '../generated/messages.js';
+import {resultCode} from '../generated/result-codes.js';
+import type {Target} from '../platform/target.js';
+import {clock} from '../shared/clock.js';
+import {InvariantError} from '../shared/invariant-error.js';
+import {logger} from '../shared/logger.js';
+import type {Metrics} from '../shared/metrics.js';
+
+const log = logger.child({module: 'attempts'});
+
+type RunnerOptions = {
+	readonly table: AttemptTable;
+	readonly target: Target;
+	readonly metrics: Metrics;
+	readonly send: (link: string, message: Message) => void;
+	/** Called after each event, when the target may have become idle. */
+	readonly onSettled: () => void;
+};
+
+/**
+The shell around one attempt table.
+
+@example
+```
+runner.dispatch({kind: 'attempt arrived', link, message});
+```
+*/
+export class AttemptRunner {
+	readonly #options: RunnerOptions;
+	readonly #running = new Map<string, AbortController>();
+
+	constructor(options: RunnerOptions) {
+		this.#options = options;
+	}
+
+	/** Feeds one event to the table and performs its effects in order. */
+	dispatch(event: AttemptEvent): void {
+		const {table, metrics, onSettled} = this.#options;
+		try {
+			for (const effect of table.handle(event, clock())) {
+				this.#perform(effect);
+			}
+		} catch (error) {
+			if (!(error instanceof InvariantError)) {
+				throw error;
+			}
+
+			metrics.count(`invariant.${error.code}`);
+			log.error({code: error.code, event: event.kind}, error.message);
+		}
+
+		onSettled();
+	}
+
+	#perform(effect: AttemptEffect): void {
+		switch (effect.kind) {
+			case 'send': {
+				this.#options.send(effect.link, effect.message);
+				break;
+			}
+
+			case 'run': {
+				void this.#run(effect.message);
+				break;
+			}
+
+			case 'stop': {
+				this.#running.get(effect.attemptId)?.abort();
+				break;
+			}
+
+			case 'count': {
+				this.#options.metrics.count(effect.counter);
+				break;
+			}
+		}
+	}
+
+	async #run(message: AttemptMessage): Promise<void> {
+		const {attemptId} = message;
+		const abort = new AbortController();
+		this.#running.set(attemptId, abort);
+		const onText = (text: string): void => {
+			this.dispatch({kind: 'target output', attemptId, text});
+		};
+
+		const result = await this.#options.target.run(message, onText, abort.signal);
+		this.#running.delete(attemptId);
+		if (result.code !== resultCode.ok) {
+			log.warn({attemptId, requestId: message.requestId, code: result.code}, 'target did not answer whole');
+		}
+
+		this.dispatch({kind: 'target finished', attemptId, ...result});
+	}
+}
--- /dev/null
+++ b/source/sidecar/sidecar.ts
@@ -0,0 +1,242 @@
+/**
+The process beside one target: admits work, runs it there, and drains.
+*/
+import {ConfigurationKeeper} from '../configuration/configuration-keeper.js';
+import {ConfigurationWatcher} from '../configuration/configuration-watcher.js';
+import {AttemptTable} from '../decisions/attempts/attempt-table.js';
+import type {Message} from '../generated/messages.js';
+import type {SidecarSettings} from '../generated/sidecar-settings.js';
+import {EtcdKeyValueService} from '../platform/etcd-key-value-service.js';
+import {ModelEngineTarget} from '../platform/model-engine-target.js';
+import {PlainTarget} from '../platform/plain-target.js';
+import type {Target} from '../platform/target.js';
+import {clock} from '../shared/clock.js';
+import {logger} from '../shared/logger.js';
+import {Metrics} from '../shared/metrics.js';
+import {newIdentifier} from '../shared/new-identifier.js';
+import {parseAddress} from '../shared/parse-address.js';
+import {pause} from '../shared/pause.js';
+import {AttemptRunner} from './attempt-runner.js';
+import {LinkServer} from './link-server.js';
+
+const protocol = 1;
+const tickMilliseconds = 50;
+const stateMilliseconds = 500;
+const loadMilliseconds = 2000;
+const exchangeMilliseconds = 5000;
+const drainCheckMilliseconds = 20;
+/** Time for gateways to fetch the last output after the target is idle. */
+const handOverMilliseconds = 5000;
+const defaultParallelCalls = 32;
+const defaultLongestOrderMilliseconds = 60_000;
+const defaultLongestDrainMilliseconds = 600_000;
+const assumedCapacity = {kind: 'plain', mostRunning: 1, callMilliseconds: 20} as const;
+
+const log = logger.child({module: 'sidecar'});
+
+const createTarget = ({kind, address, parallelCalls, longestOrderMilliseconds}: SidecarSettings['target']): Target => {
+	switch (kind) {
+		case 'engine': {
+			return new ModelEngineTarget(address, longestOrderMilliseconds ?? defaultLongestOrderMilliseconds);
+		}
+
+		case 'plain': {
+			return new PlainTarget(address, parallelCalls ?? defaultParallelCalls);
+		}
+	}
+};
+
+/**
+A sidecar from its settings.
+
+@example
+```
+const sidecar = new Sidecar(settings);
+await sidecar.start();
+await sidecar.stop(); // graceful: cuts off no request
+```
+*/
+export class Sidecar {
+	readonly incarnation = newIdentifier();
+	readonly metrics: Metrics;
+	readonly keeper: ConfigurationKeeper;
+	readonly #store: EtcdKeyValueService;
+	readonly #watcher: ConfigurationWatcher;
+	readonly #target: Target;
+	readonly #table = new AttemptTable(assumedCapacity);
+	readonly #runner: AttemptRunner;
+	readonly #links: LinkServer;
+	readonly #peers = new Map<string, {readonly send: (message: Message) => boolean}>();
+	#timers: readonly NodeJS.Timeout[] = [];
+
+	constructor(readonly settings: SidecarSettings) {
+		this.metrics = new Metrics(settings.metrics, settings.name);
+		this.#store = new EtcdKeyValueService(settings.platform.keyValueService);
+		this.keeper = new ConfigurationKeeper(this.metrics, () => undefined);
+		this.#watcher = new ConfigurationWatcher(this.#store, this.keeper);
+		this.#target = createTarget(settings.target);
+		this.#links = new LinkServer({
+			metrics: this.metrics,
+			onOpen: link => {
+				this.#greet(link);
+			},
+			onMessage: (link, message) => {
+				this.#receive(link, message);
+			},
+			onClosed: link => {
+				this.#linkClosed(link);
+			},
+		});
+		this.#runner = new AttemptRunner({
+			table: this.#table,
+			target: this.#target,
+			metrics: this.metrics,
+			send: (link, message) => {
+				this.#links.send(link, message);
+			},
+			onSettled() {/* No order waits for the target to become idle. */},
+		});
+	}
+
+	async start(): Promise<void> {
+		this.#watcher.start();
+		await this.#readState();
+		await this.#links.listen(parseAddress(this.settings.listen));
+		this.#timers = [
+			setInterval(() => {
+				this.#runner.dispatch({kind: 'tick'});
+			}, tickMilliseconds),
+			setInterval(() => {
+				void this.#readState();
+			}, stateMilliseconds),
+			setInterval(() => {
+				this.#reportLoad();
+			}, loadMilliseconds),
+			setInterval(() => {
+				this.keeper.exchange(Math.random);
+			}, exchangeMilliseconds),
+		];
+		log.info({name: this.settings.name, listen: this.settings.listen}, 'sidecar started');
+	}
+
+	/** Refuses new work at once, tells every gateway, lets what runs end and its output be fetched. */
+	async stop(): Promise<void> {
+		log.info({attempts: this.#table.size}, 'sidecar leaving');
+		this.#runner.dispatch({kind: 'leave'});
+		this.#reportLoad();
+		const giveUpAt = clock() + (this.settings.stopping?.longestDrainMilliseconds ?? defaultLongestDrainMilliseconds);
+		while (!this.#table.isIdle && clock() < giveUpAt) {
+			await pause(drainCheckMilliseconds); // eslint-disable-line no-await-in-loop
+		}
+
+		const handOverUntil = clock() + handOverMilliseconds;
+		while (!this.#table.isDrained && clock() < handOverUntil) {
+			await pause(drainCheckMilliseconds); // eslint-disable-line no-await-in-loop
+		}
+
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
+		this.#watcher.stop();
+		this.#links.close();
+		await Promise.all([this.#target.close(), this.#store.close()]);
+		this.metrics.close();
+		log.info({}, 'sidecar stopped');
+	}
+
+	#greet(link: string): void {
+		this.#links.send(link, {
+			kind: 'hello',
+			protocol,
+			process: this.settings.name,
+			incarnation: this.incarnation,
+			service: this.settings.service,
+			generation: this.keeper.generation,
+			load: this.#table.load(clock()),
+		});
+	}
+
+	#receive(link: string, message: Message): void {
+		switch (message.kind) {
+			case 'hello': {
+				const peer = {send: (sent: Message): boolean => this.#links.send(link, sent)};
+				this.#peers.set(link, peer);
+				this.keeper.join(peer, message.generation);
+				break;
+			}
+
+			case 'generation': {
+				this.#withPeer(link, peer => {
+					this.keeper.peerHas(peer, message.generation);
+				});
+				break;
+			}
+
+			case 'configuration': {
+				this.keeper.hear(message.document, 'peer');
+				break;
+			}
+
+			case 'attempt': {
+				this.#runner.dispatch({kind: 'attempt arrived', link, message});
+				break;
+			}
+
+			case 'resume': {
+				this.#runner.dispatch({...message, link});
+				break;
+			}
+
+			case 'acknowledge':
+			case 'cancel': {
+				this.#runner.dispatch(message);
+				break;
+			}
+
+			case 'heartbeat':
+			case 'refused':
+			case 'output':
+			case 'finished':
+			case 'attempt unknown':
+			case 'load':
+			case 'raise fence':
+			case 'fence raised':
+			case 'order':
+			case 'order result': {
+				this.metrics.count('link.unexpected-message');
+				break;
+			}
+		}
+	}
+
+	#withPeer(link: string, use: (peer: {readonly send: (message: Message) => boolean}) => void): void {
+		const peer = this.#peers.get(link);
+		if (peer !== undefined) {
+			use(peer);
+		}
+	}
+
+	#linkClosed(link: string): void {
+		this.#withPeer(link, peer => {
+			this.keeper.leave(peer);
+		});
+		this.#peers.delete(link);
+		this.#runner.dispatch({kind: 'link closed', link});
+	}
+
+	#reportLoad(): void {
+		this.#links.broadcast({kind: 'load', load: this.#table.load(clock())});
+	}
+
+	async #readState(): Promise<void> {
+		const state = await this.#target.state();
+		state.match(({capacity, role}) => {
+			this.#table.updateCapacity(capacity);
+			this.#table.role = role;
+		}, detail => {
+			this.metrics.count('target.state-unreadable');
+			log.warn({detail}, 'target state unreadable');
+		});
+	}
+}
