--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -45,9 +45,7 @@
 const generateCodes = () => {
 	const codes = readJson('schema/result-codes.json');
 	const lines = codes.map(entry => `\t${camelCase(entry.name)}: ${entry.code},`);
-	const details = codes.map(({code, name, outcome, status, meaning, action}) => `\t[${code}, ${JSON.stringify({
-		code, name, outcome, status, meaning, action,
-	})}],`);
+	const details = codes.map(entry => `\t[${entry.code}, ${JSON.stringify(entry)}],`);
 	return [
 		'source/generated/result-codes.ts',
 		`${notice}
@@ -83,7 +81,8 @@
 		'docs/RESULT-CODES.md',
 		`# Result codes
 
-Generated from \`schema/result-codes.json\`. Every refusal carries its code, the reason in words, whether the request ran, and \`Retry-After\` where coming back can help. \`cowsliprudder explain CODE\` prints one row.
+Generated from \`schema/result-codes.json\`. Every refusal carries its code, the reason in words and whether the request ran,
+and \`Retry-After\` where coming back can help. \`cowsliprudder explain CODE\` prints one row.
 
 | Code | Name | Ran? | HTTP | Meaning | What to do |
 | --- | --- | --- | --- | --- | --- |
--- /dev/null
+++ b/source/binaries/cowsliprudder.ts
@@ -0,0 +1,19 @@
+#!/usr/bin/env node
+/**
+Entry of the operators' command line.
+*/
+import process from 'node:process';
+import {Builtins, Cli} from 'clipanion';
+import {ApplyCommand} from '../command/apply-command.js';
+import {CheckCommand} from '../command/check-command.js';
+import {DiffCommand} from '../command/diff-command.js';
+import {ExplainCommand} from '../command/explain-command.js';
+import {HistoryCommand} from '../command/history-command.js';
+import {StatusCommand} from '../command/status-command.js';
+
+const cli = new Cli({binaryLabel: 'cowsliprudder', binaryName: 'cowsliprudder', binaryVersion: '0.1.0'});
+for (const command of [ApplyCommand, CheckCommand, DiffCommand, ExplainCommand, HistoryCommand, StatusCommand, Builtins.HelpCommand, Builtins.VersionCommand]) {
+	cli.register(command);
+}
+
+process.exitCode = await cli.run(process.argv.slice(2));
--- /dev/null
+++ b/source/command/read-json.ts
@@ -0,0 +1,35 @@
+/**
+Calls to a gateway's operators' API.
+*/
+import {err, ok, type Result} from 'neverthrow';
+import {Agent, type Dispatcher} from 'undici';
+
+const callMilliseconds = 10_000;
+const agent = new Agent({connect: {timeout: callMilliseconds}, keepAliveTimeout: 1});
+
+type Failure = {readonly code: number; readonly errors: readonly string[]; readonly current?: unknown};
+
+/**
+Returns the JSON answer, or the numbered failure that the gateway gave.
+
+@example
+```
+await readJson('http://10.0.0.4:8081', 'GET', '/status');
+```
+*/
+export const readJson = async <Json>(address: string, method: Dispatcher.HttpMethod, path: string, body?: unknown): Promise<Result<Json, Failure>> => {
+	try {
+		const answer = await agent.request({
+			origin: address,
+			path,
+			method,
+			headers: {'content-type': 'application/json'},
+			signal: AbortSignal.timeout(callMilliseconds),
+			...body === undefined ? {} : {body: JSON.stringify(body)},
+		});
+		const json = await answer.body.json() as Json & {readonly error?: Failure};
+		return answer.statusCode === 200 ? ok(json) : err(json.error ?? {code: 0, errors: [`${address}${path} answered ${answer.statusCode}`]});
+	} catch (error) {
+		return err({code: 0, errors: [`${address}${path}: ${(error as Error).message}`]});
+	}
+};
--- a/source/configuration/configuration-keeper.ts
+++ b/source/configuration/configuration-keeper.ts
@@ -118,8 +118,12 @@
 		this.#metrics.gauge('configuration.generation', accepted.generation);
 		log.info({generation: accepted.generation, source}, 'configuration adopted');
 		this.#onAdopted(document, accepted);
-		for (const peer of this.#peers.keys()) {
-			this.#offer(peer);
+		for (const [peer, generation] of this.#peers) {
+			if (generation < accepted.generation) {
+				this.#offer(peer);
+			} else {
+				peer.send({kind: 'generation', generation: accepted.generation});
+			}
 		}
 	}
 }
--- /dev/null
+++ b/source/configuration/read-history.ts
@@ -0,0 +1,34 @@
+/**
+Reads the configurations accepted before.
+*/
+import * as option from 'fp-ts/lib/Option.js';
+import {ok, type Result} from 'neverthrow';
+import type {AcceptedConfiguration} from '../decisions/configuration/accepted-configuration.js';
+import type {KeyValueService} from '../platform/key-value-service.js';
+import type {StoreError} from '../platform/store-error.js';
+import {historyKey} from './history-key.js';
+import {parseAccepted} from './parse-accepted.js';
+
+/**
+Returns up to `count` records before and including `generation`, newest first.
+
+@example
+```
+await readHistory(store, keeper.generation, 10);
+```
+*/
+export const readHistory = async (store: KeyValueService, generation: number, count: number): Promise<Result<readonly AcceptedConfiguration[], StoreError>> => {
+	const wanted = Array.from({length: Math.min(count, generation)}, (_, index) => generation - index);
+	const read = await Promise.all(wanted.map(async number => store.read(historyKey(number))));
+	const failed = read.find(result => result.isErr());
+	if (failed?.isErr() === true) {
+		return failed.map(() => []);
+	}
+
+	return ok(read.flatMap((result, index) => {
+		const stored = result.unwrapOr(option.none);
+		return option.isSome(stored)
+			? parseAccepted(stored.value.value).match(({accepted}) => accepted.generation === wanted[index] ? [accepted] : [], () => [])
+			: [];
+	}));
+};
--- a/source/configuration/submit-configuration.ts
+++ b/source/configuration/submit-configuration.ts
@@ -9,6 +9,7 @@
 import type {KeyValueService} from '../platform/key-value-service.js';
 import {pause} from '../shared/pause.js';
 import {configurationKey} from './configuration-key.js';
+import {historyKey} from './history-key.js';
 import {parseAccepted} from './parse-accepted.js';
 import {parseDocument} from './parse-document.js';
 
@@ -78,7 +79,10 @@
 			}
 
 			case 'try again': {
-				const swap = {key: configurationKey, expectedRevision: current.value.revision, value: JSON.stringify(submitted)};
+				const value = JSON.stringify(submitted);
+				const swap = {
+					key: configurationKey, expectedRevision: current.value.revision, value, also: [{key: historyKey(submitted.generation), value}],
+				};
 				const swapped = await store.compareAndSwap(swap); // eslint-disable-line no-await-in-loop
 				if (swapped.isOk() && option.isSome(swapped.value)) {
 					return ok(submitted);
--- a/source/decisions/admission/admission-queue.ts
+++ b/source/decisions/admission/admission-queue.ts
@@ -25,6 +25,8 @@
 type Waiting = Work & {readonly occupancyMilliseconds: number; readonly latencyMilliseconds: number; readonly pieces: number};
 type Running = Waiting & {readonly startedAt: number};
 
+type QueueLoad = Omit<Load, 'role' | 'model' | 'version' | 'changing' | 'promptTokensOffered' | 'outputTokensOffered'>;
+
 /**
 The queue of one target. Deterministic: the caller passes the time.
 
@@ -44,7 +46,6 @@
 	readonly #running = new Map<string, Running>();
 	#usedPieces = 0;
 	#open = true;
-	#paused = false;
 
 	constructor(capacity: TargetCapacity) {
 		this.#capacity = capacity;
@@ -113,17 +114,6 @@
 		];
 	}
 
-	/** Lets waiting work stay but starts none, while the target is being changed. */
-	pause(): void {
-		this.#paused = true;
-	}
-
-	/** Starts work again after a pause. */
-	resume(now: number): readonly AdmissionEffect[] {
-		this.#paused = false;
-		return this.#start(now);
-	}
-
 	/** Takes no work from now on and refuses what waits; running work is left alone. */
 	close(): readonly AdmissionEffect[] {
 		this.#open = false;
@@ -138,7 +128,7 @@
 	}
 
 	/** The exact load at this moment, for reports and answers. */
-	load(now: number): Omit<Load, 'role'> {
+	load(now: number): QueueLoad {
 		const totalPieces = this.#capacity.kind === 'engine' ? this.#capacity.totalPieces : 0;
 		return {
 			prefillTokensPerSecond: this.#capacity.kind === 'engine' ? this.#capacity.prefillTokensPerSecond : 0,
@@ -224,10 +214,10 @@
 	/** Starts waiting work in order of deadline, organisations within their share first, while it fits. */
 	#start(now: number): readonly AdmissionEffect[] {
 		const effects: AdmissionEffect[] = [];
-		while (!this.#paused) {
+		for (;;) {
 			const next = this.#next();
 			if (next === undefined || !this.#fits(next)) {
-				break;
+				return effects;
 			}
 
 			this.#waiting = this.#waiting.filter(waiting => waiting !== next);
@@ -235,8 +225,6 @@
 			this.#usedPieces += next.pieces;
 			effects.push({kind: 'run', attemptId: next.attemptId});
 		}
-
-		return effects;
 	}
 
 	#next(): Waiting | undefined {
@@ -255,7 +243,7 @@
 	}
 
 	#hasRoom(): boolean {
-		return this.#running.size < this.#capacity.mostRunning && !this.#paused;
+		return this.#running.size < this.#capacity.mostRunning;
 	}
 
 	#fits(waiting: Waiting): boolean {
--- a/source/decisions/attempts/attempt-event.ts
+++ b/source/decisions/attempts/attempt-event.ts
@@ -15,7 +15,8 @@
 	| {readonly kind: 'target output'; readonly attemptId: string; readonly text: string}
 	| {readonly kind: 'target finished'; readonly attemptId: string; readonly code: number; readonly status: number; readonly finishReason: string; readonly contentType: string}
 	| {readonly kind: 'tick'}
-	| {readonly kind: 'pause'}
-	| {readonly kind: 'unpause'}
-	| {readonly kind: 'leave'}
-	| {readonly kind: 'return'};
+	/** No new work until `return`; what waits is refused. */
+	| {readonly kind: 'empty'}
+	| {readonly kind: 'return'}
+	/** No new work ever again in this process. */
+	| {readonly kind: 'leave'};
--- a/source/decisions/attempts/attempt-table.ts
+++ b/source/decisions/attempts/attempt-table.ts
@@ -7,7 +7,7 @@
 acknowledged or its gateway has been gone for long; leaving cuts nothing off.
 */
 import {resultCode} from '../../generated/result-codes.js';
-import type {AttemptMessage, EngineRole, Load} from '../../generated/messages.js';
+import type {AttemptMessage, Load} from '../../generated/messages.js';
 import type {AdmissionEffect} from '../admission/admission-effect.js';
 import {AdmissionQueue} from '../admission/admission-queue.js';
 import type {TargetCapacity} from '../admission/target-capacity.js';
@@ -40,7 +40,14 @@
 ```
 */
 export class AttemptTable {
-	role: EngineRole = 'mixed';
+	/** What the target says of itself; shown in load reports. */
+	targetState: Pick<Load, 'role' | 'model' | 'version' | 'changing'> = {
+		role: 'mixed', model: '', version: '', changing: false,
+	};
+
+	#hasLeft = false;
+	#promptTokensOffered = 0;
+	#outputTokensOffered = 0;
 	readonly #attempts = new Map<string, Attempt>();
 	/** Attempts that must never run here any more; in order of the time to forget them. */
 	readonly #tombstones = new Map<string, Tombstone>();
@@ -69,7 +76,12 @@
 	}
 
 	load(now: number): Load {
-		return {...this.#queue.load(now), role: this.role};
+		return {
+			...this.#queue.load(now),
+			...this.targetState,
+			promptTokensOffered: this.#promptTokensOffered,
+			outputTokensOffered: this.#outputTokensOffered,
+		};
 	}
 
 	/** Takes one event and returns what to do, in order. */
@@ -107,23 +119,22 @@
 				return this.#tick(now);
 			}
 
-			case 'pause': {
-				this.#queue.pause();
-				return [];
+			case 'empty': {
+				return this.#admit(this.#queue.close(), now);
 			}
 
-			case 'unpause': {
-				return this.#admit(this.#queue.resume(now), now);
+			case 'return': {
+				if (!this.#hasLeft) {
+					this.#queue.reopen();
+				}
+
+				return [];
 			}
 
 			case 'leave': {
+				this.#hasLeft = true;
 				return this.#admit(this.#queue.close(), now);
 			}
-
-			case 'return': {
-				this.#queue.reopen();
-				return [];
-			}
 		}
 	}
 
@@ -136,6 +147,8 @@
 			return [{kind: 'count', counter: 'attempt.duplicate'}];
 		}
 
+		this.#promptTokensOffered += message.promptTokens;
+		this.#outputTokensOffered += message.outputTokens;
 		this.#attempts.set(message.attemptId, {
 			message, link, phase: 'waiting', orphanedAt: undefined, buffer: new OutputBuffer(),
 		});
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -8,7 +8,10 @@
 import {warmTargets} from '../decisions/links/warm-targets.js';
 import {RetryBudget} from '../decisions/request/retry-budget.js';
 import {TargetDirectory} from '../decisions/routing/target-directory.js';
+import type {ServiceConfiguration} from '../generated/configuration.js';
 import type {GatewaySettings} from '../generated/gateway-settings.js';
+import type {Message} from '../generated/messages.js';
+import {ServiceLeader} from '../leading/service-leader.js';
 import {EtcdKeyValueService} from '../platform/etcd-key-value-service.js';
 import type {ListedVm} from '../platform/listed-vm.js';
 import {VmList} from '../platform/vm-list.js';
@@ -21,13 +24,16 @@
 import type {CallerSink} from './caller-sink.js';
 import {createCallerServer} from './caller-server.js';
 import type {GatewayRequest} from './gateway-request.js';
+import type {GatewayStatus} from './gateway-status.js';
 import {IdempotencyClaims} from './idempotency-claims.js';
+import {createOperatorServer} from './operator-server.js';
 import {RequestRunner} from './request-runner.js';
 import {ServiceCatalogue} from './service-catalogue.js';
 import {TargetLinks} from './target-links.js';
 
 const vmListMilliseconds = 1000;
 const exchangeMilliseconds = 5000;
+const leadMilliseconds = 500;
 const drainCheckMilliseconds = 50;
 const defaultRetryShare = 0.2;
 const claimRetryMilliseconds = 1000;
@@ -59,8 +65,12 @@
 	readonly #vmList: VmList;
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #server: FastifyInstance;
+	readonly #operatorServer: FastifyInstance;
+	readonly #leaders = new Map<string, ServiceLeader>();
+	#versions: ReadonlyMap<string, string> = new Map();
 	#timers: readonly NodeJS.Timeout[] = [];
 	#vms: readonly ListedVm[] = [];
+	#gossipTargets: ReadonlySet<string> = new Set();
 	#live = 0;
 	#phase: 'serving' | 'leaving' | 'refusing' = 'serving';
 
@@ -69,9 +79,12 @@
 		this.store = new EtcdKeyValueService(settings.platform.keyValueService);
 		this.keeper = new ConfigurationKeeper(this.metrics, document => {
 			this.catalogue = new ServiceCatalogue(document);
-			for (const {name, retryShare} of document.services) {
-				this.#budget(name).setShare(retryShare ?? defaultRetryShare);
+			for (const service of document.services) {
+				this.#budget(service.name).setShare(service.retryShare ?? defaultRetryShare);
 			}
+
+			this.#versions = new Map((document.models ?? []).map(({name, version}) => [name, version]));
+			this.#updateLeaders();
 		});
 		this.links = new TargetLinks({
 			process: settings.name,
@@ -79,7 +92,9 @@
 			keeper: this.keeper,
 			metrics: this.metrics,
 			directory: this.directory,
-			onControl() {/* No service is led yet. */},
+			onControl: (target, message) => {
+				this.#receiveControl(target, message);
+			},
 		});
 		this.#claims = new IdempotencyClaims(this.store, this.metrics);
 		this.#watcher = new ConfigurationWatcher(this.store, this.keeper);
@@ -92,6 +107,27 @@
 				this.metrics.count(`request.ended.${code}`);
 			},
 		});
+		this.#operatorServer = createOperatorServer({status: () => this.status, keeper: this.keeper, store: this.store});
+	}
+
+	get status(): GatewayStatus {
+		const {name, availabilityZone} = this.settings;
+		const leading = [...this.#leaders].filter(([, leader]) => leader.isLeading);
+		return {
+			name,
+			availabilityZone,
+			incarnation: this.incarnation,
+			ready: this.isReady,
+			generation: this.keeper.generation,
+			liveRequests: this.#live,
+			openLinks: this.links.openCount,
+			storeCalls: this.store.calls,
+			pendingClaims: this.#claims.pending,
+			leading: leading.map(([service, leader]) => ({service, fencingNumber: leader.fencingNumber, orders: Object.fromEntries(leader.orders)})),
+			targets: this.directory.all,
+			sidecarGenerations: this.links.generations,
+			counts: Object.fromEntries(this.metrics.counts),
+		};
 	}
 
 	/** True once a configuration is in force and the VM list has been read, until a stop begins. */
@@ -114,7 +150,11 @@
 			setInterval(() => {
 				this.keeper.exchange(Math.random);
 			}, exchangeMilliseconds),
+			setInterval(() => {
+				this.#lead();
+			}, leadMilliseconds),
 		];
+		await this.#operatorServer.listen(parseAddress(this.settings.listen.operators));
 		await this.#server.listen(parseAddress(this.settings.listen.callers));
 		log.info({name: this.settings.name, listen: this.settings.listen}, 'gateway started');
 	}
@@ -123,6 +163,10 @@
 	async stop(): Promise<void> {
 		const {balancerLagMilliseconds = defaultBalancerLagMilliseconds, longestDrainMilliseconds = defaultLongestDrainMilliseconds} = this.settings.stopping ?? {};
 		this.#phase = 'leaving';
+		for (const leader of this.#leaders.values()) {
+			leader.resign();
+		}
+
 		log.info({liveRequests: this.#live}, 'gateway leaving');
 		await pause(balancerLagMilliseconds);
 		this.#phase = 'refusing';
@@ -138,12 +182,73 @@
 		this.#watcher.stop();
 		this.#claims.close();
 		this.links.closeAll();
-		await this.#server.close();
+		await Promise.all([this.#server.close(), this.#operatorServer.close()]);
 		await Promise.all([this.store.close(), this.#vmList.close()]);
 		this.metrics.close();
 		log.info({}, 'gateway stopped');
 	}
 
+	/** One leader for each model service of the configuration in force. */
+	#updateLeaders(): void {
+		const services = this.catalogue?.services.filter(({kind}) => kind === 'model') ?? [];
+		for (const [name, leader] of this.#leaders) {
+			if (!services.some(service => service.name === name)) {
+				leader.resign();
+				this.#leaders.delete(name);
+			}
+		}
+
+		for (const service of services.filter(({name}) => !this.#leaders.has(name))) {
+			this.#leaders.set(service.name, this.#createLeader(service));
+		}
+	}
+
+	#createLeader(service: ServiceConfiguration): ServiceLeader {
+		const current = (): ServiceConfiguration => this.catalogue?.byName(service.name) ?? service;
+		return new ServiceLeader({
+			gateway: this.settings.name,
+			service: current,
+			version: () => this.#versions.get(current().model ?? '') ?? '',
+			gateways: () => this.#gateways(),
+			ledServices: () => [...this.#leaders.values()].filter(({isLeading}) => isLeading).length,
+			store: this.store,
+			directory: this.directory,
+			link: target => {
+				const link = this.links.get(target);
+				return {incarnation: link?.peerIncarnation, send: message => link?.send(message) ?? false};
+			},
+			metrics: this.metrics,
+		});
+	}
+
+	#lead(): void {
+		if (this.#phase !== 'serving') {
+			return;
+		}
+
+		for (const leader of this.#leaders.values()) {
+			leader.tick();
+		}
+
+		this.#keepLinksWarm();
+	}
+
+	#receiveControl(target: string, message: Message): void {
+		if (message.kind === 'fence raised' || message.kind === 'order result') {
+			this.#leaders.get(this.directory.get(target)?.service ?? '')?.receive(target, message);
+		}
+	}
+
+	#gateways(): readonly string[] {
+		return this.#vms.filter(({kind, state}) => kind === 'entry' && state === 'live').map(({name}) => name);
+	}
+
+	/** Links that stay open without work: this gateway's share for gossip, and all targets that it leads. */
+	#keepLinksWarm(): void {
+		const led = [...this.#leaders.values()].flatMap(leader => leader.targetsToReach);
+		this.links.keepWarm(new Set([...this.#gossipTargets, ...led]));
+	}
+
 	#budget(service: string): RetryBudget {
 		const known = this.#budgets.get(service) ?? new RetryBudget(defaultRetryShare);
 		this.#budgets.set(service, known);
@@ -234,7 +339,7 @@
 	#follow(vms: readonly ListedVm[]): void {
 		this.#vms = vms;
 		const targets = vms.filter(({kind}) => kind === 'target');
-		const gateways = vms.filter(({kind, state}) => kind === 'entry' && state === 'live').map(({name}) => name);
+		const gateways = this.#gateways();
 		const listed = new Set(targets.map(({name}) => name));
 		for (const {name} of this.directory.all.filter(view => !listed.has(view.name))) {
 			this.directory.forget(name);
@@ -246,7 +351,8 @@
 		}
 
 		this.links.update(targets);
-		this.links.keepWarm(warmTargets(this.settings.name, gateways, targets.map(({name}) => name)));
+		this.#gossipTargets = warmTargets(this.settings.name, gateways, targets.map(({name}) => name));
+		this.#keepLinksWarm();
 		this.#watcher.setWatching(isWatcher(this.settings.name, gateways));
 	}
 }
--- a/source/gateway/target-link.ts
+++ b/source/gateway/target-link.ts
@@ -61,6 +61,7 @@
 	isWarm = false;
 	readonly #options: TargetLinkOptions;
 	readonly #attempts = new Map<string, LiveAttempt>();
+	#peerGeneration = 0;
 	#link: Link | undefined;
 	#peerIncarnation: string | undefined;
 	#connectingSince: number | undefined;
@@ -81,6 +82,11 @@
 		return this.#peerIncarnation;
 	}
 
+	/** Configuration generation that the sidecar last said to have in force. */
+	get peerGeneration(): number {
+		return this.#peerGeneration;
+	}
+
 	get address(): string {
 		return this.#options.address;
 	}
@@ -189,6 +195,7 @@
 			}
 
 			case 'generation': {
+				this.#peerGeneration = message.generation;
 				this.#options.keeper.peerHas(this, message.generation);
 				break;
 			}
@@ -238,6 +245,7 @@
 	#greeted({incarnation, load, generation}: HelloMessage): void {
 		this.#connectingSince = undefined;
 		this.#peerIncarnation = incarnation;
+		this.#peerGeneration = generation;
 		if (load !== undefined) {
 			this.#options.onLoad(load);
 		}
--- a/source/gateway/target-links.ts
+++ b/source/gateway/target-links.ts
@@ -43,6 +43,11 @@
 		return [...this.#links.values()].filter(link => link.isOpen).length;
 	}
 
+	/** Generation that each linked sidecar has in force, by its own word. */
+	get generations(): Readonly<Record<string, number>> {
+		return Object.fromEntries([...this.#links].filter(([, link]) => link.isOpen).map(([name, link]) => [name, link.peerGeneration]));
+	}
+
 	/** Follows the VM list: new targets become reachable, vanished ones are closed. */
 	update(targets: readonly ListedVm[]): void {
 		const listed = new Map(targets.map(vm => [vm.name, vm]));
--- /dev/null
+++ b/source/leading/role-policy.ts
@@ -0,0 +1,29 @@
+/**
+The role planner's policy from the configuration.
+*/
+import type {EngineSpeed} from '../decisions/planning/engine-speed.js';
+import type {RolePlanning} from '../generated/configuration.js';
+
+const defaultChangeMilliseconds = 3000;
+
+/** Speeds of an engine that batches 8, 32 or 64 streams and prefills chunks of 2048, 512 or 128 tokens. */
+const defaultSpeed: EngineSpeed = {
+	prefill: {prefill: 18_500, decode: 800},
+	mixed: {prefill: 15_200, decode: 2000},
+	decode: {prefill: 8900, decode: 2600},
+};
+
+/**
+Fills in what the operators left out.
+
+@example
+```
+rolePolicy({goodputWeight: 0.8}).policy.mostInChange; // 1
+```
+*/
+export const rolePolicy = ({goodputWeight, minimumPrefill = 0, minimumDecode = 0, changeMilliseconds = defaultChangeMilliseconds, mostInChange = 1, speed = defaultSpeed}: RolePlanning) => ({
+	speed,
+	policy: {
+		goodputWeight, minimumPrefill, minimumDecode, changeMilliseconds, mostInChange,
+	},
+});
--- a/source/platform/etcd-key-value-service.ts
+++ b/source/platform/etcd-key-value-service.ts
@@ -56,12 +56,15 @@
 		return answer.map(json => option.map(toStoredValue)(option.fromNullable(json.kvs?.[0])));
 	}
 
-	async compareAndSwap({key, expectedRevision, value, lease}: Parameters<KeyValueService['compareAndSwap']>[0]): Promise<Result<option.Option<number>, StoreError>> {
+	async compareAndSwap({key, expectedRevision, value, lease, also = []}: Parameters<KeyValueService['compareAndSwap']>[0]): Promise<Result<option.Option<number>, StoreError>> {
 		const answer = await this.#call<TransactionJson>('/v3/kv/txn', {
 			compare: [{
 				key: encode(key), target: 'MOD', result: 'EQUAL', mod_revision: String(expectedRevision),
 			}],
-			success: [{request_put: {key: encode(key), value: encode(value), ...lease === undefined ? {} : {lease}}}],
+			success: [
+				{request_put: {key: encode(key), value: encode(value), ...lease === undefined ? {} : {lease}}},
+				...also.map(other => ({request_put: {key: encode(other.key), value: encode(other.value)}})),
+			],
 		});
 		return answer.map(json => json.succeeded === true ? option.some(Number(json.header?.revision ?? 0)) : option.none);
 	}
--- a/source/platform/key-value-service.ts
+++ b/source/platform/key-value-service.ts
@@ -22,9 +22,15 @@
 
 	/**
 	Writes only if the key's last change is `expectedRevision`; 0 means that the key must not exist.
-	Gives the new revision, or none when the comparison failed.
+	Gives the new revision, or none when the comparison failed. `also` is written with it or not at all.
 	*/
-	compareAndSwap(swap: {readonly key: string; readonly expectedRevision: number; readonly value: string; readonly lease?: string}): Promise<Result<Option<number>, StoreError>>;
+	compareAndSwap(swap: {
+		readonly key: string;
+		readonly expectedRevision: number;
+		readonly value: string;
+		readonly lease?: string;
+		readonly also?: ReadonlyArray<{readonly key: string; readonly value: string}>;
+	}): Promise<Result<Option<number>, StoreError>>;
 
 	/** Deletes only if the key's last change is `expectedRevision`; true when deleted. */
 	compareAndDelete(key: string, expectedRevision: number): Promise<Result<boolean, StoreError>>;
--- /dev/null
+++ b/source/sidecar/order-executor.ts
@@ -0,0 +1,116 @@
+/**
+Carries out what the order gate decides.
+*/
+import type {OrderGateEffect} from '../decisions/authority/order-gate-effect.js';
+import type {OrderGateEvent} from '../decisions/authority/order-gate-event.js';
+import type {OrderGate} from '../decisions/authority/order-gate.js';
+import type {Load, Message} from '../generated/messages.js';
+import {resultCode} from '../generated/result-codes.js';
+import {readAuthority} from '../leading/read-authority.js';
+import type {KeyValueService} from '../platform/key-value-service.js';
+import type {Target} from '../platform/target.js';
+import {clock} from '../shared/clock.js';
+import {InvariantError} from '../shared/invariant-error.js';
+import {logger} from '../shared/logger.js';
+import type {Metrics} from '../shared/metrics.js';
+
+const log = logger.child({module: 'orders'});
+
+type ExecutorOptions = {
+	readonly gate: OrderGate;
+	readonly target: Target;
+	readonly store: KeyValueService;
+	readonly metrics: Metrics;
+	readonly load: () => Load;
+	readonly send: (link: string, message: Message) => void;
+	readonly setEmptying: (emptying: boolean) => void;
+};
+
+/**
+The shell around one order gate.
+
+@example
+```
+executor.dispatch({kind: 'order', link, message});
+```
+*/
+export class OrderExecutor {
+	readonly #options: ExecutorOptions;
+
+	constructor(options: ExecutorOptions) {
+		this.#options = options;
+	}
+
+	/** Feeds one event to the gate and performs its effects in order. */
+	dispatch(event: OrderGateEvent): void {
+		const {gate, metrics} = this.#options;
+		try {
+			for (const effect of gate.handle(event, clock())) {
+				this.#perform(effect);
+			}
+		} catch (error) {
+			if (!(error instanceof InvariantError)) {
+				throw error;
+			}
+
+			metrics.count(`invariant.${error.code}`);
+			log.error({code: error.code, event: event.kind}, error.message);
+		}
+	}
+
+	#perform(effect: OrderGateEffect): void {
+		const {setEmptying, send, load, metrics} = this.#options;
+		switch (effect.kind) {
+			case 'empty target': {
+				setEmptying(true);
+				break;
+			}
+
+			case 'release target': {
+				setEmptying(false);
+				break;
+			}
+
+			case 'read authority': {
+				void this.#readAuthority(effect.service, effect.fencingNumber);
+				break;
+			}
+
+			case 'execute': {
+				void this.#execute(effect);
+				break;
+			}
+
+			case 'reply fence raised': {
+				send(effect.link, {
+					kind: 'fence raised', fencingNumber: effect.fencingNumber, settled: effect.settled, load: load(),
+				});
+				break;
+			}
+
+			case 'reply order result': {
+				metrics.count(`order.result.${effect.code}`);
+				send(effect.link, {
+					kind: 'order result', fencingNumber: effect.fencingNumber, sequence: effect.sequence, code: effect.code, load: load(),
+				});
+				break;
+			}
+		}
+	}
+
+	async #readAuthority(service: string, fencingNumber: number): Promise<void> {
+		const authority = await readAuthority(this.#options.store, service, fencingNumber);
+		this.dispatch({kind: 'authority read', fencingNumber, ...authority});
+	}
+
+	async #execute({order, fencingNumber, sequence}: Extract<OrderGateEffect, {readonly kind: 'execute'}>): Promise<void> {
+		log.info({...order, fencingNumber, sequence}, 'order goes to the engine');
+		const result = await this.#options.target.order(order, fencingNumber, sequence);
+		const code = result.match(() => resultCode.ok, failure => failure.code);
+		if (result.isErr()) {
+			log.warn({code, fencingNumber, sequence}, result.error.detail);
+		}
+
+		this.dispatch({kind: 'order ended', sequence, code});
+	}
+}
--- a/source/sidecar/sidecar.ts
+++ b/source/sidecar/sidecar.ts
@@ -3,6 +3,7 @@
 */
 import {ConfigurationKeeper} from '../configuration/configuration-keeper.js';
 import {ConfigurationWatcher} from '../configuration/configuration-watcher.js';
+import {OrderGate} from '../decisions/authority/order-gate.js';
 import {AttemptTable} from '../decisions/attempts/attempt-table.js';
 import type {Message} from '../generated/messages.js';
 import type {SidecarSettings} from '../generated/sidecar-settings.js';
@@ -18,6 +19,7 @@
 import {pause} from '../shared/pause.js';
 import {AttemptRunner} from './attempt-runner.js';
 import {LinkServer} from './link-server.js';
+import {OrderExecutor} from './order-executor.js';
 
 const protocol = 1;
 const tickMilliseconds = 50;
@@ -66,6 +68,9 @@
 	readonly #table = new AttemptTable(assumedCapacity);
 	readonly #runner: AttemptRunner;
 	readonly #links: LinkServer;
+	readonly #gate: OrderGate;
+	readonly #executor: OrderExecutor;
+	#emptying = false;
 	readonly #peers = new Map<string, {readonly send: (message: Message) => boolean}>();
 	#timers: readonly NodeJS.Timeout[] = [];
 
@@ -94,7 +99,23 @@
 			send: (link, message) => {
 				this.#links.send(link, message);
 			},
-			onSettled() {/* No order waits for the target to become idle. */},
+			onSettled: () => {
+				this.#reportIdle();
+			},
+		});
+		this.#gate = new OrderGate(clock(), settings.target.longestOrderMilliseconds ?? defaultLongestOrderMilliseconds);
+		this.#executor = new OrderExecutor({
+			gate: this.#gate,
+			target: this.#target,
+			store: this.#store,
+			metrics: this.metrics,
+			load: () => this.#table.load(clock()),
+			send: (link, message) => {
+				this.#links.send(link, message);
+			},
+			setEmptying: emptying => {
+				this.#setEmptying(emptying);
+			},
 		});
 	}
 
@@ -105,6 +126,7 @@
 		this.#timers = [
 			setInterval(() => {
 				this.#runner.dispatch({kind: 'tick'});
+				this.#executor.dispatch({kind: 'tick'});
 			}, tickMilliseconds),
 			setInterval(() => {
 				void this.#readState();
@@ -194,15 +216,23 @@
 				break;
 			}
 
+			case 'raise fence': {
+				this.#executor.dispatch({kind: 'raise fence', link, fencingNumber: message.fencingNumber});
+				break;
+			}
+
+			case 'order': {
+				this.#executor.dispatch({kind: 'order', link, message});
+				break;
+			}
+
 			case 'heartbeat':
 			case 'refused':
 			case 'output':
 			case 'finished':
 			case 'attempt unknown':
 			case 'load':
-			case 'raise fence':
 			case 'fence raised':
-			case 'order':
 			case 'order result': {
 				this.metrics.count('link.unexpected-message');
 				break;
@@ -231,12 +261,29 @@
 
 	async #readState(): Promise<void> {
 		const state = await this.#target.state();
-		state.match(({capacity, role}) => {
+		state.match(({capacity, role, model, version, isChanging}) => {
 			this.#table.updateCapacity(capacity);
-			this.#table.role = role;
+			this.#table.targetState = {
+				role, model, version, changing: isChanging || !this.#gate.isSettled,
+			};
+			this.#executor.dispatch({kind: 'engine state', isChanging});
 		}, detail => {
 			this.metrics.count('target.state-unreadable');
 			log.warn({detail}, 'target state unreadable');
 		});
 	}
+
+	/** While an order waits or runs, new work is refused at once and running work ends. */
+	#setEmptying(emptying: boolean): void {
+		this.#emptying = emptying;
+		this.#table.targetState = {...this.#table.targetState, changing: !this.#gate.isSettled};
+		this.#runner.dispatch({kind: emptying ? 'empty' : 'return'});
+		this.#reportLoad();
+	}
+
+	#reportIdle(): void {
+		if (this.#emptying && this.#table.isIdle) {
+			this.#executor.dispatch({kind: 'target idle'});
+		}
+	}
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -14,6 +14,11 @@
 			'array-callback-return': 'off',
 		},
 	},
+	{
+		// Clipanion's command line is declared with functions such as Command.Usage.
+		files: ['source/command/*.ts'],
+		rules: {'new-cap': 'off'},
+	},
 	{
 		// A tap test is not awaited: the runner waits for it.
 		files: ['test/**/*.test.ts'],
