--- a/experiments/demo.ts
+++ b/experiments/demo.ts
@@ -9,12 +9,12 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {request} from 'undici';
+import type {GatewayStatus} from '../source/gateway/gateway-status.js';
+import {pause} from '../source/shared/pause.js';
 import {account} from './account.js';
 import {Fleet} from './fleet.js';
 import {percentile} from './percentile.js';
 import {Traffic} from './traffic.js';
-import type {GatewayStatus} from '../source/gateway/gateway-status.js';
-import {pause} from '../source/shared/pause.js';
 
 type Deployment = {
 	readonly name: string;
--- a/source/gateway/console/apply-form.ts
+++ b/source/gateway/console/apply-form.ts
@@ -6,7 +6,7 @@
 import {stringify} from 'smol-toml';
 import {parseDocument} from '../../configuration/parse-document.js';
 import type {AcceptedConfiguration} from '../../decisions/configuration/accepted-configuration.js';
-import type {Configuration, ServiceConfiguration} from '../../generated/configuration.js';
+import type {Configuration, RequestClass, ServiceConfiguration} from '../../generated/configuration.js';
 
 type Fields = Readonly<Record<string, string>>;
 
@@ -15,6 +15,12 @@
 	return text === undefined || text.trim() === '' ? current : Number(text);
 };
 
+const applyClass = (requestClass: RequestClass, place: string, fields: Fields): RequestClass => ({
+	...requestClass,
+	importance: (fields[`${place}.importance`] ?? requestClass.importance) as RequestClass['importance'],
+	deadlineMilliseconds: numberField(fields, `${place}.deadlineMilliseconds`, requestClass.deadlineMilliseconds) ?? requestClass.deadlineMilliseconds,
+});
+
 const applyService = (service: ServiceConfiguration, fields: Fields): ServiceConfiguration => {
 	const goodputWeight = numberField(fields, `${service.name}.goodputWeight`, service.roles?.goodputWeight);
 	const retryShare = numberField(fields, `${service.name}.retryShare`, service.retryShare);
@@ -25,11 +31,7 @@
 		...service.classes === undefined
 			? {}
 			: {
-				classes: service.classes.map(requestClass => ({
-					...requestClass,
-					importance: (fields[`${service.name}.${requestClass.name}.importance`] ?? requestClass.importance) as typeof requestClass.importance,
-					deadlineMilliseconds: numberField(fields, `${service.name}.${requestClass.name}.deadlineMilliseconds`, requestClass.deadlineMilliseconds) ?? requestClass.deadlineMilliseconds,
-				})),
+				classes: service.classes.map(requestClass => applyClass(requestClass, `${service.name}.${requestClass.name}`, fields)),
 			},
 	};
 };
