--- a/source/decisions/admission/admission-queue.ts
+++ b/source/decisions/admission/admission-queue.ts
@@ -11,6 +11,7 @@
 import type {Importance, Load} from '../../generated/messages.js';
 import {assertInvariant} from '../../shared/assert-invariant.js';
 import type {AdmissionEffect} from './admission-effect.js';
+import {PaceEstimate} from './pace-estimate.js';
 import type {TargetCapacity} from './target-capacity.js';
 import {workCost} from './work-cost.js';
 import type {Work} from './work.js';
@@ -44,6 +45,7 @@
 	#capacity: TargetCapacity;
 	#waiting: readonly Waiting[] = [];
 	readonly #running = new Map<string, Running>();
+	readonly #pace = new PaceEstimate();
 	#usedPieces = 0;
 	#open = true;
 
@@ -92,6 +94,12 @@
 		if (ended !== undefined) {
 			this.#running.delete(attemptId);
 			this.#usedPieces -= ended.pieces;
+			this.#pace.observe({
+				estimatedMilliseconds: ended.latencyMilliseconds,
+				actualMilliseconds: now - ended.startedAt,
+				occupancyMilliseconds: ended.occupancyMilliseconds,
+				isSaturated: this.#waiting.length > 0,
+			}, now);
 		}
 
 		return this.#start(now);
@@ -106,7 +114,7 @@
 
 	/** Refuses waiting work whose deadline can no longer be met. */
 	expire(now: number): readonly AdmissionEffect[] {
-		const hopeless = this.#waiting.filter(waiting => now + waiting.latencyMilliseconds > waiting.deadlineAt);
+		const hopeless = this.#waiting.filter(waiting => now + this.#latency(waiting) > waiting.deadlineAt);
 		this.#waiting = this.#waiting.filter(waiting => !hopeless.includes(waiting));
 		return [
 			...hopeless.map(waiting => refusal(waiting, resultCode.deadlineUnreachable, this.#retryAfter(waiting, now))),
@@ -135,7 +143,7 @@
 			decodeTokensPerSecond: this.#capacity.kind === 'engine' ? this.#capacity.decodeTokensPerSecond : 0,
 			running: this.#running.size,
 			queued: this.#waiting.length,
-			queueMilliseconds: this.#hasRoom() && this.#waiting.length === 0 ? 0 : this.#backlog(now) + sum(this.#waiting),
+			queueMilliseconds: this.#hasRoom() && this.#waiting.length === 0 ? 0 : this.#backlog(now) + this.#queuedOccupancy(),
 			queuedPromptTokens: this.#waiting.reduce((tokens, waiting) => tokens + waiting.promptTokens, 0),
 			freePieces: totalPieces - this.#usedPieces,
 			totalPieces,
@@ -164,8 +172,8 @@
 		const canStartAtOnce = this.#hasRoom() && this.#waiting.length === 1;
 		let ahead = canStartAtOnce ? 0 : this.#backlog(now);
 		return this.#waiting.find(waiting => {
-			const endsAt = now + ahead + waiting.latencyMilliseconds;
-			ahead += waiting.occupancyMilliseconds;
+			const endsAt = now + ahead + this.#latency(waiting);
+			ahead += waiting.occupancyMilliseconds * this.#pace.occupancyFactor;
 			return endsAt > waiting.deadlineAt;
 		});
 	}
@@ -257,14 +265,22 @@
 	/** Milliseconds of the target's whole capacity that running work still needs. */
 	#backlog(now: number): number {
 		return [...this.#running.values()].reduce((total, running) => {
-			const elapsedShare = (now - running.startedAt) / Math.max(1, running.latencyMilliseconds);
-			return total + (running.occupancyMilliseconds * Math.max(0, 1 - elapsedShare));
+			const elapsedShare = (now - running.startedAt) / Math.max(1, this.#latency(running));
+			return total + (running.occupancyMilliseconds * this.#pace.occupancyFactor * Math.max(0, 1 - elapsedShare));
 		}, 0);
 	}
 
+	#latency({latencyMilliseconds}: Waiting): number {
+		return latencyMilliseconds * this.#pace.latencyFactor;
+	}
+
+	#queuedOccupancy(): number {
+		return sum(this.#waiting) * this.#pace.occupancyFactor;
+	}
+
 	/** When the work would have fitted: the backlog beyond what its deadline leaves. */
 	#retryAfter(work: Waiting, now: number): number {
-		const excess = this.#backlog(now) + sum(this.#waiting) - Math.max(0, work.deadlineAt - now - work.latencyMilliseconds);
+		const excess = this.#backlog(now) + this.#queuedOccupancy() - Math.max(0, work.deadlineAt - now - this.#latency(work));
 		return Math.min(mostRetryAfterMilliseconds, Math.max(leastRetryAfterMilliseconds, excess));
 	}
 }
--- a/source/decisions/attempts/output-buffer.ts
+++ b/source/decisions/attempts/output-buffer.ts
@@ -19,7 +19,7 @@
 ```
 */
 export class OutputBuffer {
-	#parts: readonly Numbered[] = [];
+	#parts: Numbered[] = [];
 	#last = 0;
 	#acknowledged = 0;
 	#ended = false;
@@ -38,7 +38,7 @@
 		this.#last += 1;
 		const part = make(this.#last);
 		this.#ended = part.kind === 'finished';
-		this.#parts = [...this.#parts, part];
+		this.#parts.push(part);
 		return part;
 	}
 
--- a/source/decisions/planning/plan-roles.ts
+++ b/source/decisions/planning/plan-roles.ts
@@ -7,6 +7,7 @@
 gain shows in a fast and a slow average of the demand alike, so that noise alone
 moves nothing.
 */
+import {pipe} from 'fp-ts/lib/function.js';
 import * as option from 'fp-ts/lib/Option.js';
 import type {EngineRole} from '../../generated/messages.js';
 import type {EngineSpeed} from './engine-speed.js';
@@ -40,7 +41,10 @@
 /** A wanted change must stay wanted this long. */
 const confirmMilliseconds = 5000;
 /** Pause after a change, as a multiple of its own length, at the least and the most weight on goodput. */
-const coolDownChanges = {careful: 20, eager: 3} as const;
+const coolDownChanges = {careful: 10, eager: 1.5} as const;
+/** Gain in share of the demand up to which the full pause is kept, and the least part of it. */
+const ordinaryGain = 0.08;
+const leastHurry = 0.25;
 /** How many times the loss the gain must be, at the least and the most weight on goodput. */
 const paybackFactor = {careful: 6, eager: 1.5} as const;
 /** A shift is expected to last this much longer. */
@@ -78,13 +82,17 @@
 const keepsFloors = (counts: RoleCounts, {minimumPrefill, minimumDecode}: Policy): boolean =>
 	counts.prefill + counts.mixed >= minimumPrefill && counts.decode + counts.mixed >= minimumDecode;
 
-const bestMove = (demand: Demand, counts: RoleCounts, {speed, policy}: Snapshot): option.Option<Move> => {
-	const current = goodput(demand, counts, speed);
+/** The move whose gain is best under the less favourable of both averages; each must agree that it gains. */
+const bestMove = ({fast, slow}: PlannerState, counts: RoleCounts, {speed, policy}: Snapshot): option.Option<Move> => {
 	const moves = roles
 		.filter(from => counts[from] > 0)
-		.flatMap(from => roles.filter(to => to !== from).map(to => ({from, to, counts: moved(counts, from, to)})))
-		.filter(move => keepsFloors(move.counts, policy))
-		.map(({from, to, counts: after}): Move => ({from, to, gain: goodput(demand, after, speed) - current}));
+		.flatMap(from => roles.filter(to => to !== from).map(to => ({from, to, after: moved(counts, from, to)})))
+		.filter(({after}) => keepsFloors(after, policy))
+		.map(({from, to, after}): Move => ({
+			from,
+			to,
+			gain: Math.min(...[fast, slow].map(demand => goodput(demand, after, speed) - goodput(demand, counts, speed))),
+		}));
 	return moves.length === 0
 		? option.none
 		: option.some(moves.reduce((best, move) => move.gain > best.gain ? move : best));
@@ -118,7 +126,7 @@
 The planner's memory before the first look.
 */
 const initialState = (demand: Demand, now: number): PlannerState => ({
-	fast: demand, slow: demand, observedAt: now, wanted: '', wantedSince: now, changedAt: Number.NEGATIVE_INFINITY,
+	fast: demand, slow: demand, observedAt: now, isWanted: false, wantedSince: now, changedAt: Number.NEGATIVE_INFINITY,
 });
 
 const observe = (previous: option.Option<PlannerState>, demand: Demand, now: number): PlannerState => {
@@ -135,15 +143,16 @@
 	};
 };
 
-/** The move that both averages want and that pays under both, if any. */
-const agreedMove = (state: PlannerState, counts: RoleCounts, snapshot: Snapshot): option.Option<Move> => {
-	const fast = bestMove(state.fast, counts, snapshot);
-	const slow = bestMove(state.slow, counts, snapshot);
-	if (option.isNone(fast) || option.isNone(slow) || fast.value.from !== slow.value.from || fast.value.to !== slow.value.to) {
-		return option.none;
-	}
+/** The best move, if it pays under both averages. */
+const payingMove = (state: PlannerState, counts: RoleCounts, snapshot: Snapshot): option.Option<Move> => pipe(
+	bestMove(state, counts, snapshot),
+	option.filter(move => pays(state.fast, counts, move, snapshot) && pays(state.slow, counts, move, snapshot)),
+);
 
-	return pays(state.fast, counts, fast.value, snapshot) && pays(state.slow, counts, slow.value, snapshot) ? fast : option.none;
+/** Large gains need not wait as long. */
+const coolDownMilliseconds = ({gain}: Move, {goodputWeight, changeMilliseconds}: Policy): number => {
+	const hurry = Math.min(1, Math.max(leastHurry, ordinaryGain / gain));
+	return between(coolDownChanges, goodputWeight) * changeMilliseconds * hurry;
 };
 
 /**
@@ -158,13 +167,17 @@
 	const {engines, demand, policy} = snapshot;
 	const observed = observe(previous, demand, now);
 	const counts = countRoles(engines);
-	const move = agreedMove(observed, counts, snapshot);
-	const wanted = option.isSome(move) ? `${move.value.from}>${move.value.to}` : '';
-	const state: PlannerState = wanted === observed.wanted ? observed : {...observed, wanted, wantedSince: now};
+	const move = payingMove(observed, counts, snapshot);
+	const isWanted = option.isSome(move);
+	const state: PlannerState = isWanted === observed.isWanted ? observed : {...observed, isWanted, wantedSince: now};
+	if (option.isNone(move)) {
+		return {state, change: option.none};
+	}
+
 	const inChange = engines.filter(({isChanging}) => isChanging).length;
-	const coolDown = between(coolDownChanges, policy.goodputWeight) * policy.changeMilliseconds;
-	const mayChange = inChange < policy.mostInChange && now - state.wantedSince >= confirmMilliseconds && now - state.changedAt >= coolDown;
-	if (option.isNone(move) || !mayChange) {
+	const isConfirmed = now - state.wantedSince >= confirmMilliseconds;
+	const hasCooled = now - state.changedAt >= coolDownMilliseconds(move.value, policy);
+	if (inChange >= policy.mostInChange || !isConfirmed || !hasCooled) {
 		return {state, change: option.none};
 	}
 
@@ -172,5 +185,5 @@
 	const engine = leastLoaded(engines, from);
 	return option.isNone(engine)
 		? {state, change: option.none}
-		: {state: {...state, changedAt: now, wantedSince: now}, change: option.some({engine: engine.value.name, role: to})};
+		: {state: {...state, changedAt: now}, change: option.some({engine: engine.value.name, role: to})};
 };
--- a/source/gateway/console/apply-form.ts
+++ b/source/gateway/console/apply-form.ts
@@ -51,7 +51,9 @@
 	}
 
 	if (accepted.value.generation !== Number(fields.basedOn)) {
-		return err([`the form was made for generation ${fields.basedOn ?? 'none'}, but ${accepted.value.generation} from ${accepted.value.author} is in force; look at the new values and submit again`]);
+		const {generation, author} = accepted.value;
+		const madeFor = fields.basedOn ?? 'none';
+		return err([`the form was made for generation ${madeFor}, but ${generation} from ${author} is in force; look at the new values and submit again`]);
 	}
 
 	return parseDocument(accepted.value.document).andThen(document => {
--- a/source/leading/role-policy.ts
+++ b/source/leading/role-policy.ts
@@ -6,11 +6,11 @@
 
 const defaultChangeMilliseconds = 3000;
 
-/** Speeds of an engine that batches 8, 32 or 64 streams and prefills chunks of 2048, 512 or 128 tokens. */
+/** Speeds of an engine that batches 32, 48 or 64 streams and prefills chunks of 2048, 512 or 128 tokens. */
 const defaultSpeed: EngineSpeed = {
-	prefill: {prefill: 18_500, decode: 800},
-	mixed: {prefill: 15_200, decode: 2000},
-	decode: {prefill: 8900, decode: 2600},
+	prefill: {prefill: 18_500, decode: 2000},
+	mixed: {prefill: 15_200, decode: 2400},
+	decode: {prefill: 8900, decode: 2667},
 };
 
 /**
--- a/stand-ins/engine-model.ts
+++ b/stand-ins/engine-model.ts
@@ -20,6 +20,7 @@
 };
 type Submission = {readonly id: string; readonly prompt: string; readonly promptTokens: number; readonly outputTokens: number; readonly importance: number};
 type Stream = Submission & {unfilledTokens: number; made: number; readonly pieces: number};
+type Iteration = {readonly batch: readonly Stream[]; readonly filled: ReadonlyArray<readonly [Stream, number]>; readonly endsAt: number};
 type Event = {readonly kind: 'token' | 'end'; readonly id: string; readonly index: number; readonly at: number};
 
 const hasher = await createHasher();
@@ -28,8 +29,8 @@
 const tokensPerBlock = 256;
 
 const shapes: Readonly<Record<Role, {readonly chunkTokens: number; readonly mostStreams: number}>> = {
-	prefill: {chunkTokens: 2048, mostStreams: 8},
-	mixed: {chunkTokens: 512, mostStreams: 32},
+	prefill: {chunkTokens: 2048, mostStreams: 32},
+	mixed: {chunkTokens: 512, mostStreams: 48},
 	decode: {chunkTokens: 128, mostStreams: 64},
 };
 
@@ -54,6 +55,7 @@
 	readonly #profile: Profile;
 	readonly #streams = new Map<string, Stream>();
 	readonly #cache = new Map<number, true>();
+	#iteration: Iteration | undefined;
 
 	constructor(public role: Role, profile: Partial<Profile> = {}) {
 		this.#profile = {...EngineModel.defaultProfile, ...profile};
@@ -72,7 +74,7 @@
 		return {
 			totalPieces,
 			tokensPerPiece,
-			mostRunning: mostStreams * 2,
+			mostRunning: mostStreams,
 			prefillTokensPerSecond: chunkTokens * millisecondsPerSecond / iteration,
 			decodeTokensPerSecond: mostStreams * millisecondsPerSecond / ((iteration + decodeOnly) / 2),
 			tokenMilliseconds: (iteration + decodeOnly) / 2,
@@ -84,6 +86,7 @@
 		return this.#profile.totalPieces - [...this.#streams.values()].reduce((total, stream) => total + stream.pieces, 0);
 	}
 
+	/** Takes a request; an idle engine begins with it at its own time. */
 	submit(submission: Submission): void {
 		const pieces = Math.max(1, Math.ceil((submission.promptTokens + submission.outputTokens) / this.#profile.tokensPerPiece));
 		const cached = Math.min(submission.promptTokens - 1, this.#cachedTokens(submission.prompt));
@@ -101,6 +104,7 @@
 	clear(): readonly string[] {
 		const ids = [...this.#streams.keys()];
 		this.#streams.clear();
+		this.#iteration = undefined;
 		this.#cache.clear();
 		return ids;
 	}
@@ -108,27 +112,44 @@
 	/** Runs whole iterations until `until`; an idle engine's time jumps there. */
 	advance(until: number): readonly Event[] {
 		const events: Event[] = [];
-		while (this.#streams.size > 0) {
-			const batch = this.#batch();
-			const filled = this.#chunk();
-			const duration = this.#iterationMilliseconds(filled.reduce((total, [, tokens]) => total + tokens, 0), batch.length);
-			if (this.now + duration > until) {
+		for (;;) {
+			this.#iteration ??= this.#begin();
+			if (this.#iteration === undefined) {
+				this.now = until;
 				return events;
 			}
 
-			this.now += duration;
-			for (const [stream, tokens] of filled) {
-				stream.unfilledTokens -= tokens;
-				if (stream.unfilledTokens <= 0) {
-					this.#remember(stream.prompt);
-				}
+			if (this.#iteration.endsAt > until) {
+				return events;
 			}
 
-			events.push(...batch.flatMap(stream => this.#makeToken(stream)));
+			events.push(...this.#end(this.#iteration));
+			this.#iteration = undefined;
+		}
+	}
+
+	/** What is submitted during an iteration waits for the next one. */
+	#begin(): Iteration | undefined {
+		if (this.#streams.size === 0) {
+			return undefined;
+		}
+
+		const batch = this.#batch();
+		const filled = this.#chunk();
+		const duration = this.#iterationMilliseconds(filled.reduce((total, [, tokens]) => total + tokens, 0), batch.length);
+		return {batch, filled, endsAt: this.now + duration};
+	}
+
+	#end({batch, filled, endsAt}: Iteration): readonly Event[] {
+		this.now = endsAt;
+		for (const [stream, tokens] of filled) {
+			stream.unfilledTokens -= tokens;
+			if (stream.unfilledTokens <= 0) {
+				this.#remember(stream.prompt);
+			}
 		}
 
-		this.now = until;
-		return events;
+		return batch.filter(({id}) => this.#streams.has(id)).flatMap(stream => this.#makeToken(stream));
 	}
 
 	#makeToken(stream: Stream): readonly Event[] {
--- a/test/gateway/idempotency-claims.test.ts
+++ b/test/gateway/idempotency-claims.test.ts
@@ -65,7 +65,8 @@
 test('a settled claim tells the next caller what became of the call', async t => {
 	const store = new MemoryStore(() => 'none');
 	await withClaims(store, 1, async ([gateway]) => {
-		const first = (await gateway!.claim(requestOf('a')))._unsafeUnwrap();
+		const claimed = await gateway!.claim(requestOf('a'));
+		const first = claimed._unsafeUnwrap();
 		const whileRunning = await gateway!.claim(requestOf('b'));
 		t.equal(whileRunning._unsafeUnwrapErr(), resultCode.earlierCallUnresolved);
 		await gateway!.settle(first, 'ran');
@@ -79,7 +80,8 @@
 test('a call that did not run frees its key', async t => {
 	const store = new MemoryStore(() => 'none');
 	await withClaims(store, 1, async ([gateway]) => {
-		const first = (await gateway!.claim(requestOf('a')))._unsafeUnwrap();
+		const claimed = await gateway!.claim(requestOf('a'));
+		const first = claimed._unsafeUnwrap();
 		await gateway!.settle(first, 'not run');
 		const again = await gateway!.claim(requestOf('b'));
 		t.ok(again.isOk());
