--- a/experiments/account.ts
+++ b/experiments/account.ts
@@ -11,7 +11,7 @@
 	readonly ran: number;
 	readonly connectionLost: number;
 	readonly wrongAnswers: number;
-	/** Executions by request that no caller may see: more than one, or one behind "not run". */
+	/** What no caller may see: a bid executed twice, one executed behind "not run", an answer without an execution. */
 	readonly falseOutcomes: readonly string[];
 	readonly isSound: boolean;
 };
@@ -27,12 +27,12 @@
 ```
 */
 export const account = (sent: number, outcomes: readonly CallOutcome[], executions: ReadonlyMap<string, number>): Account => {
-	const plain = outcomes.filter(({label, requestId}) => (label === 'bid' || label === 'price') && requestId !== '');
-	const falseOutcomes = plain.flatMap(({requestId, ending, label}) => {
-		const times = executions.get(requestId) ?? 0;
-		const doubled = label === 'bid' && times > 1 ? [`${requestId}: executed ${times} times`] : [];
-		const denied = ending === 'not run' && times > 0 ? [`${requestId}: told "not run", executed ${times} times`] : [];
-		const lost = ending === 'answered' && times === 0 ? [`${requestId}: answered, never executed`] : [];
+	const plain = outcomes.filter(({path}) => path !== '');
+	const falseOutcomes = plain.flatMap(({path, ending, label}) => {
+		const times = executions.get(path) ?? 0;
+		const doubled = label === 'bid' && times > 1 ? [`${path}: executed ${times} times`] : [];
+		const denied = ending === 'not run' && times > 0 ? [`${path}: told "not run", executed ${times} times`] : [];
+		const lost = ending === 'answered' && times === 0 ? [`${path}: answered, never executed`] : [];
 		return [...doubled, ...denied, ...lost];
 	});
 	const wrongAnswers = outcomes.filter(({isRight}) => !isRight).length;
--- a/experiments/call-outcome.ts
+++ b/experiments/call-outcome.ts
@@ -15,5 +15,9 @@
 	readonly tokenGapsMilliseconds: readonly number[];
 	readonly totalMilliseconds: number;
 	readonly requestId: string;
+	/** Path of a plain call, unique to it; empty for a model request. */
+	readonly path: string;
+	/** On the caller's clock, in milliseconds. */
+	readonly startedAt: number;
 	readonly retryAfterSeconds: number;
 };
--- a/experiments/call.ts
+++ b/experiments/call.ts
@@ -16,8 +16,10 @@
 const expectedAnswer = (prompt: string, outputTokens: number): string =>
 	Array.from({length: outputTokens}, (_, index) => answerToken(prompt, index)).join('');
 
-const lost = (label: string, startedAt: number): CallOutcome => ({
+const lost = (label: string, path: string, startedAt: number): CallOutcome => ({
 	label,
+	path,
+	startedAt,
 	ending: 'connection lost',
 	code: -1,
 	isRight: true,
@@ -74,6 +76,8 @@
 		const expected = expectedAnswer(call.prompt, call.outputTokens);
 		return {
 			label: call.label,
+			path: '',
+			startedAt,
 			ending: isDone ? 'answered' : error?.ran ?? 'connection lost',
 			code: error?.code ?? 0,
 			isRight: isDone ? text === expected : expected.startsWith(text),
@@ -84,7 +88,7 @@
 			retryAfterSeconds: Number(answer.headers['retry-after'] ?? 0),
 		};
 	} catch {
-		return lost(call.label, startedAt);
+		return lost(call.label, '', startedAt);
 	}
 };
 
@@ -102,6 +106,8 @@
 		const isAnswered = answer.statusCode === 200;
 		return {
 			label: call.label,
+			path: call.path,
+			startedAt,
 			ending: isAnswered ? 'answered' : json.error?.ran ?? 'unknown',
 			code: json.error?.code ?? 0,
 			isRight: !isAnswered || (json.path === call.path && (call.method === 'GET' || JSON.stringify(json.received) === call.body)),
@@ -112,7 +118,7 @@
 			retryAfterSeconds: Number(answer.headers['retry-after'] ?? 0),
 		};
 	} catch {
-		return lost(call.label, startedAt);
+		return lost(call.label, call.path, startedAt);
 	}
 };
 
--- a/experiments/demo.ts
+++ b/experiments/demo.ts
@@ -112,16 +112,6 @@
 	return await body.json() as GatewayStatus;
 };
 
-const executionsOf = async (fleet: Fleet, {plainService, plain}: Deployment): Promise<ReadonlyMap<string, number>> => {
-	const records = await Promise.all(Array.from({length: plain}, async (_, index) => fleet.record<{readonly executions: Record<string, number>}>(`${plainService}-${index + 1}`)));
-	const executions = new Map<string, number>();
-	for (const [id, times] of records.flatMap(record => Object.entries(record.executions))) {
-		executions.set(id, (executions.get(id) ?? 0) + times);
-	}
-
-	return executions;
-};
-
 const runDeployment = async (deployment: Deployment): Promise<boolean> => {
 	const fleet = createFleet(deployment);
 	const generator = xoroshiro128plus(seed);
@@ -153,7 +143,7 @@
 		clearInterval(progress);
 		process.stderr.write('\n');
 		const statuses = await Promise.all(fleet.gateways.map(async ({name}) => statusOf(fleet, name)));
-		const result = account(traffic.sent, outcomes, await executionsOf(fleet, deployment));
+		const result = account(traffic.sent, outcomes, fleet.executions);
 		const model = outcomes.filter(({label, ending}) => (label === 'dossier' || label === 'question') && ending === 'answered');
 		const gaps = model.flatMap(({tokenGapsMilliseconds}) => tokenGapsMilliseconds);
 		const first = model.map(({firstTokenMilliseconds}) => firstTokenMilliseconds);
--- a/experiments/fleet.ts
+++ b/experiments/fleet.ts
@@ -15,7 +15,10 @@
 import {ChildProcess} from './child-process.js';
 
 type ServiceSpecification = {
+	/** Start of its targets' names. */
 	readonly name: string;
+	/** Name of the service in the configuration, if another. */
+	readonly service?: string;
 	readonly kind: 'engine' | 'plain';
 	readonly zones: readonly string[];
 	readonly options?: Readonly<Record<string, unknown>>;
@@ -65,6 +68,7 @@
 	readonly store: EtcdKeyValueService;
 	readonly #gatewayPorts = new Map<string, {readonly callers: number; readonly operators: number}>();
 	readonly #specification: FleetSpecification;
+	readonly #recordFile = path.join(this.folder, 'executions.txt');
 	#nextPort: number;
 	readonly #storePort: number;
 	readonly #vmListPort: number;
@@ -156,10 +160,26 @@
 		await post(`${this.storeAddress}/faults`, faults);
 	}
 
+	/** Makes an engine die in the middle of its next change. */
+	async crashNextChange(target: string): Promise<void> {
+		await post(`http://${host}:${this.targets.get(target)?.targetPort ?? 0}/faults`, {crashNextChange: true});
+	}
+
 	async wire(target: string, action: 'silence' | 'cut' | 'pass'): Promise<void> {
 		await post(`http://${host}:${this.targets.get(target)?.wireControlPort ?? 0}/${action}`, {});
 	}
 
+	/** How often each path was executed by any plain service. */
+	get executions(): ReadonlyMap<string, number> {
+		const paths = fs.existsSync(this.#recordFile) ? fs.readFileSync(this.#recordFile, 'utf8').split('\n') : [];
+		const executions = new Map<string, number>();
+		for (const executed of paths) {
+			executions.set(executed, (executions.get(executed) ?? 0) + 1);
+		}
+
+		return executions;
+	}
+
 	/** What a target's stand-in has recorded. */
 	async record<Record>(target: string): Promise<Record> {
 		const {body} = await request(`http://${host}:${this.targets.get(target)?.targetPort ?? 0}/record`);
@@ -198,7 +218,7 @@
 		this.processes.set(name, new ChildProcess(name, program, programArguments, this.folder));
 	}
 
-	#addTarget({name: service, kind, options = {}}: ServiceSpecification, name: string, availabilityZone: string): void {
+	#addTarget({name: prefix, service = prefix, kind, options = {}}: ServiceSpecification, name: string, availabilityZone: string): void {
 		const targetPort = this.#port();
 		const sidecarPort = this.#port();
 		const wirePort = this.#port();
@@ -218,7 +238,7 @@
 			},
 			targetPort,
 			settingsFile,
-			targetOptions: options,
+			targetOptions: kind === 'plain' ? {...options, recordFile: this.#recordFile} : options,
 			kind,
 			wireControlPort,
 		});
--- a/experiments/measure-routing.ts
+++ b/experiments/measure-routing.ts
@@ -14,7 +14,18 @@
 	readonly slowness?: readonly number[];
 	readonly killZoneAt?: number;
 };
-type Summary = {readonly goodput: number; readonly work: number; readonly late: number; readonly dossierShare: number; readonly firstToken: number; readonly gap: number; readonly amplification: number; readonly notRun: number};
+type Summary = {
+	/** Output tokens a second of requests answered in time. */
+	readonly goodput: number;
+	/** Ideal engine time of requests answered in time, as a share of all engines' time. */
+	readonly work: number;
+	readonly late: number;
+	readonly dossierShare: number;
+	readonly firstToken: number;
+	readonly gap: number;
+	readonly amplification: number;
+	readonly notRun: number;
+};
 
 const seed = 20_261_204;
 const runMilliseconds = 60_000;
@@ -110,7 +121,8 @@
 	for (const item of cases) {
 		for (const policy of policies) {
 			const {goodput, work, late, dossierShare, firstToken, gap, amplification, notRun} = run(policy, item);
-			console.log([item.name, policy, goodput.toFixed(0), work.toFixed(3), dossierShare.toFixed(4), firstToken.toFixed(0), gap.toFixed(1), amplification.toFixed(3), notRun.toFixed(4), late.toFixed(4)].join(' | '));
+			const figures = [goodput.toFixed(0), work.toFixed(3), dossierShare.toFixed(4), firstToken.toFixed(0), gap.toFixed(1), amplification.toFixed(3), notRun.toFixed(4), late.toFixed(4)];
+			console.log([item.name, policy, ...figures].join(' | '));
 		}
 	}
 };
--- a/experiments/measure-shift.ts
+++ b/experiments/measure-shift.ts
@@ -140,7 +140,7 @@
 				const isDossier = kind === 'dossier';
 				fleet.arrive({
 					label: kind,
-					importance: (isDossier ? 'high' : 'low') as Importance,
+					importance: (isDossier ? 'high' : 'low'),
 					prompt: `${kind} ${number}`,
 					promptTokens: isDossier ? dossierTokens : questionTokens,
 					outputTokens: isDossier ? dossierOutput : questionOutput,
--- a/experiments/measure.ts
+++ b/experiments/measure.ts
@@ -2,12 +2,16 @@
 `npm run measure -- NAME`: measurements, each paired in one run.
 */
 import process from 'node:process';
+import {measureConfiguration} from './measure-configuration.js';
 import {measureRouting} from './measure-routing.js';
 import {measureShift} from './measure-shift.js';
+import {measureSlopes} from './measure-slopes.js';
 
 const measurements: Readonly<Record<string, () => void | Promise<void>>> = {
 	routing: measureRouting,
 	shift: measureShift,
+	slopes: measureSlopes,
+	configuration: measureConfiguration,
 };
 
 const name = process.argv[2] ?? '';
--- a/experiments/traffic.ts
+++ b/experiments/traffic.ts
@@ -21,6 +21,7 @@
 };
 
 const sliceMilliseconds = 20;
+const repeatMilliseconds = 500;
 const millisecondsPerSecond = 1000;
 const charactersPerToken = 4;
 const word = 'inspected flitch of quarter-sawn oak, grade A, moisture 9%. ';
@@ -43,6 +44,7 @@
 	rates: Readonly<Record<Kind, number>>;
 	readonly #options: TrafficOptions;
 	readonly #pending = new Set<Promise<void>>();
+	#number = 0;
 	#stopped = false;
 
 	constructor(options: TrafficOptions) {
@@ -90,13 +92,21 @@
 	}
 
 	async #follow(gateway: string, kind: Kind): Promise<void> {
-		const outcome = await makeCall(gateway, this.#call(kind));
+		const call = this.#call(kind);
+		const outcome = await makeCall(gateway, call);
 		this.outcomes.push(outcome);
+		// A buyer whose connection broke asks again with the same key, at whatever entry answers.
+		if (outcome.ending === 'connection lost' && call.kind === 'plain' && call.idempotencyKey !== '') {
+			await pause(repeatMilliseconds);
+			this.sent += 1;
+			this.outcomes.push(await makeCall(this.#options.gateways.find(other => other !== gateway) ?? gateway, call));
+		}
 	}
 
 	#call(kind: Kind): Parameters<typeof makeCall>[1] {
 		const {model, plainService, organisations, random, dossierTokens = 3000, keyedShare = 0.5} = this.#options;
-		const number = this.sent;
+		this.#number += 1;
+		const number = this.#number;
 		const organisation = `team-${Math.floor(random() * organisations)}`;
 		switch (kind) {
 			case 'dossier': {
--- a/source/decisions/admission/admission-queue.ts
+++ b/source/decisions/admission/admission-queue.ts
@@ -11,6 +11,7 @@
 import type {Importance, Load} from '../../generated/messages.js';
 import {assertInvariant} from '../../shared/assert-invariant.js';
 import type {AdmissionEffect} from './admission-effect.js';
+import {batchShare} from './batch-share.js';
 import {PaceEstimate} from './pace-estimate.js';
 import type {TargetCapacity} from './target-capacity.js';
 import {workCost} from './work-cost.js';
@@ -23,8 +24,8 @@
 
 const importanceRank: Readonly<Record<Importance, number>> = {low: 0, normal: 1, high: 2};
 
-type Waiting = Work & {readonly occupancyMilliseconds: number; readonly latencyMilliseconds: number; readonly pieces: number};
-type Running = Waiting & {readonly startedAt: number};
+type Waiting = Work & ReturnType<typeof workCost>;
+type Running = Waiting & {readonly startedAt: number; readonly estimatedMilliseconds: number};
 
 type QueueLoad = Omit<Load, 'role' | 'model' | 'version' | 'changing' | 'promptTokensOffered' | 'outputTokensOffered'>;
 
@@ -95,7 +96,7 @@
 			this.#running.delete(attemptId);
 			this.#usedPieces -= ended.pieces;
 			this.#pace.observe({
-				estimatedMilliseconds: ended.latencyMilliseconds,
+				estimatedMilliseconds: ended.estimatedMilliseconds,
 				actualMilliseconds: now - ended.startedAt,
 				occupancyMilliseconds: ended.occupancyMilliseconds,
 				isSaturated: this.#waiting.length > 0,
@@ -114,6 +115,10 @@
 
 	/** Refuses waiting work whose deadline can no longer be met. */
 	expire(now: number): readonly AdmissionEffect[] {
+		if (this.#running.size === 0) {
+			this.#pace.relax(now);
+		}
+
 		const hopeless = this.#waiting.filter(waiting => now + this.#latency(waiting) > waiting.deadlineAt);
 		this.#waiting = this.#waiting.filter(waiting => !hopeless.includes(waiting));
 		return [
@@ -141,7 +146,9 @@
 		return {
 			prefillTokensPerSecond: this.#capacity.kind === 'engine' ? this.#capacity.prefillTokensPerSecond : 0,
 			decodeTokensPerSecond: this.#capacity.kind === 'engine' ? this.#capacity.decodeTokensPerSecond : 0,
+			tokenMilliseconds: this.#capacity.kind === 'engine' ? this.#capacity.tokenMilliseconds : 0,
 			running: this.#running.size,
+			mostRunning: this.#capacity.mostRunning,
 			queued: this.#waiting.length,
 			queueMilliseconds: this.#hasRoom() && this.#waiting.length === 0 ? 0 : this.#backlog(now) + this.#queuedOccupancy(),
 			queuedPromptTokens: this.#waiting.reduce((tokens, waiting) => tokens + waiting.promptTokens, 0),
@@ -229,7 +236,7 @@
 			}
 
 			this.#waiting = this.#waiting.filter(waiting => waiting !== next);
-			this.#running.set(next.attemptId, {...next, startedAt: now});
+			this.#running.set(next.attemptId, {...next, startedAt: now, estimatedMilliseconds: this.#plainLatency(next)});
 			this.#usedPieces += next.pieces;
 			effects.push({kind: 'run', attemptId: next.attemptId});
 		}
@@ -265,13 +272,21 @@
 	/** Milliseconds of the target's whole capacity that running work still needs. */
 	#backlog(now: number): number {
 		return [...this.#running.values()].reduce((total, running) => {
-			const elapsedShare = (now - running.startedAt) / Math.max(1, this.#latency(running));
+			const elapsedShare = (now - running.startedAt) / Math.max(1, running.estimatedMilliseconds * this.#pace.latencyFactor);
 			return total + (running.occupancyMilliseconds * this.#pace.occupancyFactor * Math.max(0, 1 - elapsedShare));
 		}, 0);
 	}
 
-	#latency({latencyMilliseconds}: Waiting): number {
-		return latencyMilliseconds * this.#pace.latencyFactor;
+	/** Latency at the target's learned pace. */
+	#latency(work: Waiting): number {
+		return this.#plainLatency(work) * this.#pace.latencyFactor;
+	}
+
+	/** Latency by the target's own account of its speed, with as many streams beside it as now; a full batch if others wait. */
+	#plainLatency({fixedMilliseconds, batchMilliseconds}: Waiting): number {
+		const {mostRunning} = this.#capacity;
+		const beside = this.#waiting.length > 1 ? mostRunning : this.#running.size + 1;
+		return fixedMilliseconds + (batchMilliseconds * batchShare(beside, mostRunning));
 	}
 
 	#queuedOccupancy(): number {
--- a/source/decisions/admission/pace-estimate.ts
+++ b/source/decisions/admission/pace-estimate.ts
@@ -7,6 +7,8 @@
 
 const latencySmoothing = 0.05;
 const occupancySmoothing = 0.3;
+/** Time in which an idle target's factors lose most of their distance from 1. */
+const relaxMilliseconds = 2000;
 const leastFactor = 0.2;
 const mostFactor = 10;
 /** Saturated time that one observation of throughput covers. */
@@ -34,6 +36,7 @@
 export class PaceEstimate {
 	#latencyFactor = 1;
 	#occupancyFactor = 1;
+	#relaxedAt: number | undefined;
 	#window: {readonly startedAt: number; readonly occupancy: number} | undefined;
 
 	get latencyFactor(): number {
@@ -44,8 +47,23 @@
 		return this.#occupancyFactor;
 	}
 
+	/**
+	Lets the factors fall back towards 1 while the target is idle.
+
+	Without it a factor that rules out all work would never be corrected, because
+	nothing would run to correct it.
+	*/
+	relax(now: number): void {
+		const elapsed = Math.max(0, now - (this.#relaxedAt ?? now));
+		this.#relaxedAt = now;
+		const kept = Math.exp(-elapsed / relaxMilliseconds);
+		this.#latencyFactor = 1 + ((this.#latencyFactor - 1) * kept);
+		this.#occupancyFactor = 1 + ((this.#occupancyFactor - 1) * kept);
+	}
+
 	/** Takes one completed piece of work. */
 	observe({estimatedMilliseconds, actualMilliseconds, occupancyMilliseconds, isSaturated}: Observation, now: number): void {
+		this.#relaxedAt = undefined;
 		const ratio = clamp(actualMilliseconds / Math.max(1, estimatedMilliseconds));
 		this.#latencyFactor += latencySmoothing * (ratio - this.#latencyFactor);
 		if (!isSaturated) {
--- a/source/decisions/admission/work-cost.ts
+++ b/source/decisions/admission/work-cost.ts
@@ -9,8 +9,10 @@
 type WorkCost = {
 	/** Share of the target's whole capacity that the work uses, in milliseconds. */
 	readonly occupancyMilliseconds: number;
-	/** Time from start to end if the work runs with a full batch beside it. */
-	readonly latencyMilliseconds: number;
+	/** Time from start to end that does not depend on what runs beside it. */
+	readonly fixedMilliseconds: number;
+	/** Time from start to end that does, with a full batch beside it. */
+	readonly batchMilliseconds: number;
 	readonly pieces: number;
 };
 
@@ -28,7 +30,8 @@
 			const prefillMilliseconds = promptTokens * millisecondsPerSecond / capacity.prefillTokensPerSecond;
 			return {
 				occupancyMilliseconds: prefillMilliseconds + (outputTokens * millisecondsPerSecond / capacity.decodeTokensPerSecond),
-				latencyMilliseconds: prefillMilliseconds + (outputTokens * capacity.tokenMilliseconds),
+				fixedMilliseconds: prefillMilliseconds,
+				batchMilliseconds: outputTokens * capacity.tokenMilliseconds,
 				pieces: Math.max(1, Math.ceil((promptTokens + outputTokens) / capacity.tokensPerPiece)),
 			};
 		}
@@ -36,7 +39,8 @@
 		case 'plain': {
 			return {
 				occupancyMilliseconds: capacity.callMilliseconds / capacity.mostRunning,
-				latencyMilliseconds: capacity.callMilliseconds,
+				fixedMilliseconds: capacity.callMilliseconds,
+				batchMilliseconds: 0,
 				pieces: 0,
 			};
 		}
--- a/source/decisions/planning/plan-roles.ts
+++ b/source/decisions/planning/plan-roles.ts
@@ -37,9 +37,9 @@
 type Move = {readonly from: EngineRole; readonly to: EngineRole; readonly gain: number};
 
 const fastMilliseconds = 8000;
-const slowMilliseconds = 25_000;
+const slowMilliseconds = 15_000;
 /** A wanted change must stay wanted this long. */
-const confirmMilliseconds = 5000;
+const confirmMilliseconds = 3000;
 /** Pause after a change, as a multiple of its own length, at the least and the most weight on goodput. */
 const coolDownChanges = {careful: 10, eager: 1.5} as const;
 /** Gain in share of the demand up to which the full pause is kept, and the least part of it. */
@@ -52,7 +52,7 @@
 /** Gains below this share of the demand are within the error of the estimate. */
 const leastGain = 0.03;
 /** Headroom that is planned for: demand above this share of capacity queues. */
-const usableShare = 0.9;
+const usableShare = 0.75;
 
 const roles: readonly EngineRole[] = ['prefill', 'mixed', 'decode'];
 
--- a/source/decisions/routing/estimate-cost.ts
+++ b/source/decisions/routing/estimate-cost.ts
@@ -2,8 +2,11 @@
 Estimated time until a target would have served a request.
 
 The last report is stale, so the gateway's own sends since then are added, and
-the reported queue is taken as drained by the time that has passed.
+the reported queue is taken as drained by the time that has passed. An engine
+whose role suits the request poorly may answer it soon while idle, but at the
+price of engine time that others need, so that time counts too.
 */
+import {batchShare} from '../admission/batch-share.js';
 import type {RoutedRequest} from './routed-request.js';
 import type {TargetView} from './target-view.js';
 
@@ -13,6 +16,8 @@
 const assumedCallMilliseconds = 20;
 /** Share of a cached prefix's prefill that is saved. */
 const cachedShare = 0.8;
+/** What the engine time that a request takes from others counts against its own latency. */
+const occupancyWeight = 2;
 /** Penalty for work that would wait for engine memory. */
 const memoryMilliseconds = 2000;
 
@@ -41,8 +46,9 @@
 
 	const ownWait = cost(view.promptTokensSentSince, load.prefillTokensPerSecond);
 	const prefill = cost(request.promptTokens, load.prefillTokensPerSecond) * (isCached ? 1 - cachedShare : 1);
-	const decode = cost(request.outputTokens * (load.running + view.sentSince + 1), load.decodeTokensPerSecond);
+	const latency = prefill + (request.outputTokens * load.tokenMilliseconds * batchShare(load.running + view.sentSince + 1, load.mostRunning));
+	const occupancy = prefill + cost(request.outputTokens, load.decodeTokensPerSecond);
 	const needed = Math.ceil((request.promptTokens + request.outputTokens) / tokensPerPiece);
 	const lacking = Math.max(0, needed + view.sentSince - load.freePieces) / Math.max(1, load.totalPieces);
-	return reportedWait + ownWait + prefill + decode + (lacking * memoryMilliseconds);
+	return reportedWait + ownWait + latency + (occupancy * occupancyWeight) + (lacking * memoryMilliseconds);
 };
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -32,7 +32,7 @@
 import {TargetLinks} from './target-links.js';
 
 const vmListMilliseconds = 1000;
-const exchangeMilliseconds = 5000;
+const exchangeMilliseconds = 2000;
 const leadMilliseconds = 500;
 const drainCheckMilliseconds = 50;
 const defaultRetryShare = 0.2;
--- a/source/sidecar/sidecar.ts
+++ b/source/sidecar/sidecar.ts
@@ -25,7 +25,7 @@
 const tickMilliseconds = 50;
 const stateMilliseconds = 500;
 const loadMilliseconds = 2000;
-const exchangeMilliseconds = 5000;
+const exchangeMilliseconds = 2000;
 const drainCheckMilliseconds = 20;
 /** Time for gateways to fetch the last output after the target is idle. */
 const handOverMilliseconds = 5000;
--- a/stand-ins/plain-stand-in.ts
+++ b/stand-ins/plain-stand-in.ts
@@ -1,13 +1,14 @@
 /**
 Stand-in of a plain service that records every execution.
 */
+import fs from 'node:fs';
 import fastify, {type FastifyInstance} from 'fastify';
 
-type PlainOptions = {readonly port: number; readonly callMilliseconds?: number};
+type PlainOptions = {readonly port: number; readonly callMilliseconds?: number; readonly recordFile?: string};
 
 /**
-A plain service. Its record counts executions by request, so that a test can see
-a bid or booking that landed twice.
+A plain service. It appends the path of each execution to its record file, so
+that a test can see a bid or booking that landed twice.
 
 @example
 ```
@@ -18,14 +19,17 @@
 export class PlainStandIn {
 	readonly #options: PlainOptions;
 	readonly #server: FastifyInstance = fastify({forceCloseConnections: true});
-	readonly #executions = new Map<string, number>();
 
 	constructor(options: PlainOptions) {
 		this.#options = options;
-		this.#server.get('/record', async () => ({executions: Object.fromEntries(this.#executions)}));
+		this.#server.get('/record', async () => ({}));
 		this.#server.all('/*', async request => {
 			const id = String(request.headers['x-request-id'] ?? '');
-			this.#executions.set(id, (this.#executions.get(id) ?? 0) + 1);
+			// Written before the answer, so that a killed service does not forget what it did.
+			if (this.#options.recordFile !== undefined) {
+				fs.appendFileSync(this.#options.recordFile, `${request.url}\n`);
+			}
+
 			await new Promise(resolve => {
 				setTimeout(resolve, this.#options.callMilliseconds ?? 5);
 			});
--- a/test/decisions/admission/admission-queue.test.ts
+++ b/test/decisions/admission/admission-queue.test.ts
@@ -136,6 +136,18 @@
 	t.equal(refused.filter(id => id.startsWith('dossier')).length, 0, 'no dossier while questions could be shed');
 });
 
+test('of work with one deadline the least important is shed', async t => {
+	const queue = new AdmissionQueue(capacity);
+	const refused: string[] = [];
+	for (let index = 0; index < 200; index++) {
+		const importance = index % 2 === 0 ? 'high' as const : 'low' as const;
+		refused.push(...queue.offer(work(`${importance}-${index}`, {importance, deadlineAt: 12_000}), 0).flatMap(effect => effect.kind === 'refuse' ? [effect.attemptId] : []));
+	}
+
+	const firstHigh = refused.findIndex(id => id.startsWith('high'));
+	t.ok(firstHigh > 20, 'many were shed before the first important one');
+});
+
 test('an organisation that fills the queue gives way to others', async t => {
 	const queue = new AdmissionQueue(capacity);
 	const refused: string[] = [];
