--- a/experiments/run-scenario.ts
+++ b/experiments/run-scenario.ts
@@ -137,6 +137,11 @@
 				break;
 			}
 
+			case 'hang': {
+				await this.#fleet.setStoreFaults({hang: true});
+				break;
+			}
+
 			case 'slow': {
 				await this.#fleet.setStoreFaults({slowMilliseconds: 800});
 				break;
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -273,7 +273,9 @@
 	}
 
 	async #runClaimed(request: GatewayRequest, sink: CallerSink): Promise<void> {
+		const startedAt = performance.now();
 		const claim = await this.#claims.claim(request);
+		const deadlineMilliseconds = request.deadlineMilliseconds - (performance.now() - startedAt);
 		if (claim.isErr()) {
 			this.#live -= 1;
 			if (describeCode(claim.error).outcome === 'not run') {
@@ -286,7 +288,7 @@
 		}
 
 		let outcome: 'ran' | 'not run' | 'unknown' = 'unknown';
-		this.#createRunner(request, {
+		this.#createRunner({...request, deadlineMilliseconds}, {
 			write(text) {
 				sink.write(text);
 			},
--- a/source/gateway/idempotency-claims.ts
+++ b/source/gateway/idempotency-claims.ts
@@ -17,6 +17,8 @@
 import type {GatewayRequest} from './gateway-request.js';
 
 const mostTries = 3;
+/** No further try is begun after this time; the caller is told at once when to come back. */
+const claimMilliseconds = 1500;
 const mostCleanUps = 10_000;
 const cleanUpMilliseconds = 1000;
 /** How long a key protects its call. */
@@ -64,12 +66,13 @@
 		const {service, organisation, idempotencyKey, requestId, method, path, body} = request;
 		const key = `cowsliprudder/claims/${hash([service, organisation, idempotencyKey].join('\n'))}`;
 		const record: ClaimRecord = {claimant: requestId, digest: hash([method, path, body].join('\n')), state: 'claimed'};
+		const giveUpAt = performance.now() + claimMilliseconds;
 		const lease = await this.#currentLease();
 		if (lease === undefined) {
 			return this.#unavailable();
 		}
 
-		for (let tries = 0; tries < mostTries; tries++) {
+		for (let tries = 0; tries < mostTries && performance.now() < giveUpAt; tries++) {
 			const swapped = await this.#store.compareAndSwap({ // eslint-disable-line no-await-in-loop
 				key, expectedRevision: 0, value: JSON.stringify(record), lease,
 			});
--- a/stand-ins/key-value-stand-in.ts
+++ b/stand-ins/key-value-stand-in.ts
@@ -11,6 +11,8 @@
 type Faults = {
 	/** Connections are broken off without an answer and nothing happens. */
 	readonly outage?: boolean;
+	/** Calls get no answer and nothing happens, as behind a network that drops everything. */
+	readonly hang?: boolean;
 	readonly slowMilliseconds?: number;
 	/** How many of the next writes take effect but lose their answer. */
 	readonly loseAnswers?: number;
@@ -91,7 +93,12 @@
 			this.calls += 1;
 			if (this.#faults.outage === true) {
 				void reply.hijack();
-				request.raw.destroy();
+				request.raw.socket.destroy();
+				return;
+			}
+
+			if (this.#faults.hang === true) {
+				void reply.hijack();
 				return;
 			}
 
@@ -107,7 +114,7 @@
 			const isWrite = request.url === '/v3/kv/txn' || request.url === '/v3/lease/grant';
 			if (isWrite && this.#lostAnswers > 0 && reply.statusCode === 200) {
 				this.#lostAnswers -= 1;
-				request.raw.destroy();
+				request.raw.socket.destroy();
 			}
 
 			return payload;
