Let idle links be quiet, and keep links to unlisted targets until their work ends

Change: links without work beat every 4 s and are given 10 s; one that becomes busy is given its 2.5 s from then. An unchanged load is reported every 10 s instead of every 2 s. Vanished targets' links stay until their work has ended.

--- a/experiments/fleet.ts
+++ b/experiments/fleet.ts
@@ -156,6 +156,11 @@
 		await post(`${this.vmListAddress}/set`, this.vms.map(vm => vm.name === name ? {...vm, state} : vm));
 	}
 
+	/** Takes one VM out of the VM list. */
+	async unlist(name: string): Promise<void> {
+		await post(`${this.vmListAddress}/set`, this.vms.filter(vm => vm.name !== name));
+	}
+
 	async setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
 		await post(`${this.storeAddress}/faults`, faults);
 	}
--- a/experiments/run-scenario.ts
+++ b/experiments/run-scenario.ts
@@ -162,6 +162,11 @@
 				break;
 			}
 
+			case 'unlist': {
+				await this.#fleet.unlist(name);
+				break;
+			}
+
 			case 'submit': {
 				await this.#submit([step.version ?? '1']);
 				break;
--- a/source/decisions/attempts/attempt-table.ts
+++ b/source/decisions/attempts/attempt-table.ts
@@ -71,6 +71,11 @@
 		return this.#attempts.size;
 	}
 
+	/** True while an attempt that came over the link is held. */
+	isBusy(link: string): boolean {
+		return [...this.#attempts.values()].some(attempt => attempt.link === link);
+	}
+
 	updateCapacity(capacity: TargetCapacity): void {
 		this.#queue.updateCapacity(capacity);
 	}
--- a/source/decisions/links/link-health.ts
+++ b/source/decisions/links/link-health.ts
@@ -6,8 +6,9 @@
 the link is replaced and streams resume on the new one.
 */
 
-const heartbeatMilliseconds = 1000;
-const silentMilliseconds = 2500;
+/** With work under way, silence must be noticed soon; without, heartbeats would be most of a link's cost. */
+const heartbeatMilliseconds = {busy: 1000, idle: 4000} as const;
+const silentMilliseconds = {busy: 2500, idle: 10_000} as const;
 const idleCloseMilliseconds = 60_000;
 
 type LinkTimes = {
@@ -15,7 +16,10 @@
 	readonly lastSentAt: number;
 	readonly lastReceivedAt: number;
 	readonly lastUsedAt: number;
-	readonly inUse: boolean;
+	/** True for a link that stays open without work. */
+	readonly keepOpen: boolean;
+	/** Since when work has been under way over the link, or undefined without any. */
+	readonly busySince: number | undefined;
 };
 
 type LinkAction = 'none' | 'send heartbeat' | 'replace' | 'close idle';
@@ -23,21 +27,23 @@
 /**
 Returns the one action that the link needs now.
 
-Any frame counts as a heartbeat, so a busy link sends none.
+Any frame counts as a heartbeat, so a busy link sends few. A link that has just
+become busy is given its time from then, as its peer was not bound to send before.
 
 @example
 ```
-linkHealth({now: 3000, lastSentAt: 2900, lastReceivedAt: 0, lastUsedAt: 2900, inUse: true}); // 'replace'
+linkHealth({now: 3000, lastSentAt: 2900, lastReceivedAt: 0, lastUsedAt: 2900, keepOpen: true, busySince: 100}); // 'replace'
 ```
 */
-export const linkHealth = ({now, lastSentAt, lastReceivedAt, lastUsedAt, inUse}: LinkTimes): LinkAction => {
-	if (now - lastReceivedAt > silentMilliseconds) {
+export const linkHealth = ({now, lastSentAt, lastReceivedAt, lastUsedAt, keepOpen, busySince}: LinkTimes): LinkAction => {
+	const pace = busySince === undefined ? 'idle' : 'busy';
+	if (now - Math.max(lastReceivedAt, busySince ?? lastReceivedAt) > silentMilliseconds[pace]) {
 		return 'replace';
 	}
 
-	if (!inUse && now - lastUsedAt > idleCloseMilliseconds) {
+	if (!keepOpen && busySince === undefined && now - lastUsedAt > idleCloseMilliseconds) {
 		return 'close idle';
 	}
 
-	return now - lastSentAt >= heartbeatMilliseconds ? 'send heartbeat' : 'none';
+	return now - lastSentAt >= heartbeatMilliseconds[pace] ? 'send heartbeat' : 'none';
 };
--- a/source/gateway/target-link.ts
+++ b/source/gateway/target-link.ts
@@ -91,6 +91,10 @@
 		return this.#options.address;
 	}
 
+	get hasAttempts(): boolean {
+		return this.#attempts.size > 0;
+	}
+
 	/** Sends an attempt now or as soon as a connection opens. */
 	start(message: AttemptMessage, listener: AttemptListener): void {
 		const attempt: LiveAttempt = {
@@ -176,7 +180,8 @@
 			onClosed: reason => {
 				this.#linkClosed(reason);
 			},
-			isInUse: () => this.isWarm || this.#attempts.size > 0,
+			isKeptOpen: () => this.isWarm,
+			hasWork: () => this.#attempts.size > 0,
 			onBytes: (direction, bytes) => {
 				this.#options.metrics.count(`link.bytes.${direction}`, bytes);
 			},
--- a/source/gateway/target-links.ts
+++ b/source/gateway/target-links.ts
@@ -30,6 +30,7 @@
 export class TargetLinks {
 	readonly #options: TargetLinksOptions;
 	readonly #links = new Map<string, TargetLink>();
+	#listed: ReadonlyMap<string, ListedVm> = new Map();
 
 	constructor(options: TargetLinksOptions) {
 		this.#options = options;
@@ -48,25 +49,17 @@
 		return Object.fromEntries([...this.#links].filter(([, link]) => link.isOpen).map(([name, link]) => [name, link.peerGeneration]));
 	}
 
-	/** Follows the VM list: new targets become reachable, vanished ones are closed. */
+	/** Follows the VM list: new targets become reachable; vanished ones are closed once nothing runs there. */
 	update(targets: readonly ListedVm[]): void {
-		const listed = new Map(targets.map(vm => [vm.name, vm]));
-		for (const [name, link] of this.#links) {
-			if (listed.get(name)?.address !== link.address) {
-				this.#links.delete(name);
-				link.close();
-			}
-		}
-
-		for (const vm of targets.filter(({name}) => !this.#links.has(name))) {
-			this.#links.set(vm.name, this.#open(vm));
-		}
+		this.#listed = new Map(targets.map(vm => [vm.name, vm]));
+		this.#sweep();
 	}
 
 	/** Keeps just these links open without work. */
 	keepWarm(names: ReadonlySet<string>): void {
+		this.#sweep();
 		for (const [name, link] of this.#links) {
-			link.isWarm = names.has(name);
+			link.isWarm = names.has(name) && this.#listed.has(name);
 			if (link.isWarm) {
 				link.connect();
 			}
@@ -81,6 +74,22 @@
 		this.#links.clear();
 	}
 
+	/** A VM may vanish from the list while its last requests still run: their link stays until they have ended. */
+	#sweep(): void {
+		for (const [name, link] of this.#links) {
+			if (this.#listed.get(name)?.address !== link.address && !link.hasAttempts) {
+				this.#links.delete(name);
+				link.close();
+			}
+		}
+
+		for (const [name, vm] of this.#listed) {
+			if (!this.#links.has(name)) {
+				this.#links.set(name, this.#open(vm));
+			}
+		}
+	}
+
 	#open({name, address}: ListedVm): TargetLink {
 		const {directory, onControl, ...options} = this.#options;
 		return new TargetLink({
--- a/source/links/link.ts
+++ b/source/links/link.ts
@@ -16,7 +16,9 @@
 type LinkHandlers = {
 	readonly onMessage: (message: Message) => void;
 	readonly onClosed: (reason: string) => void;
-	readonly isInUse: () => boolean;
+	/** True for a link that stays open without work. */
+	readonly isKeptOpen: () => boolean;
+	readonly hasWork: () => boolean;
 	readonly onBytes?: (direction: 'sent' | 'received', bytes: number) => void;
 };
 
@@ -25,7 +27,7 @@
 
 @example
 ```
-const link = new Link(socket, {onMessage, onClosed, isInUse: () => live.size > 0});
+const link = new Link(socket, {onMessage, onClosed, isKeptOpen: () => false, hasWork: () => live.size > 0});
 link.send({kind: 'heartbeat'});
 ```
 */
@@ -33,6 +35,7 @@
 	#lastSentAt = clock();
 	#lastReceivedAt = clock();
 	#lastUsedAt = clock();
+	#busySince: number | undefined;
 	#closed = false;
 	readonly #socket: WebSocket;
 	readonly #handlers: LinkHandlers;
@@ -103,12 +106,15 @@
 	}
 
 	#check(): void {
+		const now = clock();
+		this.#busySince = this.#handlers.hasWork() ? this.#busySince ?? now : undefined;
 		const action = linkHealth({
-			now: clock(),
+			now,
 			lastSentAt: this.#lastSentAt,
 			lastReceivedAt: this.#lastReceivedAt,
 			lastUsedAt: this.#lastUsedAt,
-			inUse: this.#handlers.isInUse(),
+			keepOpen: this.#handlers.isKeptOpen(),
+			busySince: this.#busySince,
 		});
 		switch (action) {
 			case 'replace': {
--- a/source/sidecar/link-server.ts
+++ b/source/sidecar/link-server.ts
@@ -11,6 +11,8 @@
 
 type LinkServerOptions = {
 	readonly metrics: Metrics;
+	/** True while an attempt that came over the link is under way. */
+	readonly hasWork: (link: string) => boolean;
 	readonly onOpen: (link: string) => void;
 	readonly onMessage: (link: string, message: Message) => void;
 	readonly onClosed: (link: string) => void;
@@ -43,7 +45,7 @@
 		this.#server = server;
 		server.on('connection', socket => {
 			const id = newIdentifier();
-			const {metrics, onMessage, onClosed, onOpen} = this.#options;
+			const {metrics, onMessage, onClosed, onOpen, hasWork} = this.#options;
 			this.#links.set(id, new Link(socket, {
 				onMessage(message) {
 					onMessage(id, message);
@@ -53,7 +55,8 @@
 					onClosed(id);
 				},
 				// The dialling end decides when a link is idle.
-				isInUse: () => true,
+				isKeptOpen: () => true,
+				hasWork: () => hasWork(id),
 				onBytes(direction, bytes) {
 					metrics.count(`link.bytes.${direction}`, bytes);
 				},
--- a/source/sidecar/sidecar.ts
+++ b/source/sidecar/sidecar.ts
@@ -25,6 +25,7 @@
 const tickMilliseconds = 50;
 const stateMilliseconds = 500;
 const loadMilliseconds = 2000;
+const unchangedLoadMilliseconds = 10_000;
 const exchangeMilliseconds = 2000;
 const drainCheckMilliseconds = 20;
 /** Time for gateways to fetch the last output after the target is idle. */
@@ -71,6 +72,8 @@
 	readonly #gate: OrderGate;
 	readonly #executor: OrderExecutor;
 	#emptying = false;
+	#reportedLoad = '';
+	#reportedAt = 0;
 	readonly #peers = new Map<string, {readonly send: (message: Message) => boolean}>();
 	#timers: readonly NodeJS.Timeout[] = [];
 
@@ -82,6 +85,7 @@
 		this.#target = createTarget(settings.target);
 		this.#links = new LinkServer({
 			metrics: this.metrics,
+			hasWork: link => this.#table.isBusy(link),
 			onOpen: link => {
 				this.#greet(link);
 			},
@@ -132,7 +136,7 @@
 				void this.#readState();
 			}, stateMilliseconds),
 			setInterval(() => {
-				this.#reportLoad();
+				this.#reportChangedLoad();
 			}, loadMilliseconds),
 			setInterval(() => {
 				this.keeper.exchange(Math.random);
@@ -255,7 +259,18 @@
 		this.#runner.dispatch({kind: 'link closed', link});
 	}
 
+	/** An unchanged load is reported seldom: idle targets would otherwise cost their gateways as much as busy ones. */
+	#reportChangedLoad(): void {
+		const text = JSON.stringify(this.#table.load(clock()));
+		if (text !== this.#reportedLoad || clock() - this.#reportedAt >= unchangedLoadMilliseconds) {
+			this.#reportLoad();
+		}
+	}
+
 	#reportLoad(): void {
+		this.#reportedLoad = JSON.stringify(this.#table.load(clock()));
+		this.#reportedAt = clock();
+
 		this.#links.broadcast({kind: 'load', load: this.#table.load(clock())});
 	}
 
