Bundle the binaries, and keep dead targets from attracting work

Change: the build bundles each binary into one file, and the fleet of the tests runs those. A sidecar whose engine does not answer two reads of its state refuses new work and says that it is leaving until the engine answers again; a refusal because the target accepts no connection counts towards ejection.

--- a/experiments/fleet.ts
+++ b/experiments/fleet.ts
@@ -45,8 +45,8 @@
 };
 
 const standIn = 'build/stand-ins/run-stand-in.js';
-const gatewayProgram = 'build/source/binaries/cowsliprudder-gateway.js';
-const sidecarProgram = 'build/source/binaries/cowsliprudder-sidecar.js';
+const gatewayProgram = 'build/binaries/cowsliprudder-gateway.mjs';
+const sidecarProgram = 'build/binaries/cowsliprudder-sidecar.mjs';
 const startMilliseconds = 20_000;
 const host = '127.0.0.1';
 
@@ -219,7 +219,12 @@
 		return this.#nextPort;
 	}
 
+	/** Starts a process unless one of that name is running. */
 	#spawn(name: string, program: string, programArguments: readonly string[]): void {
+		if (this.processes.get(name)?.isRunning === true) {
+			return;
+		}
+
 		this.processes.set(name, new ChildProcess(name, program, programArguments, this.folder));
 	}
 
--- a/source/configuration/submit-configuration.ts
+++ b/source/configuration/submit-configuration.ts
@@ -43,7 +43,11 @@
 await submitConfiguration(store, {document, author: 'amna', basedOn: 7, submissionId: newIdentifier()});
 ```
 */
-export const submitConfiguration = async (store: KeyValueService, {document, author, basedOn, submissionId}: Submission): Promise<Result<AcceptedConfiguration, Failure>> => {
+export const submitConfiguration = async (
+	store: KeyValueService,
+	{document, author, basedOn, submissionId}: Submission,
+	wait: (milliseconds: number) => Promise<void> = pause,
+): Promise<Result<AcceptedConfiguration, Failure>> => {
 	const parsed = parseDocument(document);
 	if (parsed.isErr()) {
 		return err({code: resultCode.configurationInvalid, errors: parsed.error});
@@ -56,7 +60,7 @@
 	for (let tries = 0; tries < mostTries; tries++) {
 		const current = await readAccepted(store); // eslint-disable-line no-await-in-loop
 		if (current.isErr()) {
-			await pause(pauseMilliseconds); // eslint-disable-line no-await-in-loop
+			await wait(pauseMilliseconds); // eslint-disable-line no-await-in-loop
 			continue;
 		}
 
--- a/source/decisions/authority/decide-leadership.ts
+++ b/source/decisions/authority/decide-leadership.ts
@@ -18,23 +18,17 @@
 /** Authority ends this long before the lease does, for the way of an order and a pause of the process. */
 const safetyMilliseconds = 1000;
 
-const follow = (now: number, pace: number, ...effects: readonly LeadershipEffect[]): Decision => ({state: {kind: 'following', tryAt: now + pace}, effects});
+const follow = (tryAt: number, ...effects: readonly LeadershipEffect[]): Decision => ({state: {kind: 'following', tryAt}, effects});
 
-const onTickFollowing = (state: Extract<LeadershipState, {readonly kind: 'following'}>, {isCandidate, pace}: Tick, now: number): Decision => {
-	if (!isCandidate) {
-		return {state: {kind: 'following', tryAt: now + pace}, effects: []};
-	}
-
-	return now < state.tryAt ? {state, effects: []} : {state: {kind: 'acquiring'}, effects: [{kind: 'acquire'}]};
-};
+const onTickFollowing = (state: Extract<LeadershipState, {readonly kind: 'following'}>, {isCandidate}: Tick, now: number): Decision => !isCandidate || now < state.tryAt ? {state, effects: []} : {state: {kind: 'acquiring'}, effects: [{kind: 'acquire'}]};
 
 const raiseMissing = (state: Holding, targets: readonly string[]): readonly LeadershipEffect[] => targets
 	.filter(target => !state.settled.includes(target))
 	.map(target => ({kind: 'raise fence', target, fencingNumber: state.fencingNumber}));
 
-const onTickHolding = (state: Holding, {pace, targets}: Tick, now: number): Decision => {
+const onTickHolding = (state: Holding, {targets}: Tick, now: number): Decision => {
 	if (now >= state.validUntil - safetyMilliseconds) {
-		return follow(now, pace, {kind: 'step down'});
+		return follow(now, {kind: 'step down'});
 	}
 
 	const shouldRenew = now >= state.renewAt && !state.renewing;
@@ -60,7 +54,7 @@
 					},
 					effects: [],
 				}
-				: follow(now, 0, {kind: 'step down'});
+				: follow(now, {kind: 'step down'});
 		}
 
 		case 'renewal failed': {
@@ -72,7 +66,7 @@
 		}
 
 		case 'resign': {
-			return follow(now, Number.POSITIVE_INFINITY, {kind: 'step down'}, {kind: 'release', lease: state.lease});
+			return follow(Number.POSITIVE_INFINITY, {kind: 'step down'}, {kind: 'release', lease: state.lease});
 		}
 	}
 };
@@ -80,7 +74,7 @@
 const onFenceRaised = (state: Holding, {target, fencingNumber, settled}: Extract<LeadershipEvent, {readonly kind: 'fence raised'}>, now: number): Decision => {
 	if (fencingNumber > state.fencingNumber) {
 		// A later leader exists, so the lease has been lost whatever the clock says.
-		return follow(now, 0, {kind: 'step down'});
+		return follow(now, {kind: 'step down'});
 	}
 
 	if (!settled || state.settled.includes(target)) {
@@ -96,7 +90,7 @@
 
 @example
 ```
-decideLeadership({kind: 'following', tryAt: 0}, {kind: 'tick', isCandidate: true, pace: 0, targets}, clock());
+decideLeadership({kind: 'following', tryAt: 0}, {kind: 'tick', isCandidate: true, targets}, clock());
 ```
 */
 export const decideLeadership = (state: LeadershipState, event: LeadershipEvent, now: number): Decision => {
@@ -120,7 +114,7 @@
 
 const onAcquiring = (state: LeadershipState, event: LeadershipEvent, now: number): Decision => {
 	if (event.kind === 'not acquired') {
-		return follow(now, retryMilliseconds);
+		return follow(now + retryMilliseconds);
 	}
 
 	if (event.kind !== 'acquired') {
--- a/source/decisions/authority/leadership-event.ts
+++ b/source/decisions/authority/leadership-event.ts
@@ -3,14 +3,11 @@
 */
 
 /**
-Events of one service's leadership at one gateway.
-
-`pace` is how long this gateway holds back before it tries for a vacant lease;
-it differs among gateways, so that leaders of different services fall on
-different ones.
+Events of one service's leadership at one gateway. `targets` names the sidecars
+that can be reached, each with its incarnation.
 */
 export type LeadershipEvent =
-	| {readonly kind: 'tick'; readonly isCandidate: boolean; readonly pace: number; readonly targets: readonly string[]}
+	| {readonly kind: 'tick'; readonly isCandidate: boolean; readonly targets: readonly string[]}
 	| {readonly kind: 'acquired'; readonly askedAt: number; readonly fencingNumber: number; readonly lease: string; readonly seconds: number}
 	| {readonly kind: 'not acquired'}
 	| {readonly kind: 'renewed'; readonly askedAt: number; readonly seconds: number}
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import {EtcdKeyValueService} from '../platform/etcd-key-value-service.js';
 import type {ListedVm} from '../platform/listed-vm.js';
 import {VmList} from '../platform/vm-list.js';
+import {clock} from '../shared/clock.js';
 import {describeCode} from '../shared/describe-code.js';
 import {logger} from '../shared/logger.js';
 import {Metrics} from '../shared/metrics.js';
@@ -170,8 +171,8 @@
 		log.info({liveRequests: this.#live}, 'gateway leaving');
 		await pause(balancerLagMilliseconds);
 		this.#phase = 'refusing';
-		const giveUpAt = performance.now() + longestDrainMilliseconds;
-		while (this.#live > 0 && performance.now() < giveUpAt) {
+		const giveUpAt = clock() + longestDrainMilliseconds;
+		while (this.#live > 0 && clock() < giveUpAt) {
 			await pause(drainCheckMilliseconds); // eslint-disable-line no-await-in-loop
 		}
 
@@ -273,9 +274,9 @@
 	}
 
 	async #runClaimed(request: GatewayRequest, sink: CallerSink): Promise<void> {
-		const startedAt = performance.now();
+		const startedAt = clock();
 		const claim = await this.#claims.claim(request);
-		const deadlineMilliseconds = request.deadlineMilliseconds - (performance.now() - startedAt);
+		const deadlineMilliseconds = request.deadlineMilliseconds - (clock() - startedAt);
 		if (claim.isErr()) {
 			this.#live -= 1;
 			if (describeCode(claim.error).outcome === 'not run') {
--- a/source/gateway/idempotency-claims.ts
+++ b/source/gateway/idempotency-claims.ts
@@ -13,6 +13,7 @@
 import {judgeClaim} from '../decisions/claims/judge-claim.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {KeyValueService} from '../platform/key-value-service.js';
+import {clock} from '../shared/clock.js';
 import type {Metrics} from '../shared/metrics.js';
 import type {GatewayRequest} from './gateway-request.js';
 
@@ -43,13 +44,15 @@
 export class IdempotencyClaims {
 	readonly #store: KeyValueService;
 	readonly #metrics: Metrics;
+	readonly #now: () => number;
 	#lease: {readonly id: string; readonly grantedAt: number} | undefined;
 	/** Records whose last write failed, to be put right when the store answers. */
 	#cleanUps: readonly CleanUp[] = [];
 	readonly #timer: NodeJS.Timeout;
 
-	constructor(store: KeyValueService, metrics: Metrics) {
+	constructor(store: KeyValueService, metrics: Metrics, now: () => number = clock) {
 		this.#store = store;
+		this.#now = now;
 		this.#metrics = metrics;
 		this.#timer = setInterval(() => {
 			void this.#cleanUp();
@@ -66,13 +69,13 @@
 		const {service, organisation, idempotencyKey, requestId, method, path, body} = request;
 		const key = `cowsliprudder/claims/${hash([service, organisation, idempotencyKey].join('\n'))}`;
 		const record: ClaimRecord = {claimant: requestId, digest: hash([method, path, body].join('\n')), state: 'claimed'};
-		const giveUpAt = performance.now() + claimMilliseconds;
+		const giveUpAt = this.#now() + claimMilliseconds;
 		const lease = await this.#currentLease();
 		if (lease === undefined) {
 			return this.#unavailable();
 		}
 
-		for (let tries = 0; tries < mostTries && performance.now() < giveUpAt; tries++) {
+		for (let tries = 0; tries < mostTries && this.#now() < giveUpAt; tries++) {
 			const swapped = await this.#store.compareAndSwap({ // eslint-disable-line no-await-in-loop
 				key, expectedRevision: 0, value: JSON.stringify(record), lease,
 			});
@@ -129,7 +132,7 @@
 	}
 
 	async #currentLease(): Promise<string | undefined> {
-		if (this.#lease !== undefined && performance.now() - this.#lease.grantedAt < leaseRenewalMilliseconds) {
+		if (this.#lease !== undefined && this.#now() - this.#lease.grantedAt < leaseRenewalMilliseconds) {
 			return this.#lease.id;
 		}
 
@@ -138,7 +141,7 @@
 			return this.#lease?.id;
 		}
 
-		this.#lease = {id: granted.value, grantedAt: performance.now()};
+		this.#lease = {id: granted.value, grantedAt: this.#now()};
 		return granted.value;
 	}
 
--- a/source/gateway/request-runner.ts
+++ b/source/gateway/request-runner.ts
@@ -243,6 +243,11 @@
 
 		if (message.kind === 'refused') {
 			this.#context.metrics.count(`refused-by-target.${message.code}`);
+			if (message.code === resultCode.targetRefusedConnection) {
+				// A dead target answers fast and looks idle; without ejection it would attract work.
+				this.#context.directory.failed(target, clock());
+			}
+
 			this.#dispatch({...message, mayRetry: this.#mayRetry(`refused-${message.code}`)});
 			return;
 		}
--- a/source/leading/service-leader.ts
+++ b/source/leading/service-leader.ts
@@ -104,7 +104,7 @@
 		const rank = candidateRank(service().name, gateway, gateways());
 		this.#holdBack = pipe(rank, option.match(() => 0, place => (place * rankMilliseconds) + (ledServices() * busyMilliseconds)));
 		this.#dispatch({
-			kind: 'tick', isCandidate: option.isSome(rank), pace: 0, targets: this.#reachable(),
+			kind: 'tick', isCandidate: option.isSome(rank), targets: this.#reachable(),
 		});
 		if (this.#state.kind === 'leading' && clock() - this.#plannedAt >= planMilliseconds) {
 			this.#plannedAt = clock();
--- a/source/platform/plain-target.ts
+++ b/source/platform/plain-target.ts
@@ -5,6 +5,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {AttemptMessage} from '../generated/messages.js';
 import {resultCode} from '../generated/result-codes.js';
+import {clock} from '../shared/clock.js';
 import {failureCode} from './failure-code.js';
 import type {Target} from './target.js';
 import type {TargetResult} from './target-result.js';
@@ -36,7 +37,7 @@
 	}
 
 	async run(message: AttemptMessage, onText: (text: string) => void, signal: AbortSignal): Promise<TargetResult> {
-		const startedAt = performance.now();
+		const startedAt = clock();
 		try {
 			const answer = await this.#agent.request({
 				origin: this.#address,
@@ -47,7 +48,7 @@
 				signal,
 			});
 			const text = await answer.body.text();
-			this.#callMilliseconds += smoothing * (performance.now() - startedAt - this.#callMilliseconds);
+			this.#callMilliseconds += smoothing * (clock() - startedAt - this.#callMilliseconds);
 			onText(text);
 			return {
 				code: resultCode.ok, status: answer.statusCode, finishReason: 'stop', contentType: String(answer.headers['content-type'] ?? 'application/octet-stream'),
--- a/source/sidecar/sidecar.ts
+++ b/source/sidecar/sidecar.ts
@@ -25,6 +25,8 @@
 const tickMilliseconds = 50;
 const stateMilliseconds = 500;
 const loadMilliseconds = 2000;
+/** Reads of the target's state that fail in a row before it gets no new work. */
+const unreadableStatesBeforeRefusal = 2;
 const unchangedLoadMilliseconds = 10_000;
 const exchangeMilliseconds = 2000;
 const drainCheckMilliseconds = 20;
@@ -72,6 +74,8 @@
 	readonly #gate: OrderGate;
 	readonly #executor: OrderExecutor;
 	#emptying = false;
+	#refusing = false;
+	#unreadableStates = 0;
 	#reportedLoad = '';
 	#reportedAt = 0;
 	readonly #peers = new Map<string, {readonly send: (message: Message) => boolean}>();
@@ -282,18 +286,34 @@
 				role, model, version, changing: isChanging || !this.#gate.isSettled,
 			};
 			this.#executor.dispatch({kind: 'engine state', isChanging});
+			this.#unreadableStates = 0;
+			this.#updateAdmission();
 		}, detail => {
 			this.metrics.count('target.state-unreadable');
 			log.warn({detail}, 'target state unreadable');
+			this.#unreadableStates += 1;
+			this.#updateAdmission();
 		});
 	}
 
+	/** New work is taken unless an order empties the target or the target does not answer. */
+	#updateAdmission(): void {
+		const shouldRefuse = this.#emptying || this.#unreadableStates >= unreadableStatesBeforeRefusal;
+		if (shouldRefuse === this.#refusing) {
+			return;
+		}
+
+		this.#refusing = shouldRefuse;
+		this.#runner.dispatch({kind: shouldRefuse ? 'empty' : 'return'});
+		this.#reportLoad();
+	}
+
 	/** While an order waits or runs, new work is refused at once and running work ends. */
 	#setEmptying(emptying: boolean): void {
 		this.#emptying = emptying;
 		this.#table.targetState = {...this.#table.targetState, changing: !this.#gate.isSettled};
-		this.#runner.dispatch({kind: emptying ? 'empty' : 'return'});
-		this.#reportLoad();
+		this.#updateAdmission();
+		this.#reportIdle();
 	}
 
 	#reportIdle(): void {
