--- a/experiments/virtual-fleet.ts
+++ b/experiments/virtual-fleet.ts
@@ -209,7 +209,12 @@
 			case 'ours': {
 				return option.toUndefined(chooseTarget(directory.ofService('models'), {
 					kind: 'model', prefix: record.prompt.slice(0, 2048), promptTokens: record.promptTokens, outputTokens: record.outputTokens, avoid: record.avoid,
-				}, {availabilityZone: this.#options.zones[record.gateway % this.#options.zones.length]!, now: this.now, random: () => this.random()}));
+				}, {
+					gateway: `gateway-${record.gateway}`,
+					availabilityZone: this.#options.zones[record.gateway % this.#options.zones.length]!,
+					now: this.now,
+					random: () => this.random(),
+				}));
 			}
 
 			case 'round robin': {
--- a/source/decisions/authority/decide-leadership.ts
+++ b/source/decisions/authority/decide-leadership.ts
@@ -10,6 +10,7 @@
 import type {LeadershipState} from './leadership-state.js';
 
 type Decision = {readonly state: LeadershipState; readonly effects: readonly LeadershipEffect[]};
+type Following = Extract<LeadershipState, {readonly kind: 'following'}>;
 type Holding = Extract<LeadershipState, {readonly kind: 'raising' | 'leading'}>;
 type Tick = Extract<LeadershipEvent, {readonly kind: 'tick'}>;
 
@@ -20,7 +21,9 @@
 
 const follow = (tryAt: number, ...effects: readonly LeadershipEffect[]): Decision => ({state: {kind: 'following', tryAt}, effects});
 
-const onTickFollowing = (state: Extract<LeadershipState, {readonly kind: 'following'}>, {isCandidate}: Tick, now: number): Decision => !isCandidate || now < state.tryAt ? {state, effects: []} : {state: {kind: 'acquiring'}, effects: [{kind: 'acquire'}]};
+const onTickFollowing = (state: Following, {isCandidate}: Tick, now: number): Decision => !isCandidate || now < state.tryAt
+	? {state, effects: []}
+	: {state: {kind: 'acquiring'}, effects: [{kind: 'acquire'}]};
 
 const raiseMissing = (state: Holding, targets: readonly string[]): readonly LeadershipEffect[] => targets
 	.filter(target => !state.settled.includes(target))
--- a/source/decisions/links/link-health.ts
+++ b/source/decisions/links/link-health.ts
@@ -9,7 +9,8 @@
 /** With work under way, silence must be noticed soon; without, heartbeats would be most of a link's cost. */
 const heartbeatMilliseconds = {busy: 1000, idle: 4000} as const;
 const silentMilliseconds = {busy: 2500, idle: 10_000} as const;
-const idleCloseMilliseconds = 60_000;
+/** At 370 gateways before 610 targets a longer time would keep most links of a full mesh open. */
+const idleCloseMilliseconds = 10_000;
 
 type LinkTimes = {
 	readonly now: number;
--- a/source/decisions/routing/choose-target.ts
+++ b/source/decisions/routing/choose-target.ts
@@ -14,12 +14,15 @@
 
 const stableCandidates = 2;
 const randomCandidates = 2;
+const subsetSize = 16;
 /** Cost in milliseconds that a target in another availability zone is charged. */
 const otherZoneMilliseconds = 3;
 /** At least this share of a service's targets stays in use, however many are ejected. */
 const usableFloor = 0.5;
 
 type ChoiceContext = {
+	/** Name of the gateway that chooses. */
+	readonly gateway: string;
 	readonly availabilityZone: string;
 	readonly now: number;
 	/** Uniform in [0, 1). */
@@ -38,29 +41,34 @@
 const pickRandom = (views: readonly TargetView[], count: number, random: () => number): readonly TargetView[] =>
 	Array.from({length: Math.min(count, views.length)}, () => views[Math.floor(random() * views.length)]!);
 
-const pickStable = (views: readonly TargetView[], prefix: string): readonly TargetView[] => views
-	.map(view => ({view, score: rendezvousScore(prefix, view.name)}))
+const topRanked = (views: readonly TargetView[], key: string, count: number): readonly TargetView[] => views
+	.map(view => ({view, score: rendezvousScore(key, view.name)}))
 	.sort((first, second) => second.score - first.score)
-	.slice(0, stableCandidates)
+	.slice(0, count)
 	.map(({view}) => view);
 
+/** Random candidates come from a part of a large service, so that a gateway's links stay bounded. */
+const ownSubset = (views: readonly TargetView[], gateway: string): readonly TargetView[] =>
+	views.length <= subsetSize ? views : topRanked(views, gateway, subsetSize);
+
 /**
 Returns the target to try next, or none when there is no usable one.
 
 @example
 ```
-const chosen = chooseTarget(views, request, {availabilityZone, now: clock(), random: Math.random});
+const chosen = chooseTarget(views, request, {gateway: 'entry-1', availabilityZone, now: clock(), random: Math.random});
 ```
 */
-export const chooseTarget = (views: readonly TargetView[], request: RoutedRequest, {availabilityZone, now, random}: ChoiceContext): option.Option<TargetView> => {
+export const chooseTarget = (views: readonly TargetView[], request: RoutedRequest, {gateway, availabilityZone, now, random}: ChoiceContext): option.Option<TargetView> => {
 	const candidates = usable(views, request, now);
 	if (candidates.length === 0) {
 		return option.none;
 	}
 
-	const near = candidates.filter(view => view.availabilityZone === availabilityZone);
-	const stable = request.kind === 'model' ? pickStable(candidates, request.prefix) : [];
-	const compared = [...stable, ...pickRandom(candidates, randomCandidates, random), ...pickRandom(near, randomCandidates, random)];
+	const own = ownSubset(candidates, gateway);
+	const near = own.filter(view => view.availabilityZone === availabilityZone);
+	const stable = request.kind === 'model' ? topRanked(candidates, request.prefix, stableCandidates) : [];
+	const compared = [...stable, ...pickRandom(own, randomCandidates, random), ...pickRandom(near, randomCandidates, random)];
 	const home = stable[0];
 	const costs = compared.map(view => ({
 		view,
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -317,6 +317,7 @@
 
 	#createRunner(request: GatewayRequest, sink: CallerSink, onDone: () => void): RequestRunner {
 		return new RequestRunner(request, sink, {
+			gateway: this.settings.name,
 			availabilityZone: this.settings.availabilityZone,
 			links: this.links,
 			directory: this.directory,
--- a/source/gateway/request-runner.ts
+++ b/source/gateway/request-runner.ts
@@ -28,6 +28,7 @@
 const log = logger.child({module: 'request'});
 
 type RunnerContext = {
+	readonly gateway: string;
 	readonly availabilityZone: string;
 	readonly links: TargetLinks;
 	readonly directory: TargetDirectory;
@@ -166,12 +167,14 @@
 	}
 
 	#chooseTarget(avoid: readonly string[]): void {
-		const {directory, availabilityZone} = this.#context;
+		const {directory, gateway, availabilityZone} = this.#context;
 		const {service, kind, prefix, promptTokens, outputTokens} = this.#request;
 		pipe(
 			chooseTarget(directory.ofService(service), {
 				kind, prefix, promptTokens, outputTokens, avoid,
-			}, {availabilityZone, now: clock(), random: Math.random}),
+			}, {
+				gateway, availabilityZone, now: clock(), random: Math.random,
+			}),
 			option.match(
 				() => {
 					this.#dispatch({kind: 'no target', code: resultCode.noTarget, retryAfterMilliseconds: noTargetRetryMilliseconds});
--- a/test/decisions/routing/choose-target.test.ts
+++ b/test/decisions/routing/choose-target.test.ts
@@ -52,7 +52,9 @@
 };
 
 const choose = (directory: TargetDirectory, asked: RoutedRequest, random: () => number, now = 0): string | undefined =>
-	option.toUndefined(chooseTarget(directory.ofService('s'), asked, {availabilityZone: 'a', now, random}))?.name;
+	option.toUndefined(chooseTarget(directory.ofService('s'), asked, {
+		gateway: 'entry-1', availabilityZone: 'a', now, random,
+	}))?.name;
 
 test('a target that is leaving by any word gets nothing', async t => {
 	const directory = create(3);
@@ -120,3 +122,17 @@
 	t.equal(choose(directory, request({avoid: ['engine-0', 'engine-1']}), random), 'engine-2');
 	t.equal(choose(directory, request({avoid: ['engine-0', 'engine-1', 'engine-2']}), random), undefined);
 });
+
+test('of a large service a gateway uses a bounded part, and the gateways of both zones together all of it', async t => {
+	const random = randomOf();
+	const directory = create(100);
+	const used = Array.from({length: 120}, (_, number) => new Set(Array.from({length: 100}, () => option.toUndefined(chooseTarget(
+		directory.ofService('s'),
+		request({kind: 'plain'}),
+		{
+			gateway: `entry-${number}`, availabilityZone: number % 2 === 0 ? 'a' : 'b', now: 0, random,
+		},
+	))?.name)));
+	t.ok(used.every(({size}) => size <= 16));
+	t.equal(new Set(used.flatMap(set => [...set])).size, 100);
+});
