--- a/source/configuration/configuration-keeper.ts
+++ b/source/configuration/configuration-keeper.ts
@@ -9,7 +9,7 @@
 import type {AcceptedConfiguration} from '../decisions/configuration/accepted-configuration.js';
 import type {Configuration} from '../generated/configuration.js';
 import type {Message} from '../generated/messages.js';
-import {InvariantError} from '../shared/invariant-error.js';
+import {guardInvariants} from '../shared/guard-invariants.js';
 import {logger} from '../shared/logger.js';
 import type {Metrics} from '../shared/metrics.js';
 import {parseAccepted} from './parse-accepted.js';
@@ -99,17 +99,11 @@
 	}
 
 	#adopt(text: string, accepted: AcceptedConfiguration, document: Configuration, source: string): void {
-		try {
-			if (adoptConfiguration(this.#inForce, accepted) !== 'adopt') {
-				return;
-			}
-		} catch (error) {
-			if (!(error instanceof InvariantError)) {
-				throw error;
-			}
-
-			this.#metrics.count(`invariant.${error.code}`);
-			log.error({code: error.code}, error.message);
+		let isNew = false;
+		guardInvariants(this.#metrics, {source}, () => {
+			isNew = adoptConfiguration(this.#inForce, accepted) === 'adopt';
+		});
+		if (!isNew) {
 			return;
 		}
 
--- a/source/sidecar/attempt-runner.ts
+++ b/source/sidecar/attempt-runner.ts
@@ -8,7 +8,7 @@
 import {resultCode} from '../generated/result-codes.js';
 import type {Target} from '../platform/target.js';
 import {clock} from '../shared/clock.js';
-import {InvariantError} from '../shared/invariant-error.js';
+import {guardInvariants} from '../shared/guard-invariants.js';
 import {logger} from '../shared/logger.js';
 import type {Metrics} from '../shared/metrics.js';
 
@@ -42,19 +42,11 @@
 	/** Feeds one event to the table and performs its effects in order. */
 	dispatch(event: AttemptEvent): void {
 		const {table, metrics, onSettled} = this.#options;
-		try {
+		guardInvariants(metrics, {event: event.kind}, () => {
 			for (const effect of table.handle(event, clock())) {
 				this.#perform(effect);
 			}
-		} catch (error) {
-			if (!(error instanceof InvariantError)) {
-				throw error;
-			}
-
-			metrics.count(`invariant.${error.code}`);
-			log.error({code: error.code, event: event.kind}, error.message);
-		}
-
+		});
 		onSettled();
 	}
 
--- a/source/sidecar/order-executor.ts
+++ b/source/sidecar/order-executor.ts
@@ -10,7 +10,7 @@
 import type {KeyValueService} from '../platform/key-value-service.js';
 import type {Target} from '../platform/target.js';
 import {clock} from '../shared/clock.js';
-import {InvariantError} from '../shared/invariant-error.js';
+import {guardInvariants} from '../shared/guard-invariants.js';
 import {logger} from '../shared/logger.js';
 import type {Metrics} from '../shared/metrics.js';
 
@@ -44,18 +44,11 @@
 	/** Feeds one event to the gate and performs its effects in order. */
 	dispatch(event: OrderGateEvent): void {
 		const {gate, metrics} = this.#options;
-		try {
+		guardInvariants(metrics, {event: event.kind}, () => {
 			for (const effect of gate.handle(event, clock())) {
 				this.#perform(effect);
 			}
-		} catch (error) {
-			if (!(error instanceof InvariantError)) {
-				throw error;
-			}
-
-			metrics.count(`invariant.${error.code}`);
-			log.error({code: error.code, event: event.kind}, error.message);
-		}
+		});
 	}
 
 	#perform(effect: OrderGateEffect): void {
