Do not send a configuration back to its sender, and judge leaving by the target's record

Causes: status showed a sidecar as lagging that had adopted: it sent the document back to its sender instead of its generation. The scenario of leaving targets did not look whether new work stopped. Change: a keeper knows which peer it heard from; targets record when they last began work, and a scenario fails when that is over three seconds after they left by the list's word. Plain targets are no longer shown in change, and whole chat answers carry the object name of whole answers. Adds the measurement of the hop.

--- a/experiments/measure-configuration.ts
+++ b/experiments/measure-configuration.ts
@@ -52,7 +52,7 @@
 	const deliver = (to: Node, back: () => Peer, message: Message): void => {
 		to.bytes += encodeMessage(message).byteLength;
 		if (message.kind === 'configuration') {
-			to.keeper.hear(message.document, 'peer');
+			to.keeper.hear(message.document, 'peer', back());
 		}
 
 		if (message.kind === 'generation') {
--- a/experiments/measure.ts
+++ b/experiments/measure.ts
@@ -3,6 +3,7 @@
 */
 import process from 'node:process';
 import {measureConfiguration} from './measure-configuration.js';
+import {measureHop} from './measure-hop.js';
 import {measureRouting} from './measure-routing.js';
 import {measureShift} from './measure-shift.js';
 import {measureSlopes} from './measure-slopes.js';
@@ -12,6 +13,7 @@
 	shift: measureShift,
 	slopes: measureSlopes,
 	configuration: measureConfiguration,
+	hop: measureHop,
 };
 
 const name = process.argv[2] ?? '';
--- a/experiments/run-scenario.ts
+++ b/experiments/run-scenario.ts
@@ -21,6 +21,8 @@
 const versionMilliseconds = 45_000;
 const millisecondsPerSecond = 1000;
 const racingOperators = 3;
+/** How long after it has left a target may still be given work. */
+const leavingMilliseconds = 3000;
 const slowStoreMilliseconds = 800;
 
 const signals = {
@@ -99,6 +101,8 @@
 /** Carries out the steps of one scenario. */
 class StepPerformer {
 	generation = 1;
+	/** When the VM list was told that a target leaves or is gone. */
+	readonly leftAt = new Map<string, number>();
 	#frozenLeader = '';
 	readonly #fleet: Fleet;
 
@@ -143,11 +147,13 @@
 			}
 
 			case 'leave': {
+				this.leftAt.set(name, Date.now());
 				await this.#fleet.setVmState(name, 'leaving');
 				break;
 			}
 
 			case 'unlist': {
+				this.leftAt.set(name, Date.now());
 				await this.#fleet.unlist(name);
 				break;
 			}
@@ -253,6 +259,16 @@
 	]);
 };
 
+/** A target that has left by the list's word alone may not have begun any work more than a few seconds later. */
+const checkLeaving = async (fleet: Fleet, leftAt: ReadonlyMap<string, number>): Promise<readonly string[]> => {
+	const problems = await Promise.all([...leftAt].map(async ([name, at]) => {
+		const {lastStartedAt} = await fleet.record<{readonly lastStartedAt: number}>(name);
+		const lag = lastStartedAt - at;
+		return lag > leavingMilliseconds ? [`${name} was given work ${lag} ms after it had left`] : [];
+	}));
+	return problems.flat();
+};
+
 const checkProcesses = async (fleet: Fleet, {expect}: Scenario): Promise<readonly string[]> => {
 	const statuses = await runningStatuses(fleet);
 	const {generation} = expect;
@@ -331,6 +347,7 @@
 			}, scenario),
 			...versions,
 			...await checkEngines(fleet, scenario),
+			...await checkLeaving(fleet, performer.leftAt),
 			...await checkProcesses(fleet, scenario),
 		];
 		const {answered, notRun, unknown, ran, connectionLost} = account(traffic.sent, outcomes, fleet.executions);
--- a/source/configuration/configuration-keeper.ts
+++ b/source/configuration/configuration-keeper.ts
@@ -51,13 +51,20 @@
 		return this.#inForce;
 	}
 
-	/** Takes a record from the store or a peer; an unusable or older one changes nothing. */
-	hear(text: string, source: 'store' | 'peer'): void {
+	/**
+	Takes a record from the store or a peer; an unusable or older one changes nothing.
+	`from` is the peer that sent it, which need not be sent it back.
+	*/
+	hear(text: string, source: 'store' | 'peer', from?: Peer): void {
 		if (text === this.#text) {
 			return;
 		}
 
 		parseAccepted(text).match(({accepted, document}) => {
+			if (from !== undefined && this.#peers.has(from)) {
+				this.#peers.set(from, accepted.generation);
+			}
+
 			this.#adopt(text, accepted, document, source);
 		}, errors => {
 			this.#metrics.count(`configuration.malformed.${source}`);
--- a/source/gateway/model-answer.ts
+++ b/source/gateway/model-answer.ts
@@ -82,10 +82,14 @@
 	#chunk(choice: Readonly<Record<string, unknown>>) {
 		const {requestId, model, isChat} = this.#options;
 		return {
-			id: requestId, object: isChat ? 'chat.completion.chunk' : 'text_completion', model, choices: [{index: 0, ...choice}],
+			id: requestId, object: isChat ? this.#chatObject : 'text_completion', model, choices: [{index: 0, ...choice}],
 		};
 	}
 
+	get #chatObject(): string {
+		return this.#options.isStreamed ? 'chat.completion.chunk' : 'chat.completion';
+	}
+
 	#open(status: number, contentType: string): void {
 		if (!this.#options.response.headersSent) {
 			this.#options.response.writeHead(status, {'content-type': contentType, 'x-request-id': this.#options.requestId});
--- a/source/gateway/target-link.ts
+++ b/source/gateway/target-link.ts
@@ -206,7 +206,8 @@
 			}
 
 			case 'configuration': {
-				this.#options.keeper.hear(message.document, 'peer');
+				this.#peerGeneration = message.generation;
+				this.#options.keeper.hear(message.document, 'peer', this);
 				break;
 			}
 
--- a/source/sidecar/sidecar.ts
+++ b/source/sidecar/sidecar.ts
@@ -175,6 +175,11 @@
 		log.info({}, 'sidecar stopped');
 	}
 
+	/** A plain target takes no orders, so it is never in change. */
+	get #isEngine(): boolean {
+		return this.settings.target.kind === 'engine';
+	}
+
 	#greet(link: string): void {
 		this.#links.send(link, {
 			kind: 'hello',
@@ -204,7 +209,7 @@
 			}
 
 			case 'configuration': {
-				this.keeper.hear(message.document, 'peer');
+				this.keeper.hear(message.document, 'peer', this.#peers.get(link));
 				break;
 			}
 
@@ -283,7 +288,7 @@
 		state.match(({capacity, role, model, version, isChanging}) => {
 			this.#table.updateCapacity(capacity);
 			this.#table.targetState = {
-				role, model, version, changing: isChanging || !this.#gate.isSettled,
+				role, model, version, changing: this.#isEngine && (isChanging || !this.#gate.isSettled),
 			};
 			this.#executor.dispatch({kind: 'engine state', isChanging});
 			this.#unreadableStates = 0;
@@ -311,7 +316,7 @@
 	/** While an order waits or runs, new work is refused at once and running work ends. */
 	#setEmptying(emptying: boolean): void {
 		this.#emptying = emptying;
-		this.#table.targetState = {...this.#table.targetState, changing: !this.#gate.isSettled};
+		this.#table.targetState = {...this.#table.targetState, changing: this.#isEngine && !this.#gate.isSettled};
 		this.#updateAdmission();
 		this.#reportIdle();
 	}
--- a/stand-ins/engine-stand-in.ts
+++ b/stand-ins/engine-stand-in.ts
@@ -49,7 +49,7 @@
 	readonly #server: FastifyInstance = fastify({bodyLimit, forceCloseConnections: true});
 	readonly #orders: Array<OrderBody & {readonly outcome: string}> = [];
 	readonly #record = {
-		started: 0, ended: 0, cancelled: 0, conflictingOrders: 0, streamsCutByOrders: 0, highestFencingNumber: 0, cacheHits: 0,
+		started: 0, ended: 0, cancelled: 0, conflictingOrders: 0, streamsCutByOrders: 0, highestFencingNumber: 0, cacheHits: 0, lastStartedAt: 0,
 	};
 
 	#timer: NodeJS.Timeout | undefined;
@@ -123,6 +123,7 @@
 		};
 		this.#jobs.set(id, job);
 		this.#record.started += 1;
+		this.#record.lastStartedAt = Date.now();
 		this.#model.submit({
 			id,
 			prompt,
--- a/stand-ins/plain-stand-in.ts
+++ b/stand-ins/plain-stand-in.ts
@@ -18,13 +18,15 @@
 */
 export class PlainStandIn {
 	readonly #options: PlainOptions;
+	#lastStartedAt = 0;
 	readonly #server: FastifyInstance = fastify({forceCloseConnections: true});
 
 	constructor(options: PlainOptions) {
 		this.#options = options;
-		this.#server.get('/record', async () => ({}));
+		this.#server.get('/record', async () => ({lastStartedAt: this.#lastStartedAt}));
 		this.#server.all('/*', async request => {
 			const id = String(request.headers['x-request-id'] ?? '');
+			this.#lastStartedAt = Date.now();
 			// Written before the answer, so that a killed service does not forget what it did.
 			if (this.#options.recordFile !== undefined) {
 				fs.appendFileSync(this.#options.recordFile, `${request.url}\n`);
--- a/test/configuration/configuration-keeper.test.ts
+++ b/test/configuration/configuration-keeper.test.ts
@@ -104,7 +104,7 @@
 		this.#inFlight.push(() => {
 			const {keeper, links} = this.nodes[far]!;
 			if (message.kind === 'configuration') {
-				keeper.hear(message.document, 'peer');
+				keeper.hear(message.document, 'peer', links.get(near));
 			}
 
 			if (message.kind === 'generation') {
@@ -214,3 +214,19 @@
 	t.same(adopted, [2]);
 	t.equal(keeper.generation, 2);
 });
+
+test('a record is not sent back to the peer that it came from, which hears the generation', async t => {
+	const keeper = new ConfigurationKeeper(new Metrics(undefined, 'test'), () => undefined);
+	const sent: Message[] = [];
+	const peer = {
+		send(message: Message) {
+			sent.push(message);
+			return true;
+		},
+	};
+	keeper.join(peer, 0);
+	keeper.hear(JSON.stringify({
+		generation: 2, submissionId: 'two', author: 'a', submittedAt: '', document: document(0.1),
+	}), 'peer', peer);
+	t.same(sent, [{kind: 'generation', generation: 2}]);
+});
