--- a/source/decisions/request/decide-request.ts
+++ b/source/decisions/request/decide-request.ts
@@ -42,17 +42,18 @@
 /** True unless it is certain that no attempt, earlier or live, has run. */
 const mayHaveRun = (state: RequestState): boolean => state.mayHaveRun || isLiveSent(state);
 
-const hasRunSafely = (state: RequestState): boolean => state.repeatable || !state.mayHaveRun;
+/** True when one more attempt can do no harm. */
+const mayRunAgain = (state: RequestState): boolean => state.repeatable || !state.mayHaveRun;
 
 /** Drops the live attempt and picks another target, avoiding those tried. */
 const chooseAgain = (state: RequestState): Decision => {
-	assertInvariant(hasRunSafely(state), resultCode.executionInvariantBroken, `request ${state.requestId} may have run`);
+	assertInvariant(mayRunAgain(state), resultCode.executionInvariantBroken, `request ${state.requestId} may have run`);
 	const triedTargets = [...state.triedTargets, ...liveTarget(state)];
 	return {
 		state: {
 			...state, phase: 'choosing', attempt: option.none, triedTargets,
 		},
-		effects: [{kind: 'choose target', avoid: triedTargets, isRetry: true}],
+		effects: [{kind: 'choose target', avoid: triedTargets}],
 	};
 };
 
@@ -66,7 +67,7 @@
 
 const onTargetChosen = (state: RequestState, event: EventOf<'target chosen'>): Decision => {
 	assertInvariant(state.phase === 'choosing', resultCode.executionInvariantBroken, 'a second attempt while one is live');
-	assertInvariant(hasRunSafely(state), resultCode.executionInvariantBroken, `request ${state.requestId} may have run`);
+	assertInvariant(mayRunAgain(state), resultCode.executionInvariantBroken, `request ${state.requestId} may have run`);
 	return {
 		state: {
 			...state,
--- a/source/decisions/request/request-effect.ts
+++ b/source/decisions/request/request-effect.ts
@@ -9,7 +9,7 @@
 - `drop` records an event that belongs to no live attempt.
 */
 export type RequestEffect =
-	| {readonly kind: 'choose target'; readonly avoid: readonly string[]; readonly isRetry: boolean}
+	| {readonly kind: 'choose target'; readonly avoid: readonly string[]}
 	| {readonly kind: 'send attempt'; readonly attemptId: string; readonly target: string; readonly emitted: string; readonly emittedParts: number}
 	| {readonly kind: 'resume attempt'; readonly attemptId: string; readonly receivedThrough: number}
 	| {readonly kind: 'acknowledge'; readonly attemptId: string; readonly receivedThrough: number}
--- a/source/decisions/routing/choose-target.ts
+++ b/source/decisions/routing/choose-target.ts
@@ -12,8 +12,10 @@
 import type {RoutedRequest} from './routed-request.js';
 import type {TargetView} from './target-view.js';
 
+/** Candidates that the prefix hash gives. */
 const stableCandidates = 2;
 const randomCandidates = 2;
+/** Targets of a service among which one gateway picks at random. */
 const subsetSize = 16;
 /** Cost in milliseconds that a target in another availability zone is charged. */
 const otherZoneMilliseconds = 3;
