--- a/experiments/fleet.ts
+++ b/experiments/fleet.ts
@@ -69,6 +69,7 @@
 	readonly #gatewayPorts = new Map<string, {readonly callers: number; readonly operators: number}>();
 	readonly #specification: FleetSpecification;
 	readonly #recordFile = path.join(this.folder, 'executions.txt');
+	readonly #listedStates = new Map<string, ListedVm['state'] | 'unlisted'>();
 	#nextPort: number;
 	readonly #storePort: number;
 	readonly #vmListPort: number;
@@ -153,12 +154,14 @@
 
 	/** Changes what the VM list says of one VM. */
 	async setVmState(name: string, state: ListedVm['state']): Promise<void> {
-		await post(`${this.vmListAddress}/set`, this.vms.map(vm => vm.name === name ? {...vm, state} : vm));
+		this.#listedStates.set(name, state);
+		await this.#publishVms();
 	}
 
 	/** Takes one VM out of the VM list. */
 	async unlist(name: string): Promise<void> {
-		await post(`${this.vmListAddress}/set`, this.vms.filter(vm => vm.name !== name));
+		this.#listedStates.set(name, 'unlisted');
+		await this.#publishVms();
 	}
 
 	async setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
@@ -214,6 +217,15 @@
 		return configurationKey;
 	}
 
+	/** Earlier changes of the list stand beside later ones. */
+	async #publishVms(): Promise<void> {
+		const listed = this.vms.flatMap((vm): readonly ListedVm[] => {
+			const state = this.#listedStates.get(vm.name) ?? vm.state;
+			return state === 'unlisted' ? [] : [{...vm, state}];
+		});
+		await post(`${this.vmListAddress}/set`, listed);
+	}
+
 	#port(): number {
 		this.#nextPort += 1;
 		return this.#nextPort;
--- a/experiments/run-scenario.ts
+++ b/experiments/run-scenario.ts
@@ -303,6 +303,13 @@
 	];
 };
 
+/** Codes of the calls that were not answered, with how often each was given. */
+const describeCodes = (outcomes: readonly CallOutcome[]): string => {
+	const codes = outcomes.filter(({ending}) => ending !== 'answered').map(({label, code}) => `${label} ${code}`);
+	const counted = [...new Set(codes)].map(code => `${code} × ${codes.filter(other => other === code).length}`);
+	return counted.length === 0 ? '' : ` (${counted.join(', ')})`;
+};
+
 /**
 Returns what went against the scenario, with a summary of the run.
 
@@ -351,7 +358,7 @@
 			...await checkProcesses(fleet, scenario),
 		];
 		const {answered, notRun, unknown, ran, connectionLost} = account(traffic.sent, outcomes, fleet.executions);
-		return {problems, summary: `${traffic.sent} sent: ${answered} answered, ${notRun} not run, ${unknown} unknown, ${ran} ran, ${connectionLost} connections lost`};
+		return {problems, summary: `${traffic.sent} sent: ${answered} answered, ${notRun} not run, ${unknown} unknown, ${ran} ran, ${connectionLost} connections lost${describeCodes(outcomes)}`};
 	} finally {
 		await fleet.stop();
 	}
