Remove accessors that nothing reads

Seven getters were left from earlier shapes of their classes. Found by reading the whole change; no behaviour goes with them.

--- a/experiments/fleet.ts
+++ b/experiments/fleet.ts
@@ -6,7 +6,6 @@
 import path from 'node:path';
 import {stringify} from 'smol-toml';
 import {request} from 'undici';
-import {configurationKey} from '../source/configuration/configuration-key.js';
 import {submitConfiguration} from '../source/configuration/submit-configuration.js';
 import {EtcdKeyValueService} from '../source/platform/etcd-key-value-service.js';
 import type {ListedVm} from '../source/platform/listed-vm.js';
@@ -212,11 +211,6 @@
 		fs.rmSync(this.folder, {recursive: true, force: true});
 	}
 
-	/** Name of the key that holds the configuration. */
-	get configurationKey(): string {
-		return configurationKey;
-	}
-
 	/** Earlier changes of the list stand beside later ones. */
 	async #publishVms(): Promise<void> {
 		const listed = this.vms.flatMap((vm): readonly ListedVm[] => {
--- a/source/decisions/admission/admission-queue.ts
+++ b/source/decisions/admission/admission-queue.ts
@@ -62,10 +62,6 @@
 		return this.#waiting.length;
 	}
 
-	get isOpen(): boolean {
-		return this.#open;
-	}
-
 	/** Takes newer figures of the target's speed and memory. */
 	updateCapacity(capacity: TargetCapacity): void {
 		this.#capacity = capacity;
--- a/source/decisions/attempts/output-buffer.ts
+++ b/source/decisions/attempts/output-buffer.ts
@@ -28,10 +28,6 @@
 		return this.#ended && this.#parts.length === 0;
 	}
 
-	get hasEnded(): boolean {
-		return this.#ended;
-	}
-
 	/** Numbers and keeps the next part; returns it for sending. */
 	append<Part extends Numbered>(make: (sequence: number) => Part): Part {
 		assertInvariant(!this.#ended, resultCode.answerInvariantBroken, 'output after the end');
--- a/source/decisions/authority/order-gate.ts
+++ b/source/decisions/authority/order-gate.ts
@@ -57,19 +57,11 @@
 		this.#phase = {kind: 'settling', until: startedAt + longestOrderMilliseconds, emptied: false};
 	}
 
-	get fencingNumber(): number {
-		return this.#highestFencingNumber;
-	}
-
 	/** True when no order is taken or may be under way at the engine. */
 	get isSettled(): boolean {
 		return this.#phase.kind === 'none';
 	}
 
-	get phase(): Phase['kind'] {
-		return this.#phase.kind;
-	}
-
 	handle(event: OrderGateEvent, now: number): readonly OrderGateEffect[] {
 		switch (event.kind) {
 			case 'raise fence': {
--- a/source/sidecar/link-server.ts
+++ b/source/sidecar/link-server.ts
@@ -36,10 +36,6 @@
 		this.#options = options;
 	}
 
-	get openLinks(): readonly string[] {
-		return [...this.#links.keys()];
-	}
-
 	async listen(address: {readonly host: string; readonly port: number}): Promise<void> {
 		const server = new WebSocketServer({...address, perMessageDeflate: false, maxPayload: mostFrameBytes});
 		this.#server = server;
--- a/stand-ins/engine-model.ts
+++ b/stand-ins/engine-model.ts
@@ -82,10 +82,6 @@
 		};
 	}
 
-	get freePieces(): number {
-		return this.#profile.totalPieces - [...this.#streams.values()].reduce((total, stream) => total + stream.pieces, 0);
-	}
-
 	/** Takes a request; an idle engine begins with it at its own time. */
 	submit(submission: Submission): void {
 		const pieces = Math.max(1, Math.ceil((submission.promptTokens + submission.outputTokens) / this.#profile.tokensPerPiece));
