--- a/source/configuration/configuration-watcher.ts
+++ b/source/configuration/configuration-watcher.ts
@@ -5,7 +5,7 @@
 the others read again at long intervals, in case no peer has told them.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import type {KeyValueService} from '../platform/key-value-service.js';
+import type {KeyValueService} from '../ports/key-value-service.js';
 import {configurationKey} from './configuration-key.js';
 import type {ConfigurationKeeper} from './configuration-keeper.js';
 
--- a/source/configuration/read-history.ts
+++ b/source/configuration/read-history.ts
@@ -4,8 +4,8 @@
 import * as option from 'fp-ts/lib/Option.js';
 import {ok, type Result} from 'neverthrow';
 import type {AcceptedConfiguration} from '../decisions/configuration/accepted-configuration.js';
-import type {KeyValueService} from '../platform/key-value-service.js';
-import type {StoreError} from '../platform/store-error.js';
+import type {KeyValueService} from '../ports/key-value-service.js';
+import type {StoreError} from '../ports/store-error.js';
 import {historyKey} from './history-key.js';
 import {parseAccepted} from './parse-accepted.js';
 
--- a/source/configuration/submit-configuration.ts
+++ b/source/configuration/submit-configuration.ts
@@ -6,7 +6,7 @@
 import type {AcceptedConfiguration} from '../decisions/configuration/accepted-configuration.js';
 import {settleSubmission} from '../decisions/configuration/settle-submission.js';
 import {resultCode} from '../generated/result-codes.js';
-import type {KeyValueService} from '../platform/key-value-service.js';
+import type {KeyValueService} from '../ports/key-value-service.js';
 import {pause} from '../shared/pause.js';
 import {configurationKey} from './configuration-key.js';
 import {historyKey} from './history-key.js';
--- /dev/null
+++ b/source/decisions/entry/event-splitter.ts
@@ -0,0 +1,59 @@
+/**
+Cuts a stream of bytes into whole events.
+
+A replica may break off in the middle of an event; only whole ones are passed
+on, so that another replica can go on behind the last one. Bytes are never
+turned into text, except the identifier's line.
+*/
+import {Buffer} from 'node:buffer';
+
+const lineFeed = 0x0A;
+const carriageReturn = 0x0D;
+
+type Split = {readonly events: readonly Uint8Array[]; readonly lastId: string | undefined};
+
+/** Index behind the first blank line at or after `from`, or -1. */
+const endOfEvent = (bytes: Uint8Array, from: number): number => {
+	const feed = bytes.indexOf(lineFeed, from);
+	if (feed === -1) {
+		return -1;
+	}
+
+	const next = bytes[feed + 1] === carriageReturn ? feed + 2 : feed + 1;
+	return bytes[next] === lineFeed ? next + 1 : endOfEvent(bytes, feed + 1);
+};
+
+const readId = (event: Uint8Array): string | undefined => /^id: ?([^\r\n]*)/m.exec(Buffer.from(event).toString('latin1'))?.[1];
+
+/**
+Collects the bytes of one replica's stream.
+
+Invariant: the events given out, joined with `rest`, are the bytes taken in.
+
+@example
+```
+const {events, lastId} = splitter.push(chunk);
+```
+*/
+export class EventSplitter {
+	#rest: Uint8Array = new Uint8Array(0);
+
+	/** Bytes of an event that is not whole yet. */
+	get rest(): Uint8Array {
+		return this.#rest;
+	}
+
+	push(chunk: Uint8Array): Split {
+		const events: Uint8Array[] = [];
+		let bytes: Uint8Array = this.#rest.length === 0 ? Uint8Array.from(chunk) : Buffer.concat([this.#rest, chunk]);
+		let end = endOfEvent(bytes, 0);
+		while (end !== -1) {
+			events.push(bytes.subarray(0, end));
+			bytes = bytes.subarray(end);
+			end = endOfEvent(bytes, 0);
+		}
+
+		this.#rest = bytes;
+		return {events, lastId: events.map(event => readId(event)).findLast(id => id !== undefined)};
+	}
+}
--- /dev/null
+++ b/source/entry/attempt-sender.ts
@@ -0,0 +1,194 @@
+/**
+Runs one attempt at one target and keeps the books on it.
+*/
+import {Buffer} from 'node:buffer';
+import * as option from 'fp-ts/lib/Option.js';
+import {judgeAnswer} from '../decisions/entry/judge-answer.js';
+import type {AnswerFacts} from '../fleet/answer-facts.js';
+import type {RequestFacts} from '../fleet/request-facts.js';
+import type {SendInstructions} from '../fleet/send-instructions.js';
+import type {TargetRecord} from '../fleet/target-record.js';
+import type {AttemptOutcome} from './attempt-outcome.js';
+import type {EntryContext} from './entry-context.js';
+
+type Flow = {readonly pause: () => void; readonly resume: () => void};
+
+type StreamSink = {readonly head: (facts: AnswerFacts) => void; readonly data: (chunk: Uint8Array, flow: Flow) => void};
+
+type AttemptPlan = {
+	readonly target: TargetRecord;
+	readonly facts: RequestFacts;
+	readonly method: string;
+	readonly path: string;
+	readonly body: Uint8Array | undefined;
+	readonly instructions: SendInstructions;
+	/** Prompt tokens that the target has to read for it. */
+	readonly promptTokens: number;
+	/** Called when the first byte is handed over. */
+	readonly onSent?: () => void;
+	/** Takes a successful answer as it comes; without it answers are collected. */
+	readonly sink?: StreamSink;
+	/** A collected answer over this size goes to the sink that this gives. */
+	readonly spill?: () => StreamSink;
+};
+
+type RunningAttempt = {readonly outcome: Promise<AttemptOutcome>; readonly cancel: () => void};
+
+/** Bytes of an answer that are collected before it is passed on as it comes. */
+const mostCollectedBytes = 1_048_576;
+
+/** Answers of one attempt, as they arrive. */
+type Arrival = {facts?: AnswerFacts; judgement?: ReturnType<typeof judgeAnswer>; chunks: Uint8Array[]; bytes: number; sink?: StreamSink};
+
+const collect = (arrival: Arrival, chunk: Uint8Array, flow: Flow, spill: AttemptPlan['spill']): void => {
+	if (arrival.sink !== undefined) {
+		arrival.sink.data(chunk, flow);
+		return;
+	}
+
+	arrival.chunks.push(Buffer.from(chunk));
+	arrival.bytes += chunk.byteLength;
+	if (arrival.bytes > mostCollectedBytes && spill !== undefined && arrival.judgement === 'answer') {
+		const sink = spill();
+		arrival.sink = sink;
+		sink.head(arrival.facts!);
+		sink.data(Buffer.concat(arrival.chunks), flow);
+		arrival.chunks = [];
+	}
+};
+
+const conclude = (arrival: Arrival, isWhole: boolean, reason: string): AttemptOutcome => {
+	const {facts, judgement} = arrival;
+	if (arrival.sink !== undefined) {
+		return {kind: 'streamed', isWhole, reason};
+	}
+
+	switch (judgement) {
+		case 'not run':
+		case 'other target': {
+			return {kind: 'not run', isOtherTarget: judgement === 'other target'};
+		}
+
+		case 'answer':
+		case 'failure': {
+			return isWhole ? {kind: judgement, facts: facts!, body: Buffer.concat(arrival.chunks)} : {kind: 'unknown', reason};
+		}
+
+		case 'foreign': {
+			return {kind: 'unknown', reason: 'answer of another request'};
+		}
+
+		case undefined: {
+			return {kind: 'unknown', reason};
+		}
+	}
+};
+
+/**
+Sends attempts; one instance a process.
+
+@example
+```
+const {outcome, cancel} = sender.send({target, facts, method, path, body, instructions, promptTokens: 0});
+```
+*/
+export class AttemptSender {
+	readonly #context: EntryContext;
+
+	constructor(context: EntryContext) {
+		this.#context = context;
+	}
+
+	send(plan: AttemptPlan): RunningAttempt {
+		const {context, target} = {context: this.#context, target: plan.target};
+		const mostConnections = context.service(target.service)?.mostConnections ?? 1;
+		const connection = context.connections.take(target.address, mostConnections, context.gateways(), context.now());
+		if (option.isNone(connection)) {
+			return {outcome: Promise.resolve({kind: 'not sent', reason: 'no free connection'}), cancel() {/* Nothing is under way. */}};
+		}
+
+		const entry = context.book.add(target.id, plan.promptTokens);
+		const arrival: Arrival = {chunks: [], bytes: 0};
+		const startedAt = context.now();
+		let breakOff = (): void => undefined;
+		const outcome = new Promise<AttemptOutcome>(resolve => {
+			breakOff = connection.value.send({
+				method: plan.method, path: plan.path, headers: context.protocol.writeAttempt(plan.facts, plan.instructions), body: plan.body,
+			}, {
+				mayStart() {
+					const isUsable = context.beliefs.isUsable(target);
+					if (isUsable) {
+						plan.onSent?.();
+					}
+
+					return isUsable;
+				},
+				onHead(status, headers) {
+					arrival.facts = context.protocol.readAnswer(status, headers);
+					arrival.judgement = judgeAnswer(arrival.facts, plan.facts.requestId);
+					context.metrics.record('target-head', context.now() - startedAt);
+					if (plan.sink !== undefined && arrival.judgement === 'answer') {
+						arrival.sink = plan.sink;
+						plan.sink.head(arrival.facts);
+					}
+				},
+				onData(chunk, flow) {
+					context.book.promptRead(entry);
+					collect(arrival, chunk, flow, plan.spill);
+				},
+				onEnd: end => {
+					context.book.remove(entry);
+					const result: AttemptOutcome = end.kind === 'not sent' ? end : conclude(arrival, end.kind === 'complete', end.kind === 'broken' ? end.reason : '');
+					if (arrival.judgement === 'foreign') {
+						connection.value.destroy();
+						context.connections.discard(target.address, connection.value);
+					}
+
+					this.#learn(target, result);
+					resolve(result);
+				},
+			});
+		});
+		return {
+			outcome,
+			cancel() {
+				breakOff();
+			},
+		};
+	}
+
+	/** Frees what an engine keeps for a hand-over that does not come. */
+	async free(target: TargetRecord, handleId: string, facts: RequestFacts): Promise<void> {
+		const {method, path} = this.#context.protocol.freeHandle(handleId);
+		const freeing: RequestFacts = {...facts, headers: ['Host', target.address]};
+		const instructions = {
+			targetId: target.id, remainingMilliseconds: 1000, rank: undefined, isPrefillOnly: false, handle: undefined, lastEventId: undefined,
+		};
+		const {outcome} = this.send({
+			target, facts: freeing, method, path, body: undefined, instructions, promptTokens: 0,
+		});
+		const result = await outcome;
+		this.#context.log.debug({request: facts.requestId, target: target.id, outcome: result.kind}, 'unused prompt freed');
+	}
+
+	#learn(target: TargetRecord, result: AttemptOutcome): void {
+		const {beliefs, health, metrics, log, now} = this.#context;
+		const incarnation = beliefs.incarnation(target);
+		const name = result.kind === 'streamed' && !result.isWhole ? 'broken' : result.kind;
+		metrics.count(`attempt.${name}`);
+		const isFailure = name === 'unknown' || name === 'broken' || name === 'failure' || (result.kind === 'not sent' && result.reason !== 'no longer wanted' && result.reason !== 'broken off by the gateway');
+		const isCancelled = 'reason' in result && result.reason === 'broken off by the gateway';
+		if (result.kind === 'not run' && result.isOtherTarget && beliefs.markLeaving(incarnation, now())) {
+			log.info({target: target.id, address: target.address, source: 'target'}, 'address belongs to another target');
+		} else if (isFailure && !isCancelled) {
+			if (health.failed(incarnation, name === 'failure' ? 'answered' : 'lost', now())) {
+				metrics.count('target.avoided');
+				log.warn({
+					target: target.id, address: target.address, outcome: name, failureShare: health.failureShare(incarnation),
+				}, 'target avoided for a while');
+			}
+		} else if (result.kind === 'answer' || result.kind === 'streamed') {
+			health.succeeded(incarnation);
+		}
+	}
+}
--- /dev/null
+++ b/source/entry/caller-door.ts
@@ -0,0 +1,128 @@
+/**
+The door for callers: reads requests whole and hands them to a relay.
+
+Built on Node's HTTP server itself: bodies and targets pass byte for byte, so a
+framework's routing and body parsing would only have to be worked around.
+*/
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import {isProperRequest} from '../decisions/entry/is-proper-request.js';
+import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
+import {CallerAnswer} from './caller-answer.js';
+
+type DoorHandlers = {
+	readonly limits: () => FleetConfiguration['limits'] | undefined;
+	/** True once answers are to end their connections. */
+	readonly isClosing: () => boolean;
+	readonly onRequest: (request: http.IncomingMessage, body: Uint8Array | undefined, answer: CallerAnswer, startedAt: number) => void;
+	readonly onRefused: (request: http.IncomingMessage, answer: CallerAnswer, reason: 'improper' | 'header too large' | 'body too large') => void;
+	readonly now: () => number;
+};
+
+/** The parser's own limit; the configured one is checked on each request. */
+const mostHeaderBytes = 65_536;
+const connectionCheckMilliseconds = 1000;
+
+const headerBytes = (request: http.IncomingMessage): number => request.rawHeaders.reduce((sum, part) => sum + part.length + 2, (request.url ?? '').length);
+
+/**
+Listens for callers.
+
+@example
+```
+const door = new CallerDoor(handlers);
+await door.listen({host: '10.1.0.35', port: 8144});
+```
+*/
+export class CallerDoor {
+	readonly #server: http.Server;
+	readonly #handlers: DoorHandlers;
+	#open = 0;
+
+	constructor(handlers: DoorHandlers) {
+		this.#handlers = handlers;
+		this.#server = http.createServer({
+			maxHeaderSize: mostHeaderBytes, noDelay: true, keepAlive: true, connectionsCheckingInterval: connectionCheckMilliseconds, requestTimeout: 60_000,
+		}, (request, response) => {
+			this.#receive(request, response);
+		});
+	}
+
+	/** Requests that have no whole answer yet. */
+	get open(): number {
+		return this.#open;
+	}
+
+	async listen({host, port}: {readonly host: string; readonly port: number}): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen({host, port, backlog: 1024}, resolve);
+		});
+	}
+
+	/** Takes the times of a new configuration for connections from now on. */
+	setLimits(limits: FleetConfiguration['limits']): void {
+		this.#server.keepAliveTimeout = limits.idleMilliseconds;
+		this.#server.headersTimeout = limits.headerMilliseconds;
+	}
+
+	closeIdle(): void {
+		this.#server.closeIdleConnections();
+	}
+
+	close(): void {
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	#receive(request: http.IncomingMessage, response: http.ServerResponse): void {
+		const startedAt = this.#handlers.now();
+		const answer = new CallerAnswer(response, this.#handlers.isClosing);
+		this.#open++;
+		response.once('close', () => {
+			this.#open--;
+		});
+		request.on('error', () => {
+			// A caller that goes away in the middle of its request is seen as a closed response.
+		});
+		const limits = this.#handlers.limits();
+		if (!isProperRequest(request.url ?? '', request.rawHeaders)) {
+			this.#refuse(request, answer, 'improper');
+			return;
+		}
+
+		if (limits !== undefined && headerBytes(request) > limits.headerBytes) {
+			this.#refuse(request, answer, 'header too large');
+			return;
+		}
+
+		this.#readBody(request, answer, limits?.bodyBytes ?? Number.POSITIVE_INFINITY, startedAt);
+	}
+
+	#readBody(request: http.IncomingMessage, answer: CallerAnswer, mostBytes: number, startedAt: number): void {
+		const chunks: Uint8Array[] = [];
+		let bytes = 0;
+		request.on('data', (chunk: Uint8Array) => {
+			bytes += chunk.byteLength;
+			if (bytes > mostBytes) {
+				this.#refuse(request, answer, 'body too large');
+				return;
+			}
+
+			chunks.push(chunk);
+		});
+		request.once('end', () => {
+			if (!answer.isDone) {
+				const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
+				this.#handlers.onRequest(request, hasBody ? Buffer.concat(chunks) : undefined, answer, startedAt);
+			}
+		});
+	}
+
+	#refuse(request: http.IncomingMessage, answer: CallerAnswer, reason: 'improper' | 'header too large' | 'body too large'): void {
+		if (!answer.isDone) {
+			answer.closeAfter();
+			this.#handlers.onRefused(request, answer, reason);
+		}
+	}
+}
--- /dev/null
+++ b/source/entry/entry-context.ts
@@ -0,0 +1,35 @@
+/**
+What the parts of an entry gateway share.
+*/
+import type {Logger} from 'roarr';
+import type {CacheBook} from '../decisions/entry/cache-book.js';
+import type {RetryWindow} from '../decisions/entry/retry-window.js';
+import type {TargetBeliefs} from '../decisions/entry/target-beliefs.js';
+import type {TargetHealth} from '../decisions/entry/target-health.js';
+import type {ServiceDescription} from '../fleet/service-description.js';
+import type {TargetProtocol} from '../ports/target-protocol.js';
+import type {EntryMetrics} from './entry-metrics.js';
+import type {EntrySettings} from './entry-settings.js';
+import type {LoadBook} from './load-book.js';
+import type {TargetConnections} from './target-connections.js';
+
+/**
+One instance a process. `now` is monotonic, in milliseconds.
+*/
+export type EntryContext = {
+	readonly settings: () => EntrySettings;
+	readonly protocol: TargetProtocol;
+	readonly beliefs: TargetBeliefs;
+	readonly book: LoadBook;
+	readonly cache: CacheBook;
+	readonly health: TargetHealth;
+	readonly connections: TargetConnections;
+	readonly metrics: EntryMetrics;
+	readonly log: Logger;
+	readonly now: () => number;
+	readonly random: () => number;
+	/** Gateways that are alive, this one included. */
+	readonly gateways: () => number;
+	readonly service: (name: string) => ServiceDescription | undefined;
+	readonly retries: (service: string) => RetryWindow;
+};
--- /dev/null
+++ b/source/entry/entry-gateway.ts
@@ -0,0 +1,386 @@
+/**
+An entry gateway: takes callers' requests at the door and brings each to targets
+of its service. Any number run side by side; none leads.
+*/
+import http from 'node:http';
+import type {Logger} from 'roarr';
+import * as option from 'fp-ts/lib/Option.js';
+import {CacheBook} from '../decisions/entry/cache-book.js';
+import {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
+import {RetryWindow} from '../decisions/entry/retry-window.js';
+import {TargetBeliefs} from '../decisions/entry/target-beliefs.js';
+import {TargetHealth} from '../decisions/entry/target-health.js';
+import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
+import type {TargetRecord} from '../fleet/target-record.js';
+import {resultCode} from '../generated/result-codes.js';
+import type {FleetStore} from '../ports/fleet-store.js';
+import type {TargetProtocol} from '../ports/target-protocol.js';
+import {clock} from '../shared/clock.js';
+import {newIdentifier} from '../shared/new-identifier.js';
+import {pause} from '../shared/pause.js';
+import {AttemptSender} from './attempt-sender.js';
+import type {CallerAnswer} from './caller-answer.js';
+import {CallerDoor} from './caller-door.js';
+import type {EntryContext} from './entry-context.js';
+import {EntryMetrics} from './entry-metrics.js';
+import type {EntrySettings} from './entry-settings.js';
+import {LoadBook} from './load-book.js';
+import {PeerExchange} from './peer-exchange.js';
+import {Peers} from './peers.js';
+import {PlainRelay} from './plain-relay.js';
+import {StoreReader} from './store-reader.js';
+import {StreamRelay} from './stream-relay.js';
+import {TargetConnections} from './target-connections.js';
+
+type EntryOptions = {
+	readonly settings: EntrySettings;
+	readonly protocol: TargetProtocol;
+	readonly createStore: (settings: EntrySettings) => FleetStore;
+	readonly metricsPort: number | undefined;
+	readonly log: Logger;
+};
+
+/** How long the platform's balancer may still send new connections after readiness fails. */
+const balancerLagMilliseconds = 2600;
+const drainCheckMilliseconds = 50;
+/** Time kept before the platform kills the process. */
+const graceMarginMilliseconds = 400;
+const sweepMilliseconds = 1000;
+
+/**
+One process. `start` resolves once it listens; it is ready once it knows a
+configuration and targets.
+
+@example
+```
+const gateway = new EntryGateway({settings, protocol, createStore, metricsPort: 9464, log});
+await gateway.start();
+```
+*/
+export class EntryGateway {
+	#settings: EntrySettings;
+	#isStopping = false;
+	#isClosing = false;
+	#storeReadAt = Number.NEGATIVE_INFINITY;
+	#hasStore = false;
+	#wasReady = false;
+	#reader: StoreReader | undefined;
+	#store: FleetStore | undefined;
+	#sweep: NodeJS.Timeout | undefined;
+	readonly #incarnation = newIdentifier();
+	readonly #options: EntryOptions;
+	readonly #log: Logger;
+	readonly #inForce = new ConfigurationInForce();
+	readonly #services = new Map<string, FleetConfiguration['services'][number]>();
+	readonly #retries = new Map<string, RetryWindow>();
+	readonly #context: EntryContext;
+	readonly #sender: AttemptSender;
+	readonly #door: CallerDoor;
+	readonly #servers: http.Server[] = [];
+	readonly #peers: Peers | undefined;
+	readonly #exchange: PeerExchange | undefined;
+
+	constructor(options: EntryOptions) {
+		this.#options = options;
+		this.#settings = options.settings;
+		this.#log = options.log;
+		this.#context = this.#createContext();
+		this.#sender = new AttemptSender(this.#context);
+		this.#door = this.#createDoor();
+		const {peers: address} = options.settings.listen;
+		if (address !== undefined) {
+			this.#peers = this.#createPeers(address);
+			this.#exchange = this.#createExchange(this.#peers);
+		}
+	}
+
+	get isReady(): boolean {
+		return !this.#isStopping && this.#inForce.current !== undefined && this.#context.beliefs.all().length > 0;
+	}
+
+	async start(): Promise<void> {
+		const {settings, protocol, metricsPort} = this.#options;
+		this.#log.info({event: 'start', incarnation: this.#incarnation, settings}, 'entry gateway starts');
+		await this.#serve(settings.listen.readiness, protocol.readinessPath, () => this.isReady ? {status: 200, text: 'ready'} : {status: 503, text: 'not ready'});
+		if (metricsPort !== undefined) {
+			await this.#serve({host: settings.listen.callers.host, port: metricsPort}, '/metrics', () => ({status: 200, text: this.#context.metrics.render()}));
+		}
+
+		await this.#door.listen(settings.listen.callers);
+		this.#peers?.start();
+		this.#exchange?.start();
+		this.#startReader();
+		this.#sweep = setInterval(() => {
+			this.#clean();
+		}, sweepMilliseconds);
+	}
+
+	/** Takes changed settings; addresses that are already listened on stay. */
+	reload(settings: EntrySettings): void {
+		const former = this.#settings;
+		this.#settings = settings;
+		this.#log.info({event: 'reload', seeds: settings.peerSeeds, store: settings.store.address}, 'settings reloaded');
+		if (former.store.address !== settings.store.address) {
+			this.#startReader();
+		}
+	}
+
+	/** Fails readiness at once, serves on through the balancer's lag, then ends when no request is open. */
+	async stop(): Promise<void> {
+		const stopAt = clock();
+		const {graceMilliseconds} = this.#settings.bounds;
+		this.#isStopping = true;
+		this.#isClosing = true;
+		this.#log.info({event: 'stop', open: this.#door.open}, 'entry gateway stops');
+		await pause(Math.min(balancerLagMilliseconds, graceMilliseconds / 2));
+		this.#door.close();
+		await this.#drained(stopAt + graceMilliseconds - graceMarginMilliseconds);
+		clearInterval(this.#sweep);
+		this.#reader?.stop();
+		this.#exchange?.stop();
+		this.#peers?.stop();
+		this.#context.connections.close();
+		this.#log.info({event: 'stopped', open: this.#door.open, milliseconds: Math.round(clock() - stopAt)}, 'entry gateway stopped');
+		for (const server of this.#servers) {
+			server.close();
+		}
+
+		await this.#store?.close();
+	}
+
+	#createContext(): EntryContext {
+		const {protocol, settings, log} = this.#options;
+		return {
+			settings: () => this.#settings,
+			protocol,
+			beliefs: new TargetBeliefs(),
+			book: new LoadBook(),
+			cache: new CacheBook(),
+			health: new TargetHealth(),
+			connections: new TargetConnections(),
+			metrics: new EntryMetrics(settings.name),
+			log,
+			now: clock,
+			random: Math.random,
+			gateways: () => (this.#peers?.names.length ?? 0) + 1,
+			service: name => this.#services.get(name),
+			retries: service => this.#retriesOf(service),
+		};
+	}
+
+	#retriesOf(service: string): RetryWindow {
+		const {retryShare, retryWindowMilliseconds, retryExtra} = this.#settings.bounds;
+		const window = this.#retries.get(service) ?? new RetryWindow({share: retryShare, windowMilliseconds: retryWindowMilliseconds, extra: retryExtra});
+		this.#retries.set(service, window);
+		return window;
+	}
+
+	#createDoor(): CallerDoor {
+		return new CallerDoor({
+			limits: () => this.#inForce.current?.limits,
+			isClosing: () => this.#isClosing,
+			onRequest: (request, body, answer, startedAt) => {
+				this.#route(request, body, answer, startedAt);
+			},
+			onRefused: (request, answer, reason) => {
+				const code = reason === 'body too large' ? resultCode.requestTooLarge : resultCode.malformedRequest;
+				this.#context.metrics.count(`request.refused.${code}`);
+				this.#log.info({event: 'request refused', reason, bytes: request.rawHeaders.length}, 'request refused at the door');
+				answer.refuse(code, {});
+			},
+			now: clock,
+		});
+	}
+
+	#createPeers(address: {readonly host: string; readonly port: number}): Peers {
+		return new Peers({
+			name: this.#settings.name,
+			incarnation: this.#incarnation,
+			address,
+			seeds: () => this.#settings.peerSeeds,
+			onMessage: (peer, message) => {
+				this.#exchange?.receive(peer, message);
+			},
+			onLost: peer => {
+				this.#exchange?.lost(peer);
+			},
+			log: this.#log,
+			now: clock,
+		});
+	}
+
+	#createExchange(peers: Peers): PeerExchange {
+		return new PeerExchange({
+			context: this.#context,
+			peers,
+			inForce: this.#inForce,
+			storeReadAt: () => this.#storeReadAt,
+			onConfiguration: (configuration, peer) => {
+				this.#adopt(configuration, 'peer', peer);
+			},
+			onTargets: (targets, peer) => {
+				this.#adoptTargets(targets, 'peer', peer);
+			},
+		});
+	}
+
+	#startReader(): void {
+		this.#reader?.stop();
+		void this.#store?.close();
+		const store = this.#options.createStore(this.#settings);
+		this.#store = store;
+		this.#reader = new StoreReader(store, this.#settings.store.readsPerSecond, {
+			onConfiguration: configuration => {
+				this.#adopt(configuration, 'store', 'store');
+			},
+			onTargets: (targets, unreadable) => {
+				this.#context.metrics.gauge('targets.unreadable', unreadable);
+				this.#adoptTargets(targets, 'store', 'store');
+			},
+			onFailure: (call, detail) => {
+				this.#storeFailed(call, detail);
+			},
+			onSuccess: () => {
+				this.#storeAnswered();
+			},
+			gateways: this.#context.gateways,
+			random: Math.random,
+		});
+		this.#reader.start();
+	}
+
+	#storeAnswered(): void {
+		this.#storeReadAt = clock();
+		if (!this.#hasStore) {
+			this.#hasStore = true;
+			this.#log.info({event: 'store reached'}, 'store answers');
+		}
+	}
+
+	#storeFailed(call: string, detail: string): void {
+		this.#context.beliefs.storeFailed(clock());
+		this.#context.metrics.count('store.failed');
+		if (this.#hasStore) {
+			this.#hasStore = false;
+			this.#log.warn({event: 'store lost', call, detail}, 'store does not answer');
+		}
+	}
+
+	#adopt(configuration: FleetConfiguration, source: 'store' | 'peer', from: string): void {
+		if (!this.#inForce.adopt(configuration, source, clock())) {
+			return;
+		}
+
+		this.#services.clear();
+		for (const service of configuration.services) {
+			this.#services.set(service.name, service);
+		}
+
+		this.#door.setLimits(configuration.limits);
+		this.#context.metrics.gauge('configuration.version', configuration.version);
+		this.#log.info({
+			event: 'configuration adopted', version: configuration.version, routes: configuration.routes.length, source, from,
+		}, 'configuration adopted');
+		this.#exchange?.tellNow();
+		this.#tellReadiness();
+	}
+
+	#adoptTargets(targets: readonly TargetRecord[], source: 'store' | 'peer', from: string): void {
+		const changes = this.#context.beliefs.adoptList(targets, source, clock());
+		for (const {kind, record} of changes) {
+			this.#context.metrics.count(`target.${kind}`);
+			this.#log.info({
+				event: `target ${kind}`, target: record.id, bornAt: record.bornAt, address: record.address, service: record.service, role: record.role, source, from,
+			}, `target ${kind}`);
+		}
+
+		if (changes.some(({kind}) => kind === 'leaving')) {
+			this.#exchange?.tellNow();
+		}
+
+		this.#tellReadiness();
+	}
+
+	#tellReadiness(): void {
+		if (this.isReady && !this.#wasReady) {
+			this.#wasReady = true;
+			this.#log.info({event: 'ready', version: this.#inForce.version, targets: this.#context.beliefs.all().length}, 'ready');
+		}
+	}
+
+	#route(request: http.IncomingMessage, body: Uint8Array | undefined, answer: CallerAnswer, startedAt: number): void {
+		const {protocol} = this.#options;
+		const facts = protocol.readRequest(request.rawHeaders);
+		const path = request.url ?? '/';
+		const found = this.#inForce.routes.find(request.headers.host ?? '', path);
+		if (option.isNone(found)) {
+			this.#refuseUnrouted(facts.requestId, answer);
+			return;
+		}
+
+		const route = found.value;
+		const waits = Math.min(route.timeoutMilliseconds, facts.patienceMilliseconds ?? route.timeoutMilliseconds);
+		const service = this.#chooseService(route.split);
+		const isModel = this.#services.get(service)?.engine !== undefined && route.kind === 'streaming';
+		const callerRequest = {
+			facts, route, service, configurationVersion: this.#inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, limitAt: startedAt + waits,
+		};
+		const relay = isModel ? new StreamRelay(callerRequest, this.#context, this.#sender) : new PlainRelay(callerRequest, this.#context, this.#sender);
+		void relay.run();
+	}
+
+	/** A service by weight, among those with usable targets while there are any. */
+	#chooseService(split: FleetConfiguration['routes'][number]['split']): string {
+		const live = split.filter(({service}) => this.#context.beliefs.usable(service).length > 0);
+		const candidates = live.length > 0 ? live : split;
+		const total = candidates.reduce((sum, {weight}) => sum + weight, 0);
+		let left = Math.random() * total;
+		const chosen = candidates.find(({weight}) => {
+			left -= weight;
+			return left < 0;
+		});
+		return (chosen ?? candidates[0])?.service ?? '';
+	}
+
+	#refuseUnrouted(requestId: string, answer: CallerAnswer): void {
+		const isSure = this.#inForce.isSure(clock());
+		const code = isSure ? resultCode.unknownService : resultCode.noConfiguration;
+		this.#context.metrics.count(`request.refused.${code}`);
+		this.#log.info({
+			event: 'request ended', request: requestId, outcome: 'refused', code, configurationVersion: this.#inForce.version, storeAge: Math.round(clock() - this.#storeReadAt),
+		}, 'no route');
+		answer.refuse(code, this.#options.protocol.writeRefusal(requestId), isSure ? undefined : 0.5);
+	}
+
+	async #serve(address: {readonly host: string; readonly port: number}, path: string, answer: () => {readonly status: number; readonly text: string}): Promise<void> {
+		const server = http.createServer((request, response) => {
+			const {status, text} = request.url === path ? answer() : {status: 404, text: 'not found'};
+			response.writeHead(status, {'content-type': 'text/plain'});
+			response.end(text);
+		});
+		this.#servers.push(server);
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(address, resolve);
+		});
+	}
+
+	async #drained(until: number): Promise<void> {
+		while (this.#door.open > 0 && clock() < until) {
+			await pause(drainCheckMilliseconds); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	/** Forgets what belongs to targets that are gone. */
+	#clean(): void {
+		const {beliefs, cache, health, connections, metrics} = this.#context;
+		const records = beliefs.all();
+		const incarnations = new Set(records.map(record => beliefs.incarnation(record)));
+		cache.keepOnly(incarnations);
+		health.keepOnly(incarnations);
+		connections.keepOnly(new Set(records.map(({address}) => address)));
+		metrics.gauge('requests.open', this.#door.open);
+		metrics.gauge('peers', this.#peers?.names.length ?? 0);
+		metrics.gauge('connections.opened', connections.opened());
+	}
+}
--- /dev/null
+++ b/source/entry/entry-settings.ts
@@ -0,0 +1,26 @@
+/**
+Settings of an entry gateway, whatever the platform that wrote them.
+*/
+
+type Address = {readonly host: string; readonly port: number};
+
+/**
+Times are in milliseconds. `peerSeeds` may be stale.
+*/
+export type EntrySettings = {
+	readonly name: string;
+	readonly availabilityZone: string;
+	readonly listen: {readonly callers: Address; readonly readiness: Address; readonly peers: Address | undefined};
+	readonly peerSeeds: readonly string[];
+	readonly store: {readonly address: string; readonly readsPerSecond: number};
+	readonly bounds: {
+		/** How long work may still reach a target that is known to leave. */
+		readonly drainMilliseconds: number;
+		/** From the request to stop until the process is killed. */
+		readonly graceMilliseconds: number;
+		readonly retryShare: number;
+		readonly retryWindowMilliseconds: number;
+		/** Retries a window that all gateways together have beside the share. */
+		readonly retryExtra: number;
+	};
+};
--- /dev/null
+++ b/source/entry/load-book.ts
@@ -0,0 +1,84 @@
+/**
+Work that is under way at targets: this gateway's own, and what peers told of.
+*/
+
+/** A peer's word older than this is no longer counted. */
+const peerWordMilliseconds = 1500;
+
+type Share = {readonly attempts: number; readonly promptTokens: number};
+
+type Entry = {readonly target: string; promptTokens: number};
+
+/**
+Own entries are added and removed one by one; a peer's word replaces its former one.
+
+Invariant: the sums are never negative, as each entry is removed once.
+
+@example
+```
+const entry = book.add('engine-3', 3720);
+book.promptRead(entry);
+book.remove(entry);
+```
+*/
+export class LoadBook {
+	readonly #own = new Set<Entry>();
+	readonly #sums = new Map<string, {attempts: number; promptTokens: number}>();
+	readonly #peers = new Map<string, {readonly at: number; readonly shares: ReadonlyMap<string, Share>}>();
+
+	add(target: string, promptTokens: number): Entry {
+		const entry: Entry = {target, promptTokens};
+		this.#own.add(entry);
+		const sum = this.#sums.get(target) ?? {attempts: 0, promptTokens: 0};
+		this.#sums.set(target, {attempts: sum.attempts + 1, promptTokens: sum.promptTokens + promptTokens});
+		return entry;
+	}
+
+	/** Records that the target has read the prompt of an entry. */
+	promptRead(entry: Entry): void {
+		const sum = this.#sums.get(entry.target);
+		if (sum !== undefined && this.#own.has(entry)) {
+			sum.promptTokens -= entry.promptTokens;
+			entry.promptTokens = 0;
+		}
+	}
+
+	remove(entry: Entry): void {
+		this.promptRead(entry);
+		const sum = this.#sums.get(entry.target);
+		if (!this.#own.delete(entry) || sum === undefined) {
+			return;
+		}
+
+		sum.attempts--;
+		if (sum.attempts === 0) {
+			this.#sums.delete(entry.target);
+		}
+	}
+
+	hearPeer(peer: string, outstanding: ReadonlyArray<{readonly id: string} & Share>, now: number): void {
+		this.#peers.set(peer, {at: now, shares: new Map(outstanding.map(({id, attempts, promptTokens}) => [id, {attempts, promptTokens}]))});
+	}
+
+	forgetPeer(peer: string): void {
+		this.#peers.delete(peer);
+	}
+
+	/** Own entries by target, as told to peers. */
+	own(): ReadonlyArray<{readonly id: string; readonly attempts: number; readonly promptTokens: number}> {
+		return [...this.#sums].map(([id, {attempts, promptTokens}]) => ({id, attempts, promptTokens: Math.max(0, Math.round(promptTokens))}));
+	}
+
+	/** Work of all gateways at a target, as far as it is known. */
+	total(target: string, now: number): Share {
+		const own = this.#sums.get(target);
+		const heard = [...this.#peers.values()]
+			.filter(({at}) => now - at < peerWordMilliseconds)
+			.map(({shares}) => shares.get(target))
+			.filter(share => share !== undefined);
+		return {
+			attempts: heard.reduce((sum, share) => sum + share.attempts, own?.attempts ?? 0),
+			promptTokens: heard.reduce((sum, share) => sum + share.promptTokens, own?.promptTokens ?? 0),
+		};
+	}
+}
--- /dev/null
+++ b/source/entry/peer-link.ts
@@ -0,0 +1,104 @@
+/**
+One connection to another entry gateway.
+*/
+import {Packr, Unpackr} from 'msgpackr';
+import type {WebSocket} from 'ws';
+import type {PeerMessage} from '../generated/peer-messages.js';
+import {validatePeerMessages} from '../generated/validators.js';
+
+const packr = new Packr({useRecords: false, variableMapSize: true});
+const unpackr = new Unpackr({useRecords: false, mapsAsObjects: true});
+
+/** A peer that sends nothing for this long is taken to be gone. */
+const silentMilliseconds = 1800;
+const checkMilliseconds = 300;
+/** Bytes that wait for a slow peer before the link is given up. */
+const mostWaitingBytes = 2_097_152;
+
+type LinkHandlers = {readonly onMessage: (message: PeerMessage) => void; readonly onClosed: (reason: string) => void; readonly now: () => number};
+
+const decode = (data: Uint8Array): PeerMessage | undefined => {
+	try {
+		const value: unknown = unpackr.unpack(data);
+		return validatePeerMessages(value) ? value as PeerMessage : undefined;
+	} catch {
+		// The caller closes the link and logs why.
+		return undefined;
+	}
+};
+
+/**
+Frames and checks messages; a frame that is not a message closes the link.
+
+@example
+```
+const link = new PeerLink(socket, {onMessage, onClosed, now: clock});
+link.send({kind: 'hello', name, incarnation, address});
+```
+*/
+export class PeerLink {
+	#isClosed = false;
+	#heardAt: number;
+	readonly #socket: WebSocket;
+	readonly #handlers: LinkHandlers;
+	readonly #timer: NodeJS.Timeout;
+
+	constructor(socket: WebSocket, readonly isDialled: boolean, handlers: LinkHandlers) {
+		this.#socket = socket;
+		this.#handlers = handlers;
+		this.#heardAt = handlers.now();
+		this.#timer = setInterval(() => {
+			if (handlers.now() - this.#heardAt > silentMilliseconds) {
+				this.close('silent');
+			}
+		}, checkMilliseconds);
+		socket.on('message', (data: Uint8Array) => {
+			this.#receive(data);
+		});
+		socket.on('close', () => {
+			this.close('closed by the peer');
+		});
+		socket.on('error', error => {
+			this.close(error.message);
+		});
+	}
+
+	get isClosed(): boolean {
+		return this.#isClosed;
+	}
+
+	send(message: PeerMessage): void {
+		if (this.#isClosed || this.#socket.readyState !== this.#socket.OPEN) {
+			return;
+		}
+
+		if (this.#socket.bufferedAmount > mostWaitingBytes) {
+			this.close('does not read');
+			return;
+		}
+
+		this.#socket.send(packr.pack(message));
+	}
+
+	close(reason: string): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#isClosed = true;
+		clearInterval(this.#timer);
+		this.#socket.terminate();
+		this.#handlers.onClosed(reason);
+	}
+
+	#receive(data: Uint8Array): void {
+		this.#heardAt = this.#handlers.now();
+		const message = decode(data);
+		if (message === undefined) {
+			this.close('6002 malformed frame');
+			return;
+		}
+
+		this.#handlers.onMessage(message);
+	}
+}
--- /dev/null
+++ b/source/entry/request-course.ts
@@ -0,0 +1,198 @@
+/**
+What the relays of plain calls and of streams have in common: time limits,
+counting of attempts, and the final answers of the gateway's own.
+*/
+import {nextStep} from '../decisions/entry/next-step.js';
+import {retryAfter} from '../decisions/entry/retry-after.js';
+import {resultCode} from '../generated/result-codes.js';
+import type {TargetRecord} from '../fleet/target-record.js';
+import type {AttemptOutcome} from './attempt-outcome.js';
+import type {CallerRequest} from './caller-request.js';
+import type {EntryContext} from './entry-context.js';
+
+/** Time kept for the final answer's way to the caller. */
+const marginMilliseconds = 25;
+
+type Ending = {readonly outcome: string; readonly code?: number; readonly reason?: string; readonly retryAfterSeconds?: number};
+
+type Hooks = {
+	/** True when the request may be sent once more after it may have run. */
+	readonly isRepeatable: () => boolean;
+	/** True while an attempt is under way that may have run. */
+	readonly hasLiveRun: () => boolean;
+};
+
+/**
+The course of one request, whichever relay carries it.
+
+Invariant: exactly one final answer is given, at the limit at the latest, and
+"not run" only when no attempt may have run.
+
+@example
+```
+const course = new RequestCourse(request, context, {isRepeatable: () => false, hasLiveRun: () => isLive});
+course.begin();
+```
+*/
+export class RequestCourse {
+	/** Targets that refused or failed this request. */
+	readonly avoid = new Set<string>();
+	#cancelAttempt: (() => void) | undefined;
+	/** Attempts that may have run. */
+	#ran = 0;
+	#refused = 0;
+	#unsent = 0;
+	/** Arrivals at targets, of which the first is not a retry. */
+	#arrivals = 0;
+	#isOver = false;
+	#limit: NodeJS.Timeout | undefined;
+	readonly #context: EntryContext;
+	readonly #hooks: Hooks;
+
+	constructor(readonly request: CallerRequest, context: EntryContext, hooks: Hooks) {
+		this.#context = context;
+		this.#hooks = hooks;
+	}
+
+	get isOver(): boolean {
+		return this.#isOver;
+	}
+
+	get remaining(): number {
+		return this.request.limitAt - this.#context.now();
+	}
+
+	/** Starts the time limit and the watch over the caller's connection. */
+	begin(): void {
+		const {answer, service} = this.request;
+		this.#context.retries(service).request(this.#context.now());
+		answer.onGone(() => {
+			this.over({outcome: 'caller gone'});
+		});
+		this.#limit = setTimeout(() => {
+			this.#onLimit();
+		}, Math.max(0, this.remaining - marginMilliseconds));
+	}
+
+	/** Takes what breaks the attempt off that is under way. */
+	attemptUnderWay(cancel: () => void): void {
+		this.#cancelAttempt = cancel;
+	}
+
+	/** Records an attempt that ran to an answer which broke off. */
+	brokeOff(): void {
+		this.#ran++;
+	}
+
+	/** Records that a byte of an attempt was handed over. */
+	arrived(): void {
+		this.#arrivals++;
+		if (this.#arrivals > 1) {
+			this.#context.retries(this.request.service).retry(this.#context.now());
+			this.#context.metrics.count('retry.arrival');
+		}
+	}
+
+	/** Takes the outcome of an attempt that brought no answer; true when the request goes on. */
+	mayGoOn(target: TargetRecord, outcome: Exclude<AttemptOutcome, {readonly kind: 'answer'} | {readonly kind: 'streamed'}>): boolean {
+		this.#ran += outcome.kind === 'unknown' || outcome.kind === 'failure' ? 1 : 0;
+		this.#refused += outcome.kind === 'not run' ? 1 : 0;
+		this.#unsent += outcome.kind === 'not sent' ? 1 : 0;
+		this.avoid.add(target.id);
+		const {service, route, facts} = this.request;
+		const mayRetry = this.#context.retries(service).allows(this.#context.now(), this.#context.gateways());
+		const step = nextStep(outcome.kind, {
+			isRepeatable: this.#hooks.isRepeatable(),
+			mostAttempts: route.mostAttempts,
+			ran: this.#ran,
+			refused: this.#refused,
+			unsent: this.#unsent,
+			mayRetry,
+			remainingMilliseconds: this.remaining,
+		});
+		this.#context.metrics.count(`step.${outcome.kind.replace(' ', '-')}.${step.replace(' ', '-')}`);
+		this.#context.log.info({
+			event: 'attempt ended', request: facts.requestId, target: target.id, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : '', step, ran: this.#ran, refused: this.#refused, mayRetry, remaining: Math.round(this.remaining),
+		}, 'attempt brought no answer');
+		switch (step) {
+			case 'again': {
+				return !this.isOver;
+			}
+
+			case 'refuse': {
+				this.refuse(outcome.kind === 'not run' ? resultCode.queueFull : resultCode.targetUnreachable);
+				return false;
+			}
+
+			case 'fail': {
+				this.fail(resultCode.targetLost);
+				return false;
+			}
+
+			case 'pass on': {
+				if (outcome.kind === 'failure') {
+					this.request.answer.whole(outcome.facts, outcome.body);
+					this.over({outcome: 'target failed'});
+				}
+
+				return false;
+			}
+		}
+	}
+
+	/** Final: the request has not run. */
+	refuse(code: number, wantedMilliseconds = 300): void {
+		if (this.#ran > 0) {
+			this.fail(resultCode.targetLost);
+			return;
+		}
+
+		const seconds = retryAfter({wantedMilliseconds, remainingMilliseconds: this.remaining, random: this.#context.random});
+		this.request.answer.refuse(code, this.#context.protocol.writeRefusal(this.request.facts.requestId), seconds);
+		this.over({outcome: 'refused', code, retryAfterSeconds: seconds});
+	}
+
+	/** Final: whether the request ran is not known, or its answer broke off. */
+	fail(code: number, reason = ''): void {
+		const {answer, facts} = this.request;
+		if (answer.isStarted) {
+			answer.breakOff();
+		} else {
+			answer.refuse(code, this.#context.protocol.writeRefusal(facts.requestId));
+		}
+
+		this.over({outcome: 'failed', code, reason});
+	}
+
+	/** Ends the request's books, once. */
+	over(ending: Ending): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#isOver = true;
+		clearTimeout(this.#limit);
+		this.#cancelAttempt?.();
+		const {facts, route, service, configurationVersion, startedAt} = this.request;
+		const milliseconds = Math.round(this.#context.now() - startedAt);
+		this.#context.metrics.count(`request.${ending.outcome.replaceAll(' ', '-')}${ending.code === undefined ? '' : `.${ending.code}`}`);
+		this.#context.metrics.record(`request-${route.kind}`, milliseconds);
+		this.#context.log.info({
+			event: 'request ended', request: facts.requestId, route: route.name, service, configurationVersion, milliseconds, ran: this.#ran, arrivals: this.#arrivals, ...ending,
+		}, 'request ended');
+	}
+
+	/** Gives the final answer when the time is up, with a truthful word on whether the request ran. */
+	#onLimit(): void {
+		const mayHaveRun = this.#ran > 0 || this.#hooks.hasLiveRun();
+		if (this.isOver) {
+			return;
+		}
+
+		if (mayHaveRun) {
+			this.fail(resultCode.deadlinePassedWhileRunning, 'time limit');
+		} else {
+			this.refuse(resultCode.deadlineUnreachable);
+		}
+	}
+}
--- /dev/null
+++ b/source/entry/store-reader.ts
@@ -0,0 +1,107 @@
+/**
+Reads configuration and targets from the store again and again.
+
+Reads are repeated instead of watched: a watch may come late, be cut or miss
+what a compaction removed, and each would need the same read to be sure. The
+pause grows with the number of gateways so that all together stay within a part
+of the store's rate; what a gateway misses meanwhile reaches it from its peers.
+*/
+import * as option from 'fp-ts/lib/Option.js';
+import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
+import type {TargetRecord} from '../fleet/target-record.js';
+import type {FleetStore} from '../ports/fleet-store.js';
+
+type ReaderHandlers = {
+	readonly onConfiguration: (configuration: FleetConfiguration) => void;
+	readonly onTargets: (targets: readonly TargetRecord[], unreadable: number) => void;
+	/** Called on each failed call. */
+	readonly onFailure: (call: string, detail: string) => void;
+	readonly onSuccess: () => void;
+	/** Gateways that read, this one included. */
+	readonly gateways: () => number;
+	readonly random: () => number;
+};
+
+const leastPauseMilliseconds = 500;
+/** Part of the store's reads that all gateways together use. */
+const usedPart = 0.3;
+/** Calls of one round: the configuration, and a page or two of targets. */
+const callsEachRound = 3;
+const retryPauseMilliseconds = 200;
+
+/**
+Runs two loops until stopped.
+
+@example
+```
+const reader = new StoreReader(store, 2000, handlers);
+reader.start();
+```
+*/
+export class StoreReader {
+	#isStopped = false;
+	readonly #store: FleetStore;
+	readonly #readsPerSecond: number;
+	readonly #handlers: ReaderHandlers;
+
+	constructor(store: FleetStore, readsPerSecond: number, handlers: ReaderHandlers) {
+		this.#store = store;
+		this.#readsPerSecond = readsPerSecond;
+		this.#handlers = handlers;
+	}
+
+	start(): void {
+		void this.#loop(async () => this.#readConfiguration());
+		void this.#loop(async () => this.#readTargets());
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+	}
+
+	async #loop(read: () => Promise<boolean>): Promise<void> {
+		const isRead = await read();
+		if (this.#isStopped) {
+			return;
+		}
+
+		const pause = isRead ? Math.max(leastPauseMilliseconds, this.#handlers.gateways() * callsEachRound * 1000 / (this.#readsPerSecond * usedPart)) : retryPauseMilliseconds;
+		setTimeout(() => {
+			void this.#loop(read);
+		}, pause * (0.9 + (this.#handlers.random() * 0.2)));
+	}
+
+	async #readConfiguration(): Promise<boolean> {
+		const read = await this.#store.readConfiguration();
+		if (this.#isStopped) {
+			return false;
+		}
+
+		return read.match(configuration => {
+			this.#handlers.onSuccess();
+			if (option.isSome(configuration)) {
+				this.#handlers.onConfiguration(configuration.value);
+			}
+
+			return true;
+		}, error => {
+			this.#handlers.onFailure('read configuration', error.detail);
+			return false;
+		});
+	}
+
+	async #readTargets(): Promise<boolean> {
+		const list = await this.#store.listTargets();
+		if (this.#isStopped) {
+			return false;
+		}
+
+		return list.match(({targets, unreadable}) => {
+			this.#handlers.onTargets(targets, unreadable);
+			return true;
+		}, error => {
+			this.#handlers.onFailure('list targets', error.detail);
+			return false;
+		});
+	}
+}
--- /dev/null
+++ b/source/entry/stream-relay.ts
@@ -0,0 +1,284 @@
+/**
+Relays one request to engines: has its prompt read, its tokens made, and passes
+whole events on as they come.
+*/
+import * as option from 'fp-ts/lib/Option.js';
+import {EventSplitter} from '../decisions/entry/event-splitter.js';
+import {placePrompt} from '../decisions/entry/place-prompt.js';
+import {placeTokens} from '../decisions/entry/place-tokens.js';
+import {resultCode} from '../generated/result-codes.js';
+import type {AnswerFacts} from '../fleet/answer-facts.js';
+import type {SendInstructions} from '../fleet/send-instructions.js';
+import type {TargetRecord} from '../fleet/target-record.js';
+import type {AttemptOutcome} from './attempt-outcome.js';
+import {engineViews} from './engine-views.js';
+import type {AttemptSender} from './attempt-sender.js';
+import type {CallerRequest} from './caller-request.js';
+import type {EntryContext} from './entry-context.js';
+import {RequestCourse} from './request-course.js';
+
+type Handle = {readonly engine: TargetRecord; readonly id: string; readonly readAt: number};
+
+/** Rank of the most urgent route; lower routes follow, as 9 is the last. */
+const firstRank = 3;
+const lastRank = 9;
+
+/**
+Chooses engines, sends, and joins the events of several runs into one answer.
+
+Invariant: bytes that reach the caller are whole events of one run, or of a run
+that went on behind the last event of the one before.
+
+@example
+```
+await new StreamRelay(request, context, sender).run();
+```
+*/
+export class StreamRelay {
+	#isLive = false;
+	readonly #request: CallerRequest;
+	readonly #context: EntryContext;
+	readonly #sender: AttemptSender;
+	readonly #course: RequestCourse;
+	#lastEventId: string | undefined;
+	#hasPassedEvents = false;
+	#head: AnswerFacts | undefined;
+	#handle: Handle | undefined;
+	#handleSends = 0;
+
+	constructor(request: CallerRequest, context: EntryContext, sender: AttemptSender) {
+		this.#request = request;
+		this.#context = context;
+		this.#sender = sender;
+		this.#course = new RequestCourse(request, context, {isRepeatable: () => this.#isRepeatable, hasLiveRun: () => this.#isLive});
+	}
+
+	get #isRepeatable(): boolean {
+		return this.#request.route.isResumable && (!this.#hasPassedEvents || this.#lastEventId !== undefined);
+	}
+
+	/** Runs the request to its final answer. */
+	async run(): Promise<void> {
+		this.#course.begin();
+		await this.#relay();
+	}
+
+	async #relay(): Promise<void> {
+		await this.#runOnce();
+		this.#freeHandle();
+	}
+
+	async #runOnce(): Promise<void> {
+		const isAgain = this.#handle === undefined ? await this.#place() : await this.#sendWithHandle(this.#handle);
+		if (isAgain && !this.#course.isOver) {
+			await this.#runOnce();
+		}
+	}
+
+	/** Decides where the prompt is read and has it read there; true when the request goes on. */
+	async #place(): Promise<boolean> {
+		const {prompt} = this.#request.facts;
+		const shared = prompt?.parts.slice(0, -1) ?? [];
+		const sharedKey = shared.map(({id}) => id).join(',');
+		const sharedTokens = shared.reduce((sum, {tokens}) => sum + tokens, 0);
+		const {views, record} = engineViews(this.#context, this.#request.service);
+		const {beliefs, cache} = this.#context;
+		// A run that goes on behind an event is placed whole: the engine reads prompt and events again.
+		const engines = this.#lastEventId === undefined ? views : views.filter(({role}) => role === 'decode');
+		const placed = placePrompt({
+			tokens: prompt?.tokens ?? 0, sharedKey, sharedTokens, mostOutputTokens: prompt?.mostOutputTokens ?? 0,
+		}, {
+			engines,
+			availabilityZone: this.#context.settings().availabilityZone,
+			keeps: (id, key) => cache.keeps(beliefs.incarnation(record(id)), key),
+			avoid: this.#course.avoid,
+		});
+		if (option.isNone(placed)) {
+			this.#course.refuse(resultCode.noTarget, 800);
+			return false;
+		}
+
+		const {engine, way, unreadTokens, cost} = placed.value;
+		const target = record(engine.id);
+		const service = this.#context.service(target.service);
+		cache.used(beliefs.incarnation(target), sharedKey, sharedTokens, service?.engine?.cacheTokens ?? 0);
+		this.#context.metrics.count(`placed.${way.replace(' ', '-')}`);
+		this.#context.log.info({
+			event: 'placed', request: this.#request.facts.requestId, target: target.id, way, unreadTokens: Math.round(unreadTokens), cost: Math.round(cost), waitingTokens: engine.promptTokens, attempts: engine.attempts, listAge: Math.round(this.#context.now() - beliefs.listedAt),
+		}, 'prompt placed');
+		return way === 'prefill first' ? this.#readPrompt(target, unreadTokens) : this.#sendStream(target, unreadTokens, undefined);
+	}
+
+	#instructions(target: TargetRecord, parts: Partial<SendInstructions>): SendInstructions {
+		return {
+			targetId: target.id,
+			remainingMilliseconds: this.#course.remaining,
+			rank: Math.min(lastRank, firstRank + this.#request.route.priority),
+			isPrefillOnly: false,
+			handle: undefined,
+			lastEventId: this.#lastEventId,
+			...parts,
+		};
+	}
+
+	/** Has a prefill engine read the prompt; repeating that does no harm. */
+	async #readPrompt(target: TargetRecord, unreadTokens: number): Promise<boolean> {
+		const {facts, method, path, body} = this.#request;
+		const startedAt = this.#context.now();
+		const {outcome, cancel} = this.#sender.send({
+			target, facts, method, path, body, instructions: this.#instructions(target, {isPrefillOnly: true}), promptTokens: unreadTokens,
+		});
+		this.#course.attemptUnderWay(cancel);
+		const result = await outcome;
+		const handle = this.#readHandle(result, target);
+		this.#context.metrics.record('prefill', this.#context.now() - startedAt);
+		if (option.isSome(handle)) {
+			this.#handle = handle.value;
+			this.#handleSends = 0;
+			return !this.#course.isOver;
+		}
+
+		if (this.#course.isOver) {
+			return false;
+		}
+
+		// The first reading that is taken is no arrival; those that were refused or lost are.
+		if (result.kind !== 'not sent') {
+			this.#context.retries(this.#request.service).retry(this.#context.now());
+		}
+
+		return this.#course.mayGoOn(target, result.kind === 'not sent' ? result : {kind: 'not run', isOtherTarget: false});
+	}
+
+	#readHandle(result: AttemptOutcome, target: TargetRecord): option.Option<Handle> {
+		if (result.kind !== 'answer' || result.facts.status !== 200) {
+			return option.none;
+		}
+
+		const read = this.#context.protocol.readPrefill(result.body);
+		return option.isNone(read) ? option.none : option.some({engine: target, id: read.value.id, readAt: this.#context.now()});
+	}
+
+	/** Has a decode engine fetch what was read, chosen at this moment. */
+	async #sendWithHandle(handle: Handle): Promise<boolean> {
+		const {views, record} = engineViews(this.#context, this.#request.service);
+		const chosen = placeTokens({engines: views, availabilityZone: handle.engine.availabilityZone, avoid: this.#course.avoid});
+		if (option.isNone(chosen)) {
+			this.#course.refuse(resultCode.noTarget, 800);
+			return false;
+		}
+
+		const target = record(chosen.value.id);
+		this.#handleSends++;
+		const isAgain = await this.#sendStream(target, 0, handle);
+		if (isAgain && this.#handleSends > 1) {
+			// Refused twice with this handle: it may be gone, so the prompt is read again.
+			this.#freeHandle();
+		}
+
+		return isAgain;
+	}
+
+	async #sendStream(target: TargetRecord, unreadTokens: number, handle: Handle | undefined): Promise<boolean> {
+		const {facts, method, path, body} = this.#request;
+		const splitter = new EventSplitter();
+		const {outcome, cancel} = this.#sender.send({
+			target,
+			facts,
+			method,
+			path,
+			body,
+			instructions: this.#instructions(target, {handle: handle === undefined ? undefined : {address: handle.engine.address, id: handle.id}}),
+			promptTokens: unreadTokens,
+			onSent: () => {
+				this.#isLive = true;
+				this.#course.arrived();
+			},
+			sink: {
+				head: head => {
+					this.#head ??= head;
+				},
+				data: (chunk, flow) => {
+					this.#pass(splitter.push(chunk), flow);
+				},
+			},
+		});
+		this.#course.attemptUnderWay(cancel);
+		const result = await outcome;
+		this.#isLive = false;
+		return this.#course.isOver ? false : this.#afterStream(target, result, splitter);
+	}
+
+	#afterStream(target: TargetRecord, result: AttemptOutcome, splitter: EventSplitter): boolean {
+		switch (result.kind) {
+			case 'streamed': {
+				this.#handle = undefined;
+				if (result.isWhole) {
+					this.#finish(splitter);
+					return false;
+				}
+
+				return this.#course.mayGoOn(target, {kind: 'unknown', reason: result.reason});
+			}
+
+			case 'answer': {
+				// Never collected while there is a sink for streams.
+				this.#request.answer.whole(result.facts, result.body);
+				this.#course.over({outcome: 'answered'});
+				return false;
+			}
+
+			case 'unknown':
+			case 'failure': {
+				this.#handle = undefined;
+				return this.#course.mayGoOn(target, result);
+			}
+
+			case 'not sent':
+			case 'not run': {
+				return this.#course.mayGoOn(target, result);
+			}
+		}
+	}
+
+	#pass({events, lastId}: ReturnType<EventSplitter['push']>, flow: {readonly pause: () => void; readonly resume: () => void}): void {
+		if (events.length === 0 || this.#course.isOver) {
+			return;
+		}
+
+		this.#start();
+		for (const event of events) {
+			this.#request.answer.write(event, flow);
+		}
+
+		this.#hasPassedEvents = true;
+		this.#lastEventId = lastId ?? this.#lastEventId;
+	}
+
+	#start(): void {
+		if (!this.#request.answer.isStarted) {
+			this.#context.metrics.record('first-event', this.#context.now() - this.#request.startedAt);
+			this.#request.answer.start(this.#head!);
+		}
+	}
+
+	#finish(splitter: EventSplitter): void {
+		this.#start();
+		if (splitter.rest.length > 0) {
+			this.#request.answer.write(splitter.rest, {pause: () => undefined, resume: () => undefined});
+		}
+
+		this.#request.answer.end();
+		this.#course.over({outcome: 'answered'});
+	}
+
+	/** Frees what a prefill engine keeps for this request, if it was not taken. */
+	#freeHandle(): void {
+		if (this.#handle === undefined) {
+			return;
+		}
+
+		void this.#sender.free(this.#handle.engine, this.#handle.id, this.#request.facts);
+		this.#handle = undefined;
+	}
+}
--- a/source/gateway/idempotency-claims.ts
+++ b/source/gateway/idempotency-claims.ts
@@ -12,7 +12,7 @@
 import type {ClaimRecord} from '../decisions/claims/claim-record.js';
 import {judgeClaim} from '../decisions/claims/judge-claim.js';
 import {resultCode} from '../generated/result-codes.js';
-import type {KeyValueService} from '../platform/key-value-service.js';
+import type {KeyValueService} from '../ports/key-value-service.js';
 import {clock} from '../shared/clock.js';
 import type {Metrics} from '../shared/metrics.js';
 import type {GatewayRequest} from './gateway-request.js';
--- a/source/gateway/operator-server.ts
+++ b/source/gateway/operator-server.ts
@@ -7,7 +7,7 @@
 import {readHistory} from '../configuration/read-history.js';
 import {submitConfiguration} from '../configuration/submit-configuration.js';
 import {resultCode} from '../generated/result-codes.js';
-import type {KeyValueService} from '../platform/key-value-service.js';
+import type {KeyValueService} from '../ports/key-value-service.js';
 import {describeCode} from '../shared/describe-code.js';
 import {newIdentifier} from '../shared/new-identifier.js';
 import {applyForm} from './console/apply-form.js';
--- a/source/gateway/request-dispatcher.ts
+++ b/source/gateway/request-dispatcher.ts
@@ -4,7 +4,7 @@
 import {RetryBudget} from '../decisions/request/retry-budget.js';
 import type {TargetDirectory} from '../decisions/routing/target-directory.js';
 import type {ServiceConfiguration} from '../generated/configuration.js';
-import type {KeyValueService} from '../platform/key-value-service.js';
+import type {KeyValueService} from '../ports/key-value-service.js';
 import {clock} from '../shared/clock.js';
 import {describeCode} from '../shared/describe-code.js';
 import type {Metrics} from '../shared/metrics.js';
--- a/source/gateway/service-leaders.ts
+++ b/source/gateway/service-leaders.ts
@@ -5,7 +5,7 @@
 import type {ServiceConfiguration} from '../generated/configuration.js';
 import type {Message} from '../generated/messages.js';
 import {ServiceLeader} from '../leading/service-leader.js';
-import type {KeyValueService} from '../platform/key-value-service.js';
+import type {KeyValueService} from '../ports/key-value-service.js';
 import type {Metrics} from '../shared/metrics.js';
 import type {GatewayStatus} from './gateway-status.js';
 import type {ServiceCatalogue} from './service-catalogue.js';
--- a/source/gateway/target-links.ts
+++ b/source/gateway/target-links.ts
@@ -4,7 +4,7 @@
 import type {ConfigurationKeeper} from '../configuration/configuration-keeper.js';
 import type {TargetDirectory} from '../decisions/routing/target-directory.js';
 import type {Message} from '../generated/messages.js';
-import type {ListedVm} from '../platform/listed-vm.js';
+import type {ListedVm} from '../ports/listed-vm.js';
 import {clock} from '../shared/clock.js';
 import type {Metrics} from '../shared/metrics.js';
 import {TargetLink} from './target-link.js';
--- a/source/leading/read-authority.ts
+++ b/source/leading/read-authority.ts
@@ -2,7 +2,7 @@
 Asks the store whether a fencing number still holds the lease of a service.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import type {KeyValueService} from '../platform/key-value-service.js';
+import type {KeyValueService} from '../ports/key-value-service.js';
 import {clock} from '../shared/clock.js';
 import {leadershipKey} from './leadership-key.js';
 
--- a/source/leading/service-leader.ts
+++ b/source/leading/service-leader.ts
@@ -18,7 +18,7 @@
 	FenceRaisedMessage, Message, Order, OrderResultMessage,
 } from '../generated/messages.js';
 import {resultCode} from '../generated/result-codes.js';
-import type {KeyValueService} from '../platform/key-value-service.js';
+import type {KeyValueService} from '../ports/key-value-service.js';
 import {clock} from '../shared/clock.js';
 import {logger} from '../shared/logger.js';
 import type {Metrics} from '../shared/metrics.js';
--- a/source/sidecar/attempt-runner.ts
+++ b/source/sidecar/attempt-runner.ts
@@ -6,7 +6,7 @@
 import type {AttemptTable} from '../decisions/attempts/attempt-table.js';
 import type {AttemptMessage, Message} from '../generated/messages.js';
 import {resultCode} from '../generated/result-codes.js';
-import type {Target} from '../platform/target.js';
+import type {Target} from '../ports/target.js';
 import {clock} from '../shared/clock.js';
 import {guardInvariants} from '../shared/guard-invariants.js';
 import {logger} from '../shared/logger.js';
--- a/stand-ins/vm-list-stand-in.ts
+++ b/stand-ins/vm-list-stand-in.ts
@@ -2,7 +2,7 @@
 Stand-in of the platform's VM list, with a lag.
 */
 import fastify, {type FastifyInstance} from 'fastify';
-import type {ListedVm} from '../source/platform/listed-vm.js';
+import type {ListedVm} from '../source/ports/listed-vm.js';
 
 type VmListOptions = {readonly port: number; readonly vms: readonly ListedVm[]; readonly lagMilliseconds?: number};
 
--- a/test/stand-ins/key-value-stand-in.test.ts
+++ b/test/stand-ins/key-value-stand-in.test.ts
@@ -3,7 +3,7 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
-import {EtcdKeyValueService} from '../../source/platform/etcd-key-value-service.js';
+import {EtcdKeyValueService} from '../../source/ports/etcd-key-value-service.js';
 import {KeyValueStandIn} from '../../stand-ins/key-value-stand-in.js';
 
 const port = 21_901;
--- a/test/support/memory-store.ts
+++ b/test/support/memory-store.ts
@@ -3,9 +3,9 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {err, ok, type Result} from 'neverthrow';
-import type {KeyValueService} from '../../source/platform/key-value-service.js';
-import type {StoredValue} from '../../source/platform/stored-value.js';
-import type {StoreError} from '../../source/platform/store-error.js';
+import type {KeyValueService} from '../../source/ports/key-value-service.js';
+import type {StoredValue} from '../../source/ports/stored-value.js';
+import type {StoreError} from '../../source/ports/store-error.js';
 
 type Fault = 'none' | 'refused' | 'answer lost' | 'request lost';
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	{ignores: ['build/**', 'source/generated/**', '.tap/**']},
+	{ignores: ['build/**', 'source/generated/**', 'platform/generated/**', 'target/**', 'journal/**', '.tap/**']},
 	{
 		rules: {
 			// One export a file is a house rule; a module with one named export is the normal case.
@@ -26,7 +26,7 @@
 	},
 	{
 		// The names of the etcd v3 JSON gateway are not ours to choose.
-		files: ['source/platform/etcd-key-value-service.ts', 'stand-ins/key-value-stand-in.ts'],
+		files: ['source/ports/etcd-key-value-service.ts', 'stand-ins/key-value-stand-in.ts'],
 		rules: {'@typescript-eslint/naming-convention': 'off'},
 	},
 ];
