Survive a connection that cannot be opened

Ruled out: a fault in the error path of the request itself. Change: the error is looked at first; an error of the gateway's own now fails one request.

--- a/source/decisions/entry/event-splitter.ts
+++ b/source/decisions/entry/event-splitter.ts
@@ -5,8 +5,6 @@
 on, so that another replica can go on behind the last one. Bytes are never
 turned into text, except the identifier's line.
 */
-import {Buffer} from 'node:buffer';
-
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
@@ -23,7 +21,16 @@
 	return bytes[next] === lineFeed ? next + 1 : endOfEvent(bytes, feed + 1);
 };
 
-const readId = (event: Uint8Array): string | undefined => /^id: ?([^\r\n]*)/m.exec(Buffer.from(event).toString('latin1'))?.[1];
+const decoder = new TextDecoder('latin1');
+
+const join = (first: Uint8Array, second: Uint8Array): Uint8Array => {
+	const joined = new Uint8Array(first.length + second.length);
+	joined.set(first);
+	joined.set(second, first.length);
+	return joined;
+};
+
+const readId = (event: Uint8Array): string | undefined => /^id: ?([^\r\n]*)/m.exec(decoder.decode(event))?.[1];
 
 /**
 Collects the bytes of one replica's stream.
@@ -45,7 +52,7 @@
 
 	push(chunk: Uint8Array): Split {
 		const events: Uint8Array[] = [];
-		let bytes: Uint8Array = this.#rest.length === 0 ? Uint8Array.from(chunk) : Buffer.concat([this.#rest, chunk]);
+		let bytes: Uint8Array = this.#rest.length === 0 ? Uint8Array.from(chunk) : join(this.#rest, chunk);
 		let end = endOfEvent(bytes, 0);
 		while (end !== -1) {
 			events.push(bytes.subarray(0, end));
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -326,7 +326,22 @@
 			facts, route, service, configurationVersion: this.#inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, limitAt: startedAt + waits,
 		};
 		const relay = isModel ? new StreamRelay(callerRequest, this.#context, this.#sender) : new PlainRelay(callerRequest, this.#context, this.#sender);
-		void relay.run();
+		void this.#carry(relay, facts.requestId, answer);
+	}
+
+	/** An error of our own fails that one request, never the process. */
+	async #carry(relay: {readonly run: () => Promise<void>}, requestId: string, answer: CallerAnswer): Promise<void> {
+		try {
+			await relay.run();
+		} catch (error) {
+			this.#context.metrics.count('request.error');
+			this.#log.error({event: 'request error', request: requestId, stack: (error as Error).stack ?? ''}, 'request failed by an error of the gateway');
+			if (answer.isStarted) {
+				answer.breakOff();
+			} else {
+				answer.refuse(resultCode.answerInvariantBroken, this.#options.protocol.writeRefusal(requestId));
+			}
+		}
 	}
 
 	/** A service by weight, among those with usable targets while there are any. */
--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -55,15 +55,14 @@
 			bodyTimeout: 0,
 			connect: (options, callback) => {
 				connect(options, (error, socket) => {
-					if (socket !== null) {
-						this.#watch(socket);
+					// A failed connection brings no socket, whatever the types say.
+					if (error) {
+						callback(error, null); // eslint-disable-line @typescript-eslint/no-restricted-types
+						return;
 					}
 
-					if (error === null) {
-						callback(null, socket);
-					} else {
-						callback(error, null);
-					}
+					this.#watch(socket!);
+					callback(null, socket!); // eslint-disable-line @typescript-eslint/no-restricted-types
 				});
 			},
 		});
