Tell a reset from the end of an answer that has no length

Cause: when a reset arrives together with the last bytes, the event loop reports an ordinary end of the stream (partial read and hang-up in one poll), so an answer without a length that broke off was passed on as whole. Ruled out: a lost error event (it is never emitted), and chunked or length-framed answers (both were told apart already). Change: at the end of the stream the connection is asked for its peer's address, which a reset one no longer has. The test fails without it.

--- a/source/decisions/entry/judge-answer.ts
+++ b/source/decisions/entry/judge-answer.ts
@@ -21,12 +21,14 @@
 /**
 Returns what an answer is to the request with this id.
 
+`isForCaller` is false for answers that are meant for the system, which targets do not sign.
+
 @example
 ```
-judgeAnswer(facts, '9c41d07be2a35f68'); // 'answer'
+judgeAnswer(facts, '9c41d07be2a35f68', true); // 'answer'
 ```
 */
-export const judgeAnswer = (facts: AnswerFacts, requestId: string): Judgement => {
+export const judgeAnswer = (facts: AnswerFacts, requestId: string, isForCaller: boolean): Judgement => {
 	const isNamed = facts.requestId === requestId;
 	if (facts.isOtherTarget) {
 		return facts.requestId === undefined || isNamed ? 'other target' : 'foreign';
@@ -45,5 +47,5 @@
 	}
 
 	const isSuccess = facts.status >= 200 && facts.status < 300;
-	return isSuccess && (!facts.isSigned || facts.isEncoded) ? 'foreign' : 'answer';
+	return isSuccess && ((isForCaller && !facts.isSigned) || facts.isEncoded) ? 'foreign' : 'answer';
 };
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -125,7 +125,7 @@
 				},
 				onHead(status, headers) {
 					arrival.facts = context.protocol.readAnswer(status, headers);
-					arrival.judgement = judgeAnswer(arrival.facts, plan.facts.requestId);
+					arrival.judgement = judgeAnswer(arrival.facts, plan.facts.requestId, !plan.instructions.isPrefillOnly);
 					context.metrics.record('target-head', context.now() - startedAt);
 					if (plan.sink !== undefined && arrival.judgement === 'answer') {
 						arrival.sink = plan.sink;
--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -57,12 +57,12 @@
 				connect(options, (error, socket) => {
 					// A failed connection brings no socket, whatever the types say.
 					if (error) {
-						callback(error, null); // eslint-disable-line @typescript-eslint/no-restricted-types
+						callback(error, null);
 						return;
 					}
 
-					this.#watch(socket!);
-					callback(null, socket!); // eslint-disable-line @typescript-eslint/no-restricted-types
+					this.#watch(socket);
+					callback(null, socket);
 				});
 			},
 		});
@@ -151,5 +151,10 @@
 		socket.on('error', () => {
 			this.#hadError = true;
 		});
+		socket.on('end', () => {
+			// A reset that is read together with the last bytes is reported as an ordinary end;
+			// the peer's address, which only a connection still has, tells the two apart.
+			this.#hadError ||= socket.remotePort === undefined;
+		});
 	}
 }
--- a/test/entry/target-connection.test.ts
+++ b/test/entry/target-connection.test.ts
@@ -119,6 +119,15 @@
 	t.equal(seen.end.kind, 'broken');
 });
 
+test('a reset that comes together with the last bytes is no end of the answer either', async t => {
+	const connection = await answering(t, socket => {
+		socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc');
+		socket.resetAndDestroy();
+	});
+	const seen = await send(connection);
+	t.equal(seen.end.kind, 'broken');
+});
+
 test('chunks that end without the last one are broken, also where the answer closes its connection', async t => {
 	const connection = await answering(t, socket => {
 		socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n');
