Fetch shared prompt parts from the engine that keeps them

Change: gateways tell each other which engine last read which part; a prompt is read where the queue is shortest, and what that engine lacks is fetched.

--- a/source/decisions/entry/engine-view.ts
+++ b/source/decisions/entry/engine-view.ts
@@ -12,8 +12,8 @@
 	readonly slots: number;
 	/** Attempts under way. */
 	readonly attempts: number;
-	/** Prompt tokens of these that are yet to be read. */
-	readonly promptTokens: number;
+	/** Time that an idle prefill engine would take to read what is yet to be read of these. */
+	readonly readMilliseconds: number;
 	/** True when its recent outcomes speak against it. */
 	readonly isAvoided: boolean;
 	/** Share of failures among its recent outcomes. */
--- a/source/decisions/entry/place-tokens.ts
+++ b/source/decisions/entry/place-tokens.ts
@@ -7,8 +7,8 @@
 import * as option from 'fp-ts/lib/Option.js';
 import type {EngineView} from './engine-view.js';
 
-/** Prompt tokens whose reading delays a running request as much as one more request beside it. */
-const tokensPerRequest = 400;
+/** Reading time that delays a running request as much as one more request beside it. */
+const readMillisecondsPerRequest = 7;
 /** Attempts that a crossing between availability zones is charged; the whole prompt's memory moves. */
 const otherZoneAttempts = 2;
 const failureAttempts = 40;
@@ -21,7 +21,7 @@
 };
 
 const cost = (engine: EngineView, availabilityZone: string): number => engine.attempts
-	+ (engine.promptTokens / tokensPerRequest)
+	+ (engine.readMilliseconds / readMillisecondsPerRequest)
 	+ (engine.availabilityZone === availabilityZone ? 0 : otherZoneAttempts)
 	+ (engine.failureShare * failureAttempts);
 
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -22,8 +22,8 @@
 	readonly path: string;
 	readonly body: Uint8Array | undefined;
 	readonly instructions: SendInstructions;
-	/** Prompt tokens that the target has to read for it. */
-	readonly promptTokens: number;
+	/** Time that reading its prompt will take the target. */
+	readonly readMilliseconds: number;
 	/** Called when the first byte is handed over. */
 	readonly onSent?: () => void;
 	/** Takes a successful answer as it comes; without it answers are collected. */
@@ -89,7 +89,7 @@
 
 @example
 ```
-const {outcome, cancel} = sender.send({target, facts, method, path, body, instructions, promptTokens: 0});
+const {outcome, cancel} = sender.send({target, facts, method, path, body, instructions, readMilliseconds: 0});
 ```
 */
 export class AttemptSender {
@@ -107,7 +107,7 @@
 			return {outcome: Promise.resolve({kind: 'not sent', reason: 'no free connection'}), cancel() {/* Nothing is under way. */}};
 		}
 
-		const entry = context.book.add(target.id, plan.promptTokens);
+		const entry = context.book.add(target.id, plan.readMilliseconds);
 		const arrival: Arrival = {chunks: [], bytes: 0};
 		const startedAt = context.now();
 		let breakOff = (): void => undefined;
@@ -162,10 +162,10 @@
 		const {method, path} = this.#context.protocol.freeHandle(handleId);
 		const freeing: RequestFacts = {...facts, headers: ['Host', target.address]};
 		const instructions = {
-			targetId: target.id, remainingMilliseconds: 1000, rank: undefined, isPrefillOnly: false, handle: undefined, lastEventId: undefined,
+			targetId: target.id, remainingMilliseconds: 1000, rank: undefined, isPrefillOnly: false, handle: undefined, fetchFrom: undefined, lastEventId: undefined,
 		};
 		const {outcome} = this.send({
-			target, facts: freeing, method, path, body: undefined, instructions, promptTokens: 0,
+			target, facts: freeing, method, path, body: undefined, instructions, readMilliseconds: 0,
 		});
 		const result = await outcome;
 		this.#context.log.debug({request: facts.requestId, target: target.id, outcome: result.kind}, 'unused prompt freed');
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -5,7 +5,7 @@
 import http from 'node:http';
 import type {Logger} from 'roarr';
 import * as option from 'fp-ts/lib/Option.js';
-import {CacheBook} from '../decisions/entry/cache-book.js';
+import {KeptParts} from '../decisions/entry/kept-parts.js';
 import {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
 import {RetryWindow} from '../decisions/entry/retry-window.js';
 import {TargetBeliefs} from '../decisions/entry/target-beliefs.js';
@@ -155,7 +155,7 @@
 			protocol,
 			beliefs: new TargetBeliefs(),
 			book: new LoadBook(),
-			cache: new CacheBook(),
+			kept: new KeptParts(),
 			health: new TargetHealth(),
 			connections: new TargetConnections(),
 			metrics: new EntryMetrics(settings.name),
@@ -388,10 +388,10 @@
 
 	/** Forgets what belongs to targets that are gone. */
 	#clean(): void {
-		const {beliefs, cache, health, connections, metrics} = this.#context;
+		const {beliefs, kept, health, connections, metrics} = this.#context;
 		const records = beliefs.all();
 		const incarnations = new Set(records.map(record => beliefs.incarnation(record)));
-		cache.keepOnly(incarnations);
+		kept.keepOnly(incarnations);
 		health.keepOnly(incarnations);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
 		metrics.gauge('requests.open', this.#door.open);
--- a/source/entry/load-book.ts
+++ b/source/entry/load-book.ts
@@ -5,9 +5,9 @@
 /** A peer's word older than this is no longer counted. */
 const peerWordMilliseconds = 1500;
 
-type Share = {readonly attempts: number; readonly promptTokens: number};
+type Share = {readonly attempts: number; readonly readMilliseconds: number};
 
-type Entry = {readonly target: string; promptTokens: number};
+type Entry = {readonly target: string; readMilliseconds: number};
 
 /**
 Own entries are added and removed one by one; a peer's word replaces its former one.
@@ -16,21 +16,21 @@
 
 @example
 ```
-const entry = book.add('engine-3', 3720);
+const entry = book.add('engine-3', 94);
 book.promptRead(entry);
 book.remove(entry);
 ```
 */
 export class LoadBook {
 	readonly #own = new Set<Entry>();
-	readonly #sums = new Map<string, {attempts: number; promptTokens: number}>();
+	readonly #sums = new Map<string, {attempts: number; readMilliseconds: number}>();
 	readonly #peers = new Map<string, {readonly at: number; readonly shares: ReadonlyMap<string, Share>}>();
 
-	add(target: string, promptTokens: number): Entry {
-		const entry: Entry = {target, promptTokens};
+	add(target: string, readMilliseconds: number): Entry {
+		const entry: Entry = {target, readMilliseconds};
 		this.#own.add(entry);
-		const sum = this.#sums.get(target) ?? {attempts: 0, promptTokens: 0};
-		this.#sums.set(target, {attempts: sum.attempts + 1, promptTokens: sum.promptTokens + promptTokens});
+		const sum = this.#sums.get(target) ?? {attempts: 0, readMilliseconds: 0};
+		this.#sums.set(target, {attempts: sum.attempts + 1, readMilliseconds: sum.readMilliseconds + readMilliseconds});
 		return entry;
 	}
 
@@ -38,8 +38,8 @@
 	promptRead(entry: Entry): void {
 		const sum = this.#sums.get(entry.target);
 		if (sum !== undefined && this.#own.has(entry)) {
-			sum.promptTokens -= entry.promptTokens;
-			entry.promptTokens = 0;
+			sum.readMilliseconds -= entry.readMilliseconds;
+			entry.readMilliseconds = 0;
 		}
 	}
 
@@ -57,7 +57,7 @@
 	}
 
 	hearPeer(peer: string, outstanding: ReadonlyArray<{readonly id: string} & Share>, now: number): void {
-		this.#peers.set(peer, {at: now, shares: new Map(outstanding.map(({id, attempts, promptTokens}) => [id, {attempts, promptTokens}]))});
+		this.#peers.set(peer, {at: now, shares: new Map(outstanding.map(({id, attempts, readMilliseconds}) => [id, {attempts, readMilliseconds}]))});
 	}
 
 	forgetPeer(peer: string): void {
@@ -65,8 +65,8 @@
 	}
 
 	/** Own entries by target, as told to peers. */
-	own(): ReadonlyArray<{readonly id: string; readonly attempts: number; readonly promptTokens: number}> {
-		return [...this.#sums].map(([id, {attempts, promptTokens}]) => ({id, attempts, promptTokens: Math.max(0, Math.round(promptTokens))}));
+	own(): ReadonlyArray<{readonly id: string; readonly attempts: number; readonly readMilliseconds: number}> {
+		return [...this.#sums].map(([id, {attempts, readMilliseconds}]) => ({id, attempts, readMilliseconds: Math.max(0, Math.round(readMilliseconds))}));
 	}
 
 	/** Work of all gateways at a target, as far as it is known. */
@@ -78,7 +78,7 @@
 			.filter(share => share !== undefined);
 		return {
 			attempts: heard.reduce((sum, share) => sum + share.attempts, own?.attempts ?? 0),
-			promptTokens: heard.reduce((sum, share) => sum + share.promptTokens, own?.promptTokens ?? 0),
+			readMilliseconds: heard.reduce((sum, share) => sum + share.readMilliseconds, own?.readMilliseconds ?? 0),
 		};
 	}
 }
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -75,7 +75,7 @@
 		switch (message.kind) {
 			case 'hello': {
 				this.#states.set(peer, {laggingSince: undefined, toldTargets: ''});
-				this.#options.peers.send(peer, this.#digest());
+				this.#options.peers.send(peer, this.#digest([]));
 				return;
 			}
 
@@ -102,7 +102,7 @@
 		this.#options.context.book.forgetPeer(peer);
 	}
 
-	#digest(): Extract<PeerMessage, {kind: 'digest'}> {
+	#digest(kept: ReturnType<EntryContext['kept']['takeNews']>): Extract<PeerMessage, {kind: 'digest'}> {
 		const {context, peers, inForce} = this.#options;
 		const own = context.book.own();
 		return {
@@ -111,12 +111,13 @@
 			hasStore: this.hasStore,
 			leaving: [...context.beliefs.leaving()],
 			peers: [...peers.addresses],
-			outstanding: {ids: own.map(({id}) => id), attempts: own.map(({attempts}) => attempts), promptTokens: own.map(({promptTokens}) => promptTokens)},
+			kept: {engines: kept.map(({engine}) => engine), parts: kept.map(({part}) => part), tokens: kept.map(({tokens}) => Math.round(tokens))},
+			outstanding: {ids: own.map(({id}) => id), attempts: own.map(({attempts}) => attempts), readMilliseconds: own.map(({readMilliseconds}) => readMilliseconds)},
 		};
 	}
 
 	#tell(): void {
-		const digest = this.#digest();
+		const digest = this.#digest(this.#options.context.kept.takeNews());
 		const text = JSON.stringify(digest);
 		this.#quiet = text === this.#lastDigest ? this.#quiet + 1 : 0;
 		if (this.#quiet % (quietDigests + 1) === 0) {
@@ -128,8 +129,9 @@
 	#hearDigest(peer: string, digest: Extract<PeerMessage, {kind: 'digest'}>): void {
 		const {context, peers, inForce} = this.#options;
 		const now = context.now();
-		const {ids, attempts, promptTokens} = digest.outstanding;
-		context.book.hearPeer(peer, ids.map((id, index) => ({id, attempts: attempts[index] ?? 0, promptTokens: promptTokens[index] ?? 0})), now);
+		const {ids, attempts, readMilliseconds} = digest.outstanding;
+		context.book.hearPeer(peer, ids.map((id, index) => ({id, attempts: attempts[index] ?? 0, readMilliseconds: readMilliseconds[index] ?? 0})), now);
+		this.#hearKept(digest.kept);
 		peers.hear(digest.peers);
 		for (const incarnation of digest.leaving) {
 			if (context.beliefs.markLeaving(incarnation, now)) {
@@ -143,6 +145,17 @@
 		this.#help(peer, digest, inForce, now);
 	}
 
+	#hearKept({engines, parts, tokens}: Extract<PeerMessage, {kind: 'digest'}>['kept']): void {
+		const {kept, beliefs, service} = this.#options.context;
+		const records = new Map(beliefs.all().map(record => [beliefs.incarnation(record), record]));
+		for (const [index, engine] of engines.entries()) {
+			const record = records.get(engine);
+			if (record !== undefined) {
+				kept.hear({engine, part: parts[index] ?? '', tokens: tokens[index] ?? 0}, service(record.service)?.engine?.cacheTokens ?? 0);
+			}
+		}
+	}
+
 	/** Sends a peer what it lacks. */
 	#help(peer: string, digest: Extract<PeerMessage, {kind: 'digest'}>, inForce: ConfigurationInForce, now: number): void {
 		const {context, peers} = this.#options;
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -82,9 +82,9 @@
 			path,
 			body,
 			instructions: {
-				targetId: target.id, remainingMilliseconds: this.#course.remaining, rank: undefined, isPrefillOnly: false, handle: undefined, lastEventId: undefined,
+				targetId: target.id, remainingMilliseconds: this.#course.remaining, rank: undefined, isPrefillOnly: false, handle: undefined, fetchFrom: undefined, lastEventId: undefined,
 			},
-			promptTokens: 0,
+			readMilliseconds: 0,
 			onSent: () => {
 				this.#isLive = true;
 				this.#course.arrived();
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -22,6 +22,8 @@
 /** Rank of the most urgent route; lower routes follow, as 9 is the last. */
 const firstRank = 3;
 const lastRank = 9;
+/** Shared parts below this are not worth remembering. */
+const leastKeptTokens = 1000;
 
 /**
 Chooses engines, sends, and joins the events of several runs into one answer.
@@ -45,6 +47,7 @@
 	#head: AnswerFacts | undefined;
 	#handle: Handle | undefined;
 	#handleSends = 0;
+	#shared = {key: '', tokens: 0, cacheTokens: 0};
 
 	constructor(request: CallerRequest, context: EntryContext, sender: AttemptSender) {
 		this.#request = request;
@@ -82,15 +85,17 @@
 		const sharedKey = shared.map(({id}) => id).join(',');
 		const sharedTokens = shared.reduce((sum, {tokens}) => sum + tokens, 0);
 		const {views, record} = engineViews(this.#context, this.#request.service);
-		const {beliefs, cache} = this.#context;
+		const {beliefs, kept} = this.#context;
+		const engine = this.#context.service(this.#request.service)?.engine;
 		// A run that goes on behind an event is placed whole: the engine reads prompt and events again.
 		const engines = this.#lastEventId === undefined ? views : views.filter(({role}) => role === 'decode');
-		const placed = placePrompt({
-			tokens: prompt?.tokens ?? 0, sharedKey, sharedTokens, mostOutputTokens: prompt?.mostOutputTokens ?? 0,
-		}, {
+		const keepers = new Set(kept.keepers(sharedKey));
+		const placed = placePrompt({tokens: prompt?.tokens ?? 0, sharedKey, sharedTokens}, {
 			engines,
 			availabilityZone: this.#context.settings().availabilityZone,
-			keeps: (id, key) => cache.keeps(beliefs.incarnation(record(id)), key),
+			keepers: new Set(engines.filter(({id}) => keepers.has(beliefs.incarnation(record(id)))).map(({id}) => id)),
+			bytesPerToken: engine?.bytesPerToken ?? 0,
+			linkMegabitsPerSecond: engine?.linkMegabitsPerSecond ?? 1,
 			avoid: this.#course.avoid,
 		});
 		if (option.isNone(placed)) {
@@ -98,15 +103,33 @@
 			return false;
 		}
 
-		const {engine, way, unreadTokens, cost} = placed.value;
-		const target = record(engine.id);
-		const service = this.#context.service(target.service);
-		cache.used(beliefs.incarnation(target), sharedKey, sharedTokens, service?.engine?.cacheTokens ?? 0);
+		const {engine: chosen, way, readMilliseconds, fetchFrom, cost} = placed.value;
+		const target = record(chosen.id);
+		this.#shared = {key: sharedKey, tokens: sharedTokens, cacheTokens: engine?.cacheTokens ?? 0};
+		this.#keeps(target);
 		this.#context.metrics.count(`placed.${way.replace(' ', '-')}`);
 		this.#context.log.info({
-			event: 'placed', request: this.#request.facts.requestId, target: target.id, way, unreadTokens: Math.round(unreadTokens), cost: Math.round(cost), waitingTokens: engine.promptTokens, attempts: engine.attempts, listAge: Math.round(this.#context.now() - beliefs.listedAt),
+			event: 'placed',
+			request: this.#request.facts.requestId,
+			target: target.id,
+			way,
+			readMilliseconds: Math.round(readMilliseconds),
+			cost: Math.round(cost),
+			fetchFrom: fetchFrom?.id,
+			waitingMilliseconds: Math.round(chosen.readMilliseconds),
+			attempts: chosen.attempts,
+			listAge: Math.round(this.#context.now() - beliefs.listedAt),
 		}, 'prompt placed');
-		return way === 'prefill first' ? this.#readPrompt(target, unreadTokens) : this.#sendStream(target, unreadTokens, undefined);
+		const source = fetchFrom === undefined ? undefined : record(fetchFrom.id).address;
+		return way === 'prefill first' ? this.#readPrompt(target, readMilliseconds, source) : this.#sendStream(target, readMilliseconds, {fetchFrom: source});
+	}
+
+	/** Records that an engine reads or fetches the shared parts of this prompt. */
+	#keeps(target: TargetRecord): void {
+		const {key, tokens, cacheTokens} = this.#shared;
+		if (tokens >= leastKeptTokens) {
+			this.#context.kept.used({engine: this.#context.beliefs.incarnation(target), part: key, tokens}, cacheTokens);
+		}
 	}
 
 	#instructions(target: TargetRecord, parts: Partial<SendInstructions>): SendInstructions {
@@ -116,17 +139,18 @@
 			rank: Math.min(lastRank, firstRank + this.#request.route.priority),
 			isPrefillOnly: false,
 			handle: undefined,
+			fetchFrom: undefined,
 			lastEventId: this.#lastEventId,
 			...parts,
 		};
 	}
 
 	/** Has a prefill engine read the prompt; repeating that does no harm. */
-	async #readPrompt(target: TargetRecord, unreadTokens: number): Promise<boolean> {
+	async #readPrompt(target: TargetRecord, readMilliseconds: number, fetchFrom: string | undefined): Promise<boolean> {
 		const {facts, method, path, body} = this.#request;
 		const startedAt = this.#context.now();
 		const {outcome, cancel} = this.#sender.send({
-			target, facts, method, path, body, instructions: this.#instructions(target, {isPrefillOnly: true}), promptTokens: unreadTokens,
+			target, facts, method, path, body, instructions: this.#instructions(target, {isPrefillOnly: true, fetchFrom}), readMilliseconds,
 		});
 		this.#course.attemptUnderWay(cancel);
 		const result = await outcome;
@@ -170,7 +194,8 @@
 
 		const target = record(chosen.value.id);
 		this.#handleSends++;
-		const isAgain = await this.#sendStream(target, 0, handle);
+		this.#keeps(target);
+		const isAgain = await this.#sendStream(target, 0, {handle: {address: handle.engine.address, id: handle.id}});
 		if (isAgain && this.#handleSends > 1) {
 			// Refused twice with this handle: it may be gone, so the prompt is read again.
 			this.#freeHandle();
@@ -179,7 +204,7 @@
 		return isAgain;
 	}
 
-	async #sendStream(target: TargetRecord, unreadTokens: number, handle: Handle | undefined): Promise<boolean> {
+	async #sendStream(target: TargetRecord, readMilliseconds: number, parts: Partial<SendInstructions>): Promise<boolean> {
 		const {facts, method, path, body} = this.#request;
 		const splitter = new EventSplitter();
 		const {outcome, cancel} = this.#sender.send({
@@ -188,8 +213,8 @@
 			method,
 			path,
 			body,
-			instructions: this.#instructions(target, {handle: handle === undefined ? undefined : {address: handle.engine.address, id: handle.id}}),
-			promptTokens: unreadTokens,
+			instructions: this.#instructions(target, parts),
+			readMilliseconds,
 			onSent: () => {
 				this.#isLive = true;
 				this.#course.arrived();
--- a/source/fleet/send-instructions.ts
+++ b/source/fleet/send-instructions.ts
@@ -14,6 +14,8 @@
 	readonly isPrefillOnly: boolean;
 	/** Where the prompt has been read already. */
 	readonly handle: {readonly address: string; readonly id: string} | undefined;
+	/** Address of an engine that keeps parts of the prompt which this one may lack. */
+	readonly fetchFrom: string | undefined;
 	/** Continue behind this event. */
 	readonly lastEventId: string | undefined;
 };
