Write logs without a setting of the environment

Cause: the log library makes silent loggers unless ROARR_LOG is set when it is loaded, so no process of ours ever logged. Change: the variable has a default before the library loads, for all binaries.

--- a/source/shared/logger.ts
+++ b/source/shared/logger.ts
@@ -4,7 +4,9 @@
 Standard output stays free for the answers of the command line.
 */
 import process from 'node:process';
-import {Roarr, ROARR, type Logger} from 'roarr';
+// The order matters: the variable must be set before the log library is loaded.
+import {hasLogs} from './enable-logs.js';
+import {Roarr, ROARR, type Logger} from 'roarr'; // eslint-disable-line import-x/order
 
 ROARR.write = line => {
 	process.stderr.write(`${line}\n`);
@@ -19,4 +21,4 @@
 log.warn({target: 'engine-3'}, 'link silent; opening a new one');
 ```
 */
-export const logger: Logger = Roarr.child({program: 'cowsliprudder'});
+export const logger: Logger = hasLogs ? Roarr.child({program: 'cowsliprudder'}) : Roarr;
--- /dev/null
+++ b/test/shared/logger.test.ts
@@ -0,0 +1,16 @@
+/**
+Logs are written whether or not the environment asks for them.
+*/
+import {test} from 'tap';
+import {logger} from '../../source/shared/logger.js';
+import {setLogOutput} from '../../source/shared/set-log-output.js';
+
+test('a process logs without any setting of its environment', async t => {
+	const lines: string[] = [];
+	setLogOutput(line => {
+		lines.push(line);
+	});
+	logger.child({process: 'gateway-1'}).info({request: '9c41'}, 'request ended');
+	t.equal(lines.length, 1);
+	t.match(JSON.parse(lines[0]!), {context: {process: 'gateway-1', request: '9c41'}, message: 'request ended'});
+});
