--- a/source/decisions/entry/target-beliefs.ts
+++ b/source/decisions/entry/target-beliefs.ts
@@ -18,8 +18,6 @@
 
 type Change = {readonly kind: 'appeared' | 'leaving' | 'gone' | 'changed'; readonly record: TargetRecord; readonly source: string};
 
-const incarnationOf = (record: TargetRecord): string => `${record.id} ${record.bornAt}`;
-
 /**
 The targets that may get work. Times are on the gateway's monotonic clock.
 
@@ -34,6 +32,8 @@
 export class TargetBeliefs {
 	#beliefs: ReadonlyMap<string, Belief> = new Map();
 	readonly #leaving = new Map<string, number>();
+	/** Usable targets by service, until the next change. */
+	readonly #usable = new Map<string, readonly TargetRecord[]>();
 	#storeLostAt: number | undefined;
 	#storeReturnedAt = Number.NEGATIVE_INFINITY;
 	#listedAt = Number.NEGATIVE_INFINITY;
@@ -67,6 +67,7 @@
 		const changes = [...listed.values()].flatMap(({record}) => this.#compare(former.get(record.id)?.record, record, source, now));
 		const gone = [...former].filter(([id]) => !listed.has(id) && !kept.some(([keptId]) => keptId === id));
 		this.#beliefs = new Map([...listed, ...kept]);
+		this.#usable.clear();
 		this.#forgetOldLeaving(now);
 		return [...changes, ...gone.map(([, {record}]) => ({kind: 'gone' as const, record, source}))];
 	}
@@ -75,6 +76,10 @@
 	markLeaving(incarnation: string, now: number): boolean {
 		const isNews = !this.#leaving.has(incarnation);
 		this.#leaving.set(incarnation, now);
+		if (isNews) {
+			this.#usable.clear();
+		}
+
 		return isNews;
 	}
 
@@ -83,23 +88,22 @@
 		return [...this.#leaving.keys()];
 	}
 
-	incarnation(record: TargetRecord): string {
-		return incarnationOf(record);
-	}
-
 	all(): readonly TargetRecord[] {
 		return [...this.#beliefs.values()].map(({record}) => record);
 	}
 
+	/** Targets of a service that may get work. */
 	usable(service: string): readonly TargetRecord[] {
-		return this.all().filter(record => record.service === service && this.isUsable(record));
+		const known = this.#usable.get(service) ?? this.all().filter(record => record.service === service && this.isUsable(record));
+		this.#usable.set(service, known);
+		return known;
 	}
 
 	/** True while work may be sent to this incarnation. */
 	isUsable(record: TargetRecord): boolean {
 		const current = this.#beliefs.get(record.id)?.record;
 		return current?.bornAt === record.bornAt && current.address === record.address
-			&& !current.isDraining && !this.#leaving.has(incarnationOf(current));
+			&& !current.isDraining && !this.#leaving.has(current.incarnation);
 	}
 
 	#mayBeRelisted(belief: Belief, now: number): boolean {
@@ -108,7 +112,7 @@
 
 	#compare(former: TargetRecord | undefined, record: TargetRecord, source: string, now: number): readonly Change[] {
 		if (record.isDraining) {
-			return this.markLeaving(incarnationOf(record), now) ? [{kind: 'leaving', record, source}] : [];
+			return this.markLeaving(record.incarnation, now) ? [{kind: 'leaving', record, source}] : [];
 		}
 
 		if (former === undefined) {
@@ -123,6 +127,7 @@
 		for (const [incarnation, heardAt] of this.#leaving) {
 			if (now - heardAt > leavingMemoryMilliseconds) {
 				this.#leaving.delete(incarnation);
+				this.#usable.clear();
 			}
 		}
 	}
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -173,7 +173,7 @@
 
 	#learn(target: TargetRecord, result: AttemptOutcome): void {
 		const {beliefs, health, metrics, log, now} = this.#context;
-		const incarnation = beliefs.incarnation(target);
+		const {incarnation} = target;
 		const name = result.kind === 'streamed' && !result.isWhole ? 'broken' : result.kind;
 		metrics.count(`attempt.${name}`);
 		const isFailure = name === 'unknown' || name === 'broken' || name === 'failure' || (result.kind === 'not sent' && result.reason !== 'no longer wanted' && result.reason !== 'broken off by the gateway');
--- a/source/entry/caller-answer.ts
+++ b/source/entry/caller-answer.ts
@@ -26,12 +26,19 @@
 export class CallerAnswer {
 	#isDone = false;
 	#closesAfter = false;
+	#onGone: (() => void) | undefined;
 	readonly #response: http.ServerResponse;
 	readonly #mustClose: () => boolean;
 
 	constructor(response: http.ServerResponse, mustClose: () => boolean) {
 		this.#response = response;
 		this.#mustClose = mustClose;
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				this.#isDone = true;
+				this.#onGone?.();
+			}
+		});
 	}
 
 	get isDone(): boolean {
@@ -42,14 +49,9 @@
 		return this.#response.headersSent;
 	}
 
-	/** Calls back once when the caller went away before its answer was whole. */
+	/** Calls back once when the caller goes away before its answer is whole. */
 	onGone(callback: () => void): void {
-		this.#response.once('close', () => {
-			if (!this.#response.writableFinished) {
-				this.#isDone = true;
-				callback();
-			}
-		});
+		this.#onGone = callback;
 	}
 
 	/** Ends the connection with this answer, as what follows on it cannot be trusted. */
--- a/source/entry/engine-views.ts
+++ b/source/entry/engine-views.ts
@@ -25,8 +25,8 @@
 			role: record.role ?? 'decode',
 			slots: record.slots,
 			...book.total(record.id, at),
-			isAvoided: health.isAvoided(beliefs.incarnation(record), at),
-			failureShare: health.failureShare(beliefs.incarnation(record)),
+			isAvoided: health.isAvoided(record.incarnation, at),
+			failureShare: health.failureShare(record.incarnation),
 		})),
 		record: id => records.get(id)!,
 	};
--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -26,6 +26,8 @@
 	readonly connections: TargetConnections;
 	readonly metrics: EntryMetrics;
 	readonly log: Logger;
+	/** Which of the requests that went well are logged. */
+	readonly sampling: {readonly mayWrite: (now: number) => boolean; readonly onLeftOut: () => void};
 	readonly now: () => number;
 	readonly random: () => number;
 	/** Gateways that are alive, this one included. */
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -7,6 +7,7 @@
 import * as option from 'fp-ts/lib/Option.js';
 import {KeptParts} from '../decisions/entry/kept-parts.js';
 import {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
+import {RateLimit} from '../decisions/entry/rate-limit.js';
 import {RetryWindow} from '../decisions/entry/retry-window.js';
 import {TargetBeliefs} from '../decisions/entry/target-beliefs.js';
 import {TargetHealth} from '../decisions/entry/target-health.js';
@@ -46,6 +47,8 @@
 /** Time kept before the platform kills the process. */
 const graceMarginMilliseconds = 400;
 const sweepMilliseconds = 1000;
+/** Requests that went well of which a second's log tells the course. */
+const loggedEachSecond = 10;
 
 /**
 One process. `start` resolves once it listens; it is ready once it knows a
@@ -150,7 +153,15 @@
 
 	#createContext(): EntryContext {
 		const {protocol, settings, log} = this.#options;
+		const metrics = new EntryMetrics(settings.name);
+		const written = new RateLimit(loggedEachSecond);
 		return {
+			sampling: {
+				mayWrite: now => written.allows(now),
+				onLeftOut() {
+					metrics.count('log.left-out');
+				},
+			},
 			settings: () => this.#settings,
 			protocol,
 			beliefs: new TargetBeliefs(),
@@ -158,7 +169,7 @@
 			kept: new KeptParts(),
 			health: new TargetHealth(),
 			connections: new TargetConnections(),
-			metrics: new EntryMetrics(settings.name),
+			metrics,
 			log,
 			now: clock,
 			random: Math.random,
@@ -326,7 +337,14 @@
 			facts, route, service, configurationVersion: this.#inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, limitAt: startedAt + waits,
 		};
 		const relay = isModel ? new StreamRelay(callerRequest, this.#context, this.#sender) : new PlainRelay(callerRequest, this.#context, this.#sender);
-		void this.#carry(relay, facts.requestId, answer);
+		// Under load a caller may have left while its request waited to be read; two turns of the loop show that.
+		setImmediate(() => {
+			setImmediate(() => {
+				if (!answer.isDone) {
+					void this.#carry(relay, facts.requestId, answer);
+				}
+			});
+		});
 	}
 
 	/** An error of our own fails that one request, never the process. */
@@ -390,7 +408,7 @@
 	#clean(): void {
 		const {beliefs, kept, health, connections, metrics} = this.#context;
 		const records = beliefs.all();
-		const incarnations = new Set(records.map(record => beliefs.incarnation(record)));
+		const incarnations = new Set(records.map(record => record.incarnation));
 		kept.keepOnly(incarnations);
 		health.keepOnly(incarnations);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -147,7 +147,7 @@
 
 	#hearKept({engines, parts, tokens}: Extract<PeerMessage, {kind: 'digest'}>['kept']): void {
 		const {kept, beliefs, service} = this.#options.context;
-		const records = new Map(beliefs.all().map(record => [beliefs.incarnation(record), record]));
+		const records = new Map(beliefs.all().map(record => [record.incarnation, record]));
 		for (const [index, engine] of engines.entries()) {
 			const record = records.get(engine);
 			if (record !== undefined) {
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -62,8 +62,8 @@
 			targets: records.map(record => ({
 				...record,
 				attempts: book.total(record.id, now()).attempts,
-				isAvoided: health.isAvoided(beliefs.incarnation(record), now()),
-				failureShare: health.failureShare(beliefs.incarnation(record)),
+				isAvoided: health.isAvoided(record.incarnation, now()),
+				failureShare: health.failureShare(record.incarnation),
 			})),
 			availabilityZone: settings().availabilityZone,
 			avoid: this.#course.avoid,
--- a/source/entry/request-course.ts
+++ b/source/entry/request-course.ts
@@ -9,6 +9,7 @@
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {CallerRequest} from './caller-request.js';
 import type {EntryContext} from './entry-context.js';
+import {RequestLog} from './request-log.js';
 
 /** Time kept for the final answer's way to the caller. */
 const marginMilliseconds = 25;
@@ -35,6 +36,8 @@
 ```
 */
 export class RequestCourse {
+	/** What the log says of this request. */
+	readonly lines: RequestLog;
 	/** Targets that refused or failed this request. */
 	readonly avoid = new Set<string>();
 	#cancelAttempt: (() => void) | undefined;
@@ -45,6 +48,7 @@
 	/** Arrivals at targets, of which the first is not a retry. */
 	#arrivals = 0;
 	#isOver = false;
+	#firstEventAt: number | undefined;
 	#limit: NodeJS.Timeout | undefined;
 	readonly #context: EntryContext;
 	readonly #hooks: Hooks;
@@ -52,6 +56,7 @@
 	constructor(readonly request: CallerRequest, context: EntryContext, hooks: Hooks) {
 		this.#context = context;
 		this.#hooks = hooks;
+		this.lines = new RequestLog(context.log, request.facts.requestId, request.startedAt);
 	}
 
 	get isOver(): boolean {
@@ -99,7 +104,7 @@
 		this.#refused += outcome.kind === 'not run' ? 1 : 0;
 		this.#unsent += outcome.kind === 'not sent' ? 1 : 0;
 		this.avoid.add(target.id);
-		const {service, route, facts} = this.request;
+		const {service, route} = this.request;
 		const mayRetry = this.#context.retries(service).allows(this.#context.now(), this.#context.gateways());
 		const step = nextStep(outcome.kind, {
 			isRepeatable: this.#hooks.isRepeatable(),
@@ -111,9 +116,16 @@
 			remainingMilliseconds: this.remaining,
 		});
 		this.#context.metrics.count(`step.${outcome.kind.replace(' ', '-')}.${step.replace(' ', '-')}`);
-		this.#context.log.info({
-			event: 'attempt ended', request: facts.requestId, target: target.id, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : '', step, ran: this.#ran, refused: this.#refused, mayRetry, remaining: Math.round(this.remaining),
-		}, 'attempt brought no answer');
+		this.lines.add('attempt brought no answer', {
+			target: target.id,
+			outcome: outcome.kind,
+			reason: 'reason' in outcome ? outcome.reason : '',
+			step,
+			ran: this.#ran,
+			refused: this.#refused,
+			mayRetry,
+			remaining: Math.round(this.remaining),
+		}, this.#context.now());
 		switch (step) {
 			case 'again': {
 				return !this.isOver;
@@ -173,13 +185,21 @@
 		this.#isOver = true;
 		clearTimeout(this.#limit);
 		this.#cancelAttempt?.();
-		const {facts, route, service, configurationVersion, startedAt} = this.request;
-		const milliseconds = Math.round(this.#context.now() - startedAt);
+		const {route, service, configurationVersion, startedAt} = this.request;
+		const now = this.#context.now();
+		const milliseconds = Math.round(now - startedAt);
 		this.#context.metrics.count(`request.${ending.outcome.replaceAll(' ', '-')}${ending.code === undefined ? '' : `.${ending.code}`}`);
 		this.#context.metrics.record(`request-${route.kind}`, milliseconds);
-		this.#context.log.info({
-			event: 'request ended', request: facts.requestId, route: route.name, service, configurationVersion, milliseconds, ran: this.#ran, arrivals: this.#arrivals, ...ending,
-		}, 'request ended');
+		this.lines.add('request ended', {
+			route: route.name, service, configurationVersion, milliseconds, ran: this.#ran, arrivals: this.#arrivals, ...ending,
+		}, now);
+		const wentWell = ending.outcome === 'answered' && (this.#firstEventAt ?? now) - startedAt <= route.targetLatencyMilliseconds;
+		this.lines.end(!wentWell, this.#context.sampling, now);
+	}
+
+	/** Records when the caller got the first of its answer. */
+	answerBegins(): void {
+		this.#firstEventAt = this.#context.now();
 	}
 
 	/** Gives the final answer when the time is up, with a truthful word on whether the request ran. */
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -93,7 +93,7 @@
 		const placed = placePrompt({tokens: prompt?.tokens ?? 0, sharedKey, sharedTokens}, {
 			engines,
 			availabilityZone: this.#context.settings().availabilityZone,
-			keepers: new Set(engines.filter(({id}) => keepers.has(beliefs.incarnation(record(id)))).map(({id}) => id)),
+			keepers: new Set(engines.filter(({id}) => keepers.has(record(id).incarnation)).map(({id}) => id)),
 			bytesPerToken: engine?.bytesPerToken ?? 0,
 			linkMegabitsPerSecond: engine?.linkMegabitsPerSecond ?? 1,
 			avoid: this.#course.avoid,
@@ -108,9 +108,7 @@
 		this.#shared = {key: sharedKey, tokens: sharedTokens, cacheTokens: engine?.cacheTokens ?? 0};
 		this.#keeps(target);
 		this.#context.metrics.count(`placed.${way.replace(' ', '-')}`);
-		this.#context.log.info({
-			event: 'placed',
-			request: this.#request.facts.requestId,
+		this.#course.lines.add('placed', {
 			target: target.id,
 			way,
 			readMilliseconds: Math.round(readMilliseconds),
@@ -119,7 +117,7 @@
 			waitingMilliseconds: Math.round(chosen.readMilliseconds),
 			attempts: chosen.attempts,
 			listAge: Math.round(this.#context.now() - beliefs.listedAt),
-		}, 'prompt placed');
+		}, this.#context.now());
 		const source = fetchFrom === undefined ? undefined : record(fetchFrom.id).address;
 		return way === 'prefill first' ? this.#readPrompt(target, readMilliseconds, source) : this.#sendStream(target, readMilliseconds, {fetchFrom: source});
 	}
@@ -128,7 +126,7 @@
 	#keeps(target: TargetRecord): void {
 		const {key, tokens, cacheTokens} = this.#shared;
 		if (tokens >= leastKeptTokens) {
-			this.#context.kept.used({engine: this.#context.beliefs.incarnation(target), part: key, tokens}, cacheTokens);
+			this.#context.kept.used({engine: target.incarnation, part: key, tokens}, cacheTokens);
 		}
 	}
 
@@ -156,6 +154,7 @@
 		const result = await outcome;
 		const handle = this.#readHandle(result, target);
 		this.#context.metrics.record('prefill', this.#context.now() - startedAt);
+		this.#course.lines.add('prompt read', {target: target.id, outcome: result.kind, milliseconds: Math.round(this.#context.now() - startedAt)}, this.#context.now());
 		if (option.isSome(handle)) {
 			this.#handle = handle.value;
 			this.#handleSends = 0;
@@ -195,6 +194,7 @@
 		const target = record(chosen.value.id);
 		this.#handleSends++;
 		this.#keeps(target);
+		this.#course.lines.add('tokens placed', {target: target.id, attempts: chosen.value.attempts, readMilliseconds: Math.round(chosen.value.readMilliseconds)}, this.#context.now());
 		const isAgain = await this.#sendStream(target, 0, {handle: {address: handle.engine.address, id: handle.id}});
 		if (isAgain && this.#handleSends > 1) {
 			// Refused twice with this handle: it may be gone, so the prompt is read again.
@@ -282,6 +282,7 @@
 
 	#start(): void {
 		if (!this.#request.answer.isStarted) {
+			this.#course.answerBegins();
 			this.#context.metrics.record('first-event', this.#context.now() - this.#request.startedAt);
 			this.#request.answer.start(this.#head!);
 		}
--- a/source/fleet/target-record.ts
+++ b/source/fleet/target-record.ts
@@ -7,6 +7,8 @@
 */
 export type TargetRecord = {
 	readonly id: string;
+	/** Tells this start of the target from all others. */
+	readonly incarnation: string;
 	readonly bornAt: number;
 	readonly service: string;
 	/** IP number and port. */
