Let prompts wait at the gateway, what can be on time first

Ruled out: retries and fetches (too few in the trace). Change: engines get a few tenths of a second of work; the rest waits and is chosen from.

--- a/source/decisions/entry/place-prompt.ts
+++ b/source/decisions/entry/place-prompt.ts
@@ -12,9 +12,10 @@
 import {rendezvousScore} from '../routing/rendezvous-score.js';
 import {engineSpeed} from './engine-speed.js';
 import type {EngineView} from './engine-view.js';
+import type {PromptPlacement} from './prompt-placement.js';
 
 /** How much longer a decode engine takes, as it reads between the tokens of others. */
-const inPlaceFactor = 2;
+const inPlaceFactor = 2.5;
 /** Weight of the engine time taken against the request's own latency. */
 const engineTimeWeight = 1;
 /** Running requests that an in-place read delays as much as itself. */
@@ -36,7 +37,10 @@
 };
 
 type PlaceContext = {
+	/** Engines that may read it. */
 	readonly engines: readonly EngineView[];
+	/** All engines, of which shared parts may be fetched; without it, `engines`. */
+	readonly known?: readonly EngineView[];
 	readonly availabilityZone: string;
 	/** Engines that are believed to keep the shared parts. */
 	readonly keepers: ReadonlySet<string>;
@@ -46,16 +50,6 @@
 	readonly avoid: ReadonlySet<string>;
 };
 
-type Placement = {
-	readonly engine: EngineView;
-	readonly way: 'prefill first' | 'in place';
-	/** Time that an idle prefill engine would take for it. */
-	readonly readMilliseconds: number;
-	/** Engine to fetch the shared parts from. */
-	readonly fetchFrom: EngineView | undefined;
-	readonly cost: number;
-};
-
 const candidatesOf = ({engines, avoid}: PlaceContext, role: EngineView['role']): readonly EngineView[] => {
 	const all = engines.filter(engine => engine.role === role && !avoid.has(engine.id));
 	const healthy = all.filter(engine => !engine.isAvoided);
@@ -68,11 +62,11 @@
 		return undefined;
 	}
 
-	const sources = context.engines.filter(({id, isAvoided}) => context.keepers.has(id) && !isAvoided);
+	const sources = (context.known ?? context.engines).filter(({id, isAvoided}) => context.keepers.has(id) && !isAvoided);
 	return sources.find(({availabilityZone}) => availabilityZone === engine.availabilityZone) ?? sources[0];
 };
 
-const placement = (engine: EngineView, prompt: Prompt, home: string | undefined, context: PlaceContext): Placement => {
+const placement = (engine: EngineView, prompt: Prompt, home: string | undefined, context: PlaceContext): PromptPlacement => {
 	const source = sourceOf(engine, prompt, context);
 	const isShared = prompt.sharedTokens >= leastSharedTokens;
 	const kept = isShared && (context.keepers.has(engine.id) || source !== undefined) ? prompt.sharedTokens : 0;
@@ -98,6 +92,7 @@
 		way: engine.role === 'prefill' ? 'prefill first' : 'in place',
 		readMilliseconds,
 		fetchFrom: source,
+		latency: wait + read + handOver,
 		cost: wait + read + handOver + zone + homeless + (read * engineTimeWeight * delayed) + (engine.failureShare * failureMilliseconds),
 	};
 };
@@ -115,7 +110,7 @@
 placePrompt(prompt, {engines, availabilityZone, keepers: new Set(['engine-3']), bytesPerToken, linkMegabitsPerSecond, avoid: new Set()});
 ```
 */
-export const placePrompt = (prompt: Prompt, context: PlaceContext): option.Option<Placement> => {
+export const placePrompt = (prompt: Prompt, context: PlaceContext): option.Option<PromptPlacement> => {
 	const decode = candidatesOf(context, 'decode');
 	const prefill = decode.length === 0 ? [] : candidatesOf(context, 'prefill');
 	const home = prompt.sharedTokens >= leastSharedTokens ? homeOf(prefill, prompt.sharedKey) : undefined;
--- /dev/null
+++ b/source/decisions/entry/prompt-queue.ts
@@ -0,0 +1,109 @@
+/**
+Decides which waiting prompt is sent next, and which is turned away.
+
+The load it answers: for seconds at a time more long prompts arrive than all
+engines can read. Sent on as they come, each waits behind all before it: every
+answer is late, and engines read for callers who have gone. So an engine gets
+work for a few tenths of a second only, and the rest waits here, where it can
+still be chosen from: first what can still be on time, the most urgent first;
+then, while engines have room to spare, what will be late, the one whose caller
+gives up soonest. What cannot be begun before its caller gives up is turned away
+at once, with the time when there will be room.
+*/
+import * as option from 'fp-ts/lib/Option.js';
+import type {EngineView} from './engine-view.js';
+import {placePrompt} from './place-prompt.js';
+import type {PromptPlacement} from './prompt-placement.js';
+import type {WaitingPrompt} from './waiting-prompt.js';
+
+/** Reading that an engine may have before it, in milliseconds, for work that can be on time and for late work. */
+const mostBacklog = {onTime: 260, late: 150} as const;
+/** The same for reading in place, between the tokens of others. */
+const mostBacklogInPlace = {onTime: 45, late: 25} as const;
+/** Reading from which a prompt counts as long. */
+const longReadMilliseconds = 25;
+/** A decode engine that runs more than this takes no long prompt in place. */
+const mostRunningForLongRead = 20;
+/** Part of a decode engine's places that is used; the fuller, the slower each token comes. */
+const usedSlots = 0.85;
+/** Time from the end of reading to the first event, at engines and on the way. */
+const firstEventMilliseconds = 190;
+/** Time before the caller gives up at which a late prompt must be begun. */
+const lateMarginMilliseconds = 400;
+
+/** Prompts looked at for each choice, so that a long queue does not cost more the longer it is. */
+const mostCompared = 24;
+
+type QueueContext = {
+	/** All engines of the service that may be used. */
+	readonly engines: readonly EngineView[];
+	readonly availabilityZone: string;
+	readonly bytesPerToken: number;
+	readonly linkMegabitsPerSecond: number;
+	/** Identifiers of the engines that are believed to keep a shared part. */
+	readonly keepers: (sharedKey: string) => ReadonlySet<string>;
+};
+
+type Lane = 'onTime' | 'late';
+
+type Choice = {readonly prompt: WaitingPrompt; readonly placement: PromptPlacement};
+
+const isOpen = (engine: EngineView, lane: Lane): boolean => engine.role === 'prefill'
+	? engine.readMilliseconds < mostBacklog[lane]
+	: engine.attempts < engine.slots * usedSlots && engine.readMilliseconds < mostBacklogInPlace[lane];
+
+/** Places a prompt among engines with room; none when it has to wait. */
+const place = (prompt: WaitingPrompt, lane: Lane, context: QueueContext): option.Option<PromptPlacement> => {
+	const usable = prompt.isInPlaceOnly ? context.engines.filter(({role}) => role === 'decode') : context.engines;
+	const open = usable.filter(engine => isOpen(engine, lane));
+	if (open.length === 0) {
+		return option.none;
+	}
+
+	const placeContext = {
+		...context, known: context.engines, keepers: context.keepers(prompt.sharedKey), avoid: prompt.avoid,
+	};
+	const placement = placePrompt(prompt, {...placeContext, engines: open});
+	const isLongInPlace = option.isSome(placement) && placement.value.way === 'in place' && placement.value.readMilliseconds >= longReadMilliseconds;
+	return isLongInPlace
+		? placePrompt(prompt, {...placeContext, engines: open.filter(({role, attempts}) => role === 'prefill' || attempts <= mostRunningForLongRead)})
+		: placement;
+};
+
+const firstPlaced = (prompts: readonly WaitingPrompt[], lane: Lane, context: QueueContext, isGood: (prompt: WaitingPrompt, placement: PromptPlacement) => boolean): option.Option<Choice> => {
+	for (const prompt of prompts.slice(0, mostCompared)) {
+		const placement = place(prompt, lane, context);
+		if (option.isSome(placement) && isGood(prompt, placement.value)) {
+			return option.some({prompt, placement: placement.value});
+		}
+	}
+
+	return option.none;
+};
+
+const byUrgency = (first: WaitingPrompt, second: WaitingPrompt): number => first.priority - second.priority || first.aimAt - second.aimAt;
+
+/** The prompt to send now and where, none when all have to wait. */
+const next = (waiting: readonly WaitingPrompt[], context: QueueContext, now: number): option.Option<Choice> => {
+	const timely = waiting.filter(({aimAt}) => now + firstEventMilliseconds < aimAt).toSorted(byUrgency);
+	const onTime = firstPlaced(timely, 'onTime', context, ({aimAt}, {latency}) => now + latency + firstEventMilliseconds <= aimAt);
+	if (option.isSome(onTime)) {
+		return onTime;
+	}
+
+	return firstPlaced(waiting.toSorted((first, second) => first.giveUpAt - second.giveUpAt), 'late', context, () => true);
+};
+
+/** Prompts that cannot be begun before their callers give up. */
+const hopeless = (waiting: readonly WaitingPrompt[], now: number): readonly WaitingPrompt[] => waiting
+	.filter(({giveUpAt}) => now + lateMarginMilliseconds > giveUpAt);
+
+/**
+The decisions over the prompts that wait at one gateway for engines of one service.
+
+@example
+```
+const chosen = promptQueue.next(waiting, context, clock());
+```
+*/
+export const promptQueue = {next, hopeless} as const;
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -10,6 +10,7 @@
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {EntryContext} from './entry-context.js';
+import type {LoadEntry} from './load-entry.js';
 
 type Flow = {readonly pause: () => void; readonly resume: () => void};
 
@@ -24,6 +25,8 @@
 	readonly instructions: SendInstructions;
 	/** Time that reading its prompt will take the target. */
 	readonly readMilliseconds: number;
+	/** Its entry in the load book where one was reserved. */
+	readonly entry?: LoadEntry;
 	/** Called when the first byte is handed over. */
 	readonly onSent?: () => void;
 	/** Takes a successful answer as it comes; without it answers are collected. */
@@ -94,20 +97,24 @@
 */
 export class AttemptSender {
 	readonly #context: EntryContext;
+	readonly #onRoom: () => void;
 
-	constructor(context: EntryContext) {
+	/** `onRoom` is called whenever a target may have room again. */
+	constructor(context: EntryContext, onRoom: () => void) {
 		this.#context = context;
+		this.#onRoom = onRoom;
 	}
 
 	send(plan: AttemptPlan): RunningAttempt {
 		const {context, target} = {context: this.#context, target: plan.target};
+		const entry = plan.entry ?? context.book.add(target.id, plan.readMilliseconds);
 		const mostConnections = context.service(target.service)?.mostConnections ?? 1;
 		const connection = context.connections.take(target.address, mostConnections, context.gateways(), context.now());
 		if (option.isNone(connection)) {
+			context.book.remove(entry);
 			return {outcome: Promise.resolve({kind: 'not sent', reason: 'no free connection'}), cancel() {/* Nothing is under way. */}};
 		}
 
-		const entry = context.book.add(target.id, plan.readMilliseconds);
 		const arrival: Arrival = {chunks: [], bytes: 0};
 		const startedAt = context.now();
 		let breakOff = (): void => undefined;
@@ -146,6 +153,7 @@
 
 					this.#learn(target, result);
 					resolve(result);
+					this.#onRoom();
 				},
 			});
 		});
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -29,6 +29,7 @@
 import {PeerExchange} from './peer-exchange.js';
 import {Peers} from './peers.js';
 import {PlainRelay} from './plain-relay.js';
+import {PromptQueues} from './prompt-queues.js';
 import {StoreReader} from './store-reader.js';
 import {StreamRelay} from './stream-relay.js';
 import {TargetConnections} from './target-connections.js';
@@ -78,6 +79,7 @@
 	readonly #retries = new Map<string, RetryWindow>();
 	readonly #context: EntryContext;
 	readonly #sender: AttemptSender;
+	readonly #queues: PromptQueues;
 	readonly #door: CallerDoor;
 	readonly #servers: http.Server[] = [];
 	readonly #peers: Peers | undefined;
@@ -88,7 +90,12 @@
 		this.#settings = options.settings;
 		this.#log = options.log;
 		this.#context = this.#createContext();
-		this.#sender = new AttemptSender(this.#context);
+		this.#queues = new PromptQueues(this.#context, () => {
+			this.#exchange?.tellSoon();
+		});
+		this.#sender = new AttemptSender(this.#context, () => {
+			this.#queues.lookAll();
+		});
 		this.#door = this.#createDoor();
 		const {peers: address} = options.settings.listen;
 		if (address !== undefined) {
@@ -336,7 +343,7 @@
 		const callerRequest = {
 			facts, route, service, configurationVersion: this.#inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, limitAt: startedAt + waits,
 		};
-		const relay = isModel ? new StreamRelay(callerRequest, this.#context, this.#sender) : new PlainRelay(callerRequest, this.#context, this.#sender);
+		const relay = isModel ? new StreamRelay(callerRequest, this.#context, this.#sender, this.#queues) : new PlainRelay(callerRequest, this.#context, this.#sender);
 		// Under load a caller may have left while its request waited to be read; two turns of the loop show that.
 		setImmediate(() => {
 			setImmediate(() => {
@@ -413,6 +420,7 @@
 		health.keepOnly(incarnations);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
 		metrics.gauge('requests.open', this.#door.open);
+		metrics.gauge('requests.waiting', this.#queues.waiting);
 		metrics.gauge('peers', this.#peers?.names.length ?? 0);
 		metrics.gauge('connections.opened', connections.opened());
 	}
--- a/source/entry/load-book.ts
+++ b/source/entry/load-book.ts
@@ -2,13 +2,13 @@
 Work that is under way at targets: this gateway's own, and what peers told of.
 */
 
+import type {LoadEntry} from './load-entry.js';
+
 /** A peer's word older than this is no longer counted. */
 const peerWordMilliseconds = 1500;
 
 type Share = {readonly attempts: number; readonly readMilliseconds: number};
 
-type Entry = {readonly target: string; readMilliseconds: number};
-
 /**
 Own entries are added and removed one by one; a peer's word replaces its former one.
 
@@ -22,12 +22,12 @@
 ```
 */
 export class LoadBook {
-	readonly #own = new Set<Entry>();
+	readonly #own = new Set<LoadEntry>();
 	readonly #sums = new Map<string, {attempts: number; readMilliseconds: number}>();
 	readonly #peers = new Map<string, {readonly at: number; readonly shares: ReadonlyMap<string, Share>}>();
 
-	add(target: string, readMilliseconds: number): Entry {
-		const entry: Entry = {target, readMilliseconds};
+	add(target: string, readMilliseconds: number): LoadEntry {
+		const entry: LoadEntry = {target, readMilliseconds};
 		this.#own.add(entry);
 		const sum = this.#sums.get(target) ?? {attempts: 0, readMilliseconds: 0};
 		this.#sums.set(target, {attempts: sum.attempts + 1, readMilliseconds: sum.readMilliseconds + readMilliseconds});
@@ -35,7 +35,7 @@
 	}
 
 	/** Records that the target has read the prompt of an entry. */
-	promptRead(entry: Entry): void {
+	promptRead(entry: LoadEntry): void {
 		const sum = this.#sums.get(entry.target);
 		if (sum !== undefined && this.#own.has(entry)) {
 			sum.readMilliseconds -= entry.readMilliseconds;
@@ -43,7 +43,7 @@
 		}
 	}
 
-	remove(entry: Entry): void {
+	remove(entry: LoadEntry): void {
 		this.promptRead(entry);
 		const sum = this.#sums.get(entry.target);
 		if (!this.#own.delete(entry) || sum === undefined) {
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -12,6 +12,9 @@
 import type {Peers} from './peers.js';
 
 const digestMilliseconds = 200;
+const soonMilliseconds = 25;
+/** Addresses and leaving targets change seldom, so only some digests carry them. */
+const fullMilliseconds = 1000;
 /** Digests without news between two that are sent all the same. */
 const quietDigests = 2;
 /** How long a peer may lag behind before it is sent a configuration that it could read itself. */
@@ -46,6 +49,8 @@
 	#timer: NodeJS.Timeout | undefined;
 	#lastDigest = '';
 	#quiet = 0;
+	#fullAt = Number.NEGATIVE_INFINITY;
+	#soon: NodeJS.Timeout | undefined;
 
 	constructor(options: ExchangeOptions) {
 		this.#options = options;
@@ -63,19 +68,29 @@
 
 	stop(): void {
 		clearInterval(this.#timer);
+		clearTimeout(this.#soon);
 	}
 
 	/** Tells peers at once, as a leaving target or a new configuration must not wait. */
 	tellNow(): void {
 		this.#lastDigest = '';
+		this.#fullAt = Number.NEGATIVE_INFINITY;
 		this.#tell();
 	}
 
+	/** Tells peers within a few milliseconds, many news at once. */
+	tellSoon(): void {
+		this.#soon ??= setTimeout(() => {
+			this.#soon = undefined;
+			this.#tell();
+		}, soonMilliseconds);
+	}
+
 	receive(peer: string, message: PeerMessage): void {
 		switch (message.kind) {
 			case 'hello': {
 				this.#states.set(peer, {laggingSince: undefined, toldTargets: ''});
-				this.#options.peers.send(peer, this.#digest([]));
+				this.#options.peers.send(peer, this.#digest([], true));
 				return;
 			}
 
@@ -102,22 +117,25 @@
 		this.#options.context.book.forgetPeer(peer);
 	}
 
-	#digest(kept: ReturnType<EntryContext['kept']['takeNews']>): Extract<PeerMessage, {kind: 'digest'}> {
+	#digest(kept: ReturnType<EntryContext['kept']['takeNews']>, isFull: boolean): Extract<PeerMessage, {kind: 'digest'}> {
 		const {context, peers, inForce} = this.#options;
 		const own = context.book.own();
 		return {
 			kind: 'digest',
 			configurationVersion: inForce.version,
 			hasStore: this.hasStore,
-			leaving: [...context.beliefs.leaving()],
-			peers: [...peers.addresses],
+			leaving: isFull ? [...context.beliefs.leaving()] : [],
+			peers: isFull ? [...peers.addresses] : [],
 			kept: {engines: kept.map(({engine}) => engine), parts: kept.map(({part}) => part), tokens: kept.map(({tokens}) => Math.round(tokens))},
 			outstanding: {ids: own.map(({id}) => id), attempts: own.map(({attempts}) => attempts), readMilliseconds: own.map(({readMilliseconds}) => readMilliseconds)},
 		};
 	}
 
 	#tell(): void {
-		const digest = this.#digest(this.#options.context.kept.takeNews());
+		const now = this.#options.context.now();
+		const isFull = now - this.#fullAt >= fullMilliseconds;
+		this.#fullAt = isFull ? now : this.#fullAt;
+		const digest = this.#digest(this.#options.context.kept.takeNews(), isFull);
 		const text = JSON.stringify(digest);
 		this.#quiet = text === this.#lastDigest ? this.#quiet + 1 : 0;
 		if (this.#quiet % (quietDigests + 1) === 0) {
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -4,7 +4,6 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {EventSplitter} from '../decisions/entry/event-splitter.js';
-import {placePrompt} from '../decisions/entry/place-prompt.js';
 import {placeTokens} from '../decisions/entry/place-tokens.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {AnswerFacts} from '../fleet/answer-facts.js';
@@ -12,11 +11,15 @@
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import {engineViews} from './engine-views.js';
+import type {LoadEntry} from './load-entry.js';
+import type {PromptQueues} from './prompt-queues.js';
 import type {AttemptSender} from './attempt-sender.js';
 import type {CallerRequest} from './caller-request.js';
 import type {EntryContext} from './entry-context.js';
 import {RequestCourse} from './request-course.js';
 
+type Verdict = Parameters<Parameters<PromptQueues['wait']>[2]>[0];
+
 type Handle = {readonly engine: TargetRecord; readonly id: string; readonly readAt: number};
 
 /** Rank of the most urgent route; lower routes follow, as 9 is the last. */
@@ -33,7 +36,7 @@
 
 @example
 ```
-await new StreamRelay(request, context, sender).run();
+await new StreamRelay(request, context, sender, queues).run();
 ```
 */
 export class StreamRelay {
@@ -47,12 +50,20 @@
 	#head: AnswerFacts | undefined;
 	#handle: Handle | undefined;
 	#handleSends = 0;
-	#shared = {key: '', tokens: 0, cacheTokens: 0};
+	readonly #queues: PromptQueues;
+	readonly #shared: {readonly key: string; readonly tokens: number; readonly cacheTokens: number};
 
-	constructor(request: CallerRequest, context: EntryContext, sender: AttemptSender) {
+	constructor(request: CallerRequest, context: EntryContext, sender: AttemptSender, queues: PromptQueues) {
 		this.#request = request;
 		this.#context = context;
 		this.#sender = sender;
+		this.#queues = queues;
+		const parts = request.facts.prompt?.parts.slice(0, -1) ?? [];
+		this.#shared = {
+			key: parts.map(({id}) => id).join(','),
+			tokens: parts.reduce((sum, {tokens}) => sum + tokens, 0),
+			cacheTokens: context.service(request.service)?.engine?.cacheTokens ?? 0,
+		};
 		this.#course = new RequestCourse(request, context, {isRepeatable: () => this.#isRepeatable, hasLiveRun: () => this.#isLive});
 	}
 
@@ -78,34 +89,60 @@
 		}
 	}
 
-	/** Decides where the prompt is read and has it read there; true when the request goes on. */
+	/** Waits until it is decided where the prompt is read, and has it read there; true when the request goes on. */
 	async #place(): Promise<boolean> {
-		const {prompt} = this.#request.facts;
-		const shared = prompt?.parts.slice(0, -1) ?? [];
-		const sharedKey = shared.map(({id}) => id).join(',');
-		const sharedTokens = shared.reduce((sum, {tokens}) => sum + tokens, 0);
-		const {views, record} = engineViews(this.#context, this.#request.service);
-		const {beliefs, kept} = this.#context;
-		const engine = this.#context.service(this.#request.service)?.engine;
-		// A run that goes on behind an event is placed whole: the engine reads prompt and events again.
-		const engines = this.#lastEventId === undefined ? views : views.filter(({role}) => role === 'decode');
-		const keepers = new Set(kept.keepers(sharedKey));
-		const placed = placePrompt({tokens: prompt?.tokens ?? 0, sharedKey, sharedTokens}, {
-			engines,
-			availabilityZone: this.#context.settings().availabilityZone,
-			keepers: new Set(engines.filter(({id}) => keepers.has(record(id).incarnation)).map(({id}) => id)),
-			bytesPerToken: engine?.bytesPerToken ?? 0,
-			linkMegabitsPerSecond: engine?.linkMegabitsPerSecond ?? 1,
-			avoid: this.#course.avoid,
+		const verdict = await this.#wait();
+		switch (verdict.kind) {
+			case 'placed': {
+				return this.#sendPlaced(verdict);
+			}
+
+			case 'no engine': {
+				this.#course.refuse(resultCode.noTarget, 800);
+				return false;
+			}
+
+			case 'hopeless': {
+				this.#course.refuse(resultCode.deadlineUnreachable, 600);
+				return false;
+			}
+
+			case 'withdrawn': {
+				return false;
+			}
+		}
+	}
+
+	async #wait(): Promise<Verdict | {readonly kind: 'withdrawn'}> {
+		const {route, startedAt, limitAt, service, facts} = this.#request;
+		const patience = route.firstEventPatienceMilliseconds;
+		return new Promise(resolve => {
+			const withdraw = this.#queues.wait(service, {
+				id: facts.requestId,
+				priority: route.priority,
+				aimAt: startedAt + route.targetLatencyMilliseconds,
+				giveUpAt: Math.min(limitAt, (this.#lastEventId === undefined ? startedAt : this.#context.now()) + patience),
+				tokens: facts.prompt?.tokens ?? 0,
+				sharedKey: this.#shared.key,
+				sharedTokens: this.#shared.tokens,
+				avoid: this.#course.avoid,
+				// A run that goes on behind an event is placed whole: the engine reads prompt and events again.
+				isInPlaceOnly: this.#lastEventId !== undefined,
+			}, resolve);
+			this.#course.attemptUnderWay(() => {
+				withdraw();
+				resolve({kind: 'withdrawn'});
+			});
 		});
-		if (option.isNone(placed)) {
-			this.#course.refuse(resultCode.noTarget, 800);
+	}
+
+	async #sendPlaced({placement, target, fetchFrom, entry}: Extract<Verdict, {readonly kind: 'placed'}>): Promise<boolean> {
+		if (this.#course.isOver) {
+			this.#context.book.remove(entry);
 			return false;
 		}
 
-		const {engine: chosen, way, readMilliseconds, fetchFrom, cost} = placed.value;
-		const target = record(chosen.id);
-		this.#shared = {key: sharedKey, tokens: sharedTokens, cacheTokens: engine?.cacheTokens ?? 0};
+		const {way, readMilliseconds, cost, engine, latency} = placement;
 		this.#keeps(target);
 		this.#context.metrics.count(`placed.${way.replace(' ', '-')}`);
 		this.#course.lines.add('placed', {
@@ -113,13 +150,13 @@
 			way,
 			readMilliseconds: Math.round(readMilliseconds),
 			cost: Math.round(cost),
+			latency: Math.round(latency),
 			fetchFrom: fetchFrom?.id,
-			waitingMilliseconds: Math.round(chosen.readMilliseconds),
-			attempts: chosen.attempts,
-			listAge: Math.round(this.#context.now() - beliefs.listedAt),
+			waitingMilliseconds: Math.round(engine.readMilliseconds),
+			attempts: engine.attempts,
+			listAge: Math.round(this.#context.now() - this.#context.beliefs.listedAt),
 		}, this.#context.now());
-		const source = fetchFrom === undefined ? undefined : record(fetchFrom.id).address;
-		return way === 'prefill first' ? this.#readPrompt(target, readMilliseconds, source) : this.#sendStream(target, readMilliseconds, {fetchFrom: source});
+		return way === 'prefill first' ? this.#readPrompt(target, entry, fetchFrom?.address) : this.#sendStream(target, entry, {fetchFrom: fetchFrom?.address});
 	}
 
 	/** Records that an engine reads or fetches the shared parts of this prompt. */
@@ -144,11 +181,11 @@
 	}
 
 	/** Has a prefill engine read the prompt; repeating that does no harm. */
-	async #readPrompt(target: TargetRecord, readMilliseconds: number, fetchFrom: string | undefined): Promise<boolean> {
+	async #readPrompt(target: TargetRecord, entry: LoadEntry, fetchFrom: string | undefined): Promise<boolean> {
 		const {facts, method, path, body} = this.#request;
 		const startedAt = this.#context.now();
 		const {outcome, cancel} = this.#sender.send({
-			target, facts, method, path, body, instructions: this.#instructions(target, {isPrefillOnly: true, fetchFrom}), readMilliseconds,
+			target, facts, method, path, body, instructions: this.#instructions(target, {isPrefillOnly: true, fetchFrom}), readMilliseconds: entry.readMilliseconds, entry,
 		});
 		this.#course.attemptUnderWay(cancel);
 		const result = await outcome;
@@ -195,7 +232,7 @@
 		this.#handleSends++;
 		this.#keeps(target);
 		this.#course.lines.add('tokens placed', {target: target.id, attempts: chosen.value.attempts, readMilliseconds: Math.round(chosen.value.readMilliseconds)}, this.#context.now());
-		const isAgain = await this.#sendStream(target, 0, {handle: {address: handle.engine.address, id: handle.id}});
+		const isAgain = await this.#sendStream(target, this.#context.book.add(target.id, 0), {handle: {address: handle.engine.address, id: handle.id}});
 		if (isAgain && this.#handleSends > 1) {
 			// Refused twice with this handle: it may be gone, so the prompt is read again.
 			this.#freeHandle();
@@ -204,7 +241,7 @@
 		return isAgain;
 	}
 
-	async #sendStream(target: TargetRecord, readMilliseconds: number, parts: Partial<SendInstructions>): Promise<boolean> {
+	async #sendStream(target: TargetRecord, entry: LoadEntry, parts: Partial<SendInstructions>): Promise<boolean> {
 		const {facts, method, path, body} = this.#request;
 		const splitter = new EventSplitter();
 		const {outcome, cancel} = this.#sender.send({
@@ -214,7 +251,8 @@
 			path,
 			body,
 			instructions: this.#instructions(target, parts),
-			readMilliseconds,
+			readMilliseconds: entry.readMilliseconds,
+			entry,
 			onSent: () => {
 				this.#isLive = true;
 				this.#course.arrived();
--- a/source/fleet/route.ts
+++ b/source/fleet/route.ts
@@ -21,6 +21,8 @@
 	readonly timeoutMilliseconds: number;
 	/** The time within which an answer, or a stream's first event, is on time. */
 	readonly targetLatencyMilliseconds: number;
+	/** How long callers wait for a stream's first event before they give up. */
+	readonly firstEventPatienceMilliseconds: number;
 	/** Rank of the requests; 0 is the most urgent. */
 	readonly priority: number;
 	/** Replicas to which one request may be sent. */
