Turn hopeless prompts away as they come, and charge the way between zones

Change: the pace of all engines tells on arrival which will be. Bytes between zones count when an engine or target is chosen.

--- a/source/decisions/entry/place-call.ts
+++ b/source/decisions/entry/place-call.ts
@@ -4,7 +4,7 @@
 import * as option from 'fp-ts/lib/Option.js';
 
 /** Calls that a crossing between availability zones is charged. */
-const otherZoneCalls = 0.7;
+const otherZoneCalls = 3;
 const failureCalls = 8;
 
 type CallTarget = {
--- a/source/decisions/entry/place-prompt.ts
+++ b/source/decisions/entry/place-prompt.ts
@@ -24,7 +24,8 @@
 const perRunningMilliseconds = 0.6;
 /** A shared part below this is read again without regard to where it is kept. */
 const leastSharedTokens = 1000;
-const otherZoneMilliseconds = 0.5;
+/** What bytes between availability zones are charged, as they are dear there: for each request, and for each kilobyte of its body. */
+const otherZone = {milliseconds: 4, millisecondsPerKilobyte: 0.7} as const;
 const failureMilliseconds = 400;
 /** Advantage of the engine that all gateways would choose for a part that none keeps yet. */
 const homeMilliseconds = 30;
@@ -34,6 +35,7 @@
 	/** Key and size of the parts that other requests share. */
 	readonly sharedKey: string;
 	readonly sharedTokens: number;
+	readonly bodyBytes: number;
 };
 
 type PlaceContext = {
@@ -85,7 +87,7 @@
 		})
 		: engine.attempts * perRunningMilliseconds;
 	const delayed = engine.role === 'prefill' ? 1 : 1 + (engine.attempts / delayedRequests);
-	const zone = engine.availabilityZone === context.availabilityZone ? 0 : otherZoneMilliseconds;
+	const zone = engine.availabilityZone === context.availabilityZone ? 0 : otherZone.milliseconds + (prompt.bodyBytes / 1000 * otherZone.millisecondsPerKilobyte);
 	const homeless = isShared && context.keepers.size === 0 && engine.id !== home ? homeMilliseconds : 0;
 	return {
 		engine,
--- a/source/decisions/entry/place-tokens.ts
+++ b/source/decisions/entry/place-tokens.ts
@@ -9,20 +9,23 @@
 
 /** Reading time that delays a running request as much as one more request beside it. */
 const readMillisecondsPerRequest = 7;
-/** Attempts that a crossing between availability zones is charged; the whole prompt's memory moves. */
+/** Attempts that a crossing between availability zones is charged, by the body or by the prompt's memory. */
 const otherZoneAttempts = 2;
 const failureAttempts = 40;
 
 type TokensContext = {
 	readonly engines: readonly EngineView[];
-	/** Zone of the engine that read the prompt. */
+	/** The gateway's zone, from which the body comes. */
 	readonly availabilityZone: string;
+	/** Zone of the engine that read the prompt, from which its memory comes. */
+	readonly readerZone: string;
 	readonly avoid: ReadonlySet<string>;
 };
 
-const cost = (engine: EngineView, availabilityZone: string): number => engine.attempts
+const cost = (engine: EngineView, {availabilityZone, readerZone}: TokensContext): number => engine.attempts
 	+ (engine.readMilliseconds / readMillisecondsPerRequest)
 	+ (engine.availabilityZone === availabilityZone ? 0 : otherZoneAttempts)
+	+ (engine.availabilityZone === readerZone ? 0 : otherZoneAttempts)
 	+ (engine.failureShare * failureAttempts);
 
 /**
@@ -30,14 +33,15 @@
 
 @example
 ```
-placeTokens({engines, availabilityZone: reader.availabilityZone, avoid: new Set()});
+placeTokens({engines, availabilityZone, readerZone: reader.availabilityZone, avoid: new Set()});
 ```
 */
-export const placeTokens = ({engines, availabilityZone, avoid}: TokensContext): option.Option<EngineView> => {
+export const placeTokens = (context: TokensContext): option.Option<EngineView> => {
+	const {engines, avoid} = context;
 	const all = engines.filter(engine => engine.role === 'decode' && !avoid.has(engine.id));
 	const healthy = all.filter(engine => !engine.isAvoided);
 	const candidates = healthy.length > 0 ? healthy : all;
 	return candidates.length === 0
 		? option.none
-		: option.some(candidates.reduce((best, engine) => cost(engine, availabilityZone) < cost(best, availabilityZone) ? engine : best));
+		: option.some(candidates.reduce((best, engine) => cost(engine, context) < cost(best, context) ? engine : best));
 };
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -11,6 +11,7 @@
 at once, with the time when there will be room.
 */
 import * as option from 'fp-ts/lib/Option.js';
+import {engineSpeed} from './engine-speed.js';
 import type {EngineView} from './engine-view.js';
 import {placePrompt} from './place-prompt.js';
 import type {PromptPlacement} from './prompt-placement.js';
@@ -31,6 +32,8 @@
 /** Time before the caller gives up at which a late prompt must be begun. */
 const lateMarginMilliseconds = 400;
 
+/** Part of a prefill engine's reading that a decode engine does beside its own work. */
+const decodeReaderPart = 0.3;
 /** Prompts looked at for each choice, so that a long queue does not cost more the longer it is. */
 const mostCompared = 24;
 
@@ -94,9 +97,34 @@
 	return firstPlaced(waiting.toSorted((first, second) => first.giveUpAt - second.giveUpAt), 'late', context, () => true);
 };
 
-/** Prompts that cannot be begun before their callers give up. */
-const hopeless = (waiting: readonly WaitingPrompt[], now: number): readonly WaitingPrompt[] => waiting
-	.filter(({giveUpAt}) => now + lateMarginMilliseconds > giveUpAt);
+/** Time that reading a prompt will take an idle prefill engine, wherever it is read. */
+const readOf = (prompt: WaitingPrompt, context: QueueContext): number => {
+	const kept = prompt.sharedTokens > 0 && context.keepers(prompt.sharedKey).size > 0 ? prompt.sharedTokens : 0;
+	return engineSpeed.read(Math.max(1, prompt.tokens - kept), kept);
+};
+
+/** Prefill engines' worth of reading that all engines do together. */
+const readers = (engines: readonly EngineView[]): number => engines
+	.reduce((sum, {role}) => sum + (role === 'prefill' ? 1 : decodeReaderPart), 0);
+
+/**
+Prompts that cannot be begun before their callers give up, at the pace at which
+engines read, and when each might be begun. Found as soon as they arrive, so
+that nobody is held who will be turned away: the queue keeps what it can serve.
+*/
+const hopeless = (waiting: readonly WaitingPrompt[], context: QueueContext, gateways: number, now: number): ReadonlyArray<{readonly prompt: WaitingPrompt; readonly waitMilliseconds: number}> => {
+	const pace = Math.max(decodeReaderPart, readers(context.engines)) / Math.max(1, gateways);
+	const before = context.engines.reduce((sum, {readMilliseconds}) => sum + readMilliseconds, 0) / Math.max(1, context.engines.length);
+	let ahead = 0;
+	return waiting
+		.toSorted((first, second) => first.giveUpAt - second.giveUpAt)
+		.flatMap(prompt => {
+			const waitMilliseconds = before + (ahead / pace);
+			const isHopeless = now + waitMilliseconds + lateMarginMilliseconds > prompt.giveUpAt;
+			ahead += isHopeless ? 0 : readOf(prompt, context);
+			return isHopeless ? [{prompt, waitMilliseconds}] : [];
+		});
+};
 
 /**
 The decisions over the prompts that wait at one gateway for engines of one service.
--- a/source/decisions/entry/waiting-prompt.ts
+++ b/source/decisions/entry/waiting-prompt.ts
@@ -17,6 +17,7 @@
 	/** Key and size of the parts that other requests share. */
 	readonly sharedKey: string;
 	readonly sharedTokens: number;
+	readonly bodyBytes: number;
 	/** Engines not to be used for it. */
 	readonly avoid: ReadonlySet<string>;
 	/** True when only engines that make tokens may take it. */
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -22,7 +22,7 @@
 type Verdict =
 	| PlacedVerdict
 	| {readonly kind: 'no engine'}
-	| {readonly kind: 'hopeless'};
+	| {readonly kind: 'hopeless'; readonly waitMilliseconds: number};
 
 type Entry = {readonly prompt: WaitingPrompt; readonly decide: (verdict: Verdict) => void};
 
@@ -88,12 +88,6 @@
 
 	/** Decides on one prompt; true when there may be more to decide. */
 	#placeOne(service: string, queue: Map<WaitingPrompt, Entry>): boolean {
-		const now = this.#context.now();
-		const waiting = [...queue.keys()];
-		for (const prompt of promptQueue.hopeless(waiting, now)) {
-			this.#decide(queue, prompt, {kind: 'hopeless'});
-		}
-
 		const {views, record} = engineViews(this.#context, service);
 		if (!views.some(({role}) => role === 'decode')) {
 			for (const prompt of queue.keys()) {
@@ -103,15 +97,21 @@
 			return false;
 		}
 
+		const now = this.#context.now();
 		const engine = this.#context.service(service)?.engine;
-		const chosen = promptQueue.next([...queue.keys()], {
+		const context = {
 			engines: views,
 			availabilityZone: this.#context.settings().availabilityZone,
 			bytesPerToken: engine?.bytesPerToken ?? 0,
 			linkMegabitsPerSecond: engine?.linkMegabitsPerSecond ?? 1,
-			keepers: key => this.#keepers(key, views.map(({id}) => record(id))),
-		}, now);
+			keepers: (key: string) => this.#keepers(key, views.map(({id}) => record(id))),
+		};
+		const chosen = promptQueue.next([...queue.keys()], context, now);
 		if (option.isNone(chosen)) {
+			for (const {prompt, waitMilliseconds} of promptQueue.hopeless([...queue.keys()], context, this.#context.gateways(), now)) {
+				this.#decide(queue, prompt, {kind: 'hopeless', waitMilliseconds});
+			}
+
 			return false;
 		}
 
--- a/source/entry/store-reader.ts
+++ b/source/entry/store-reader.ts
@@ -22,7 +22,7 @@
 	readonly random: () => number;
 };
 
-const leastPauseMilliseconds = 500;
+const leastPauseMilliseconds = 700;
 /** Part of the store's reads that all gateways together use. */
 const usedPart = 0.3;
 /** Calls of one round: the configuration, and a page or two of targets. */
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -103,7 +103,7 @@
 			}
 
 			case 'hopeless': {
-				this.#course.refuse(resultCode.deadlineUnreachable, 600);
+				this.#course.refuse(resultCode.deadlineUnreachable, verdict.waitMilliseconds);
 				return false;
 			}
 
@@ -114,7 +114,7 @@
 	}
 
 	async #wait(): Promise<Verdict | {readonly kind: 'withdrawn'}> {
-		const {route, startedAt, limitAt, service, facts} = this.#request;
+		const {route, startedAt, limitAt, service, facts, body} = this.#request;
 		const patience = route.firstEventPatienceMilliseconds;
 		return new Promise(resolve => {
 			const withdraw = this.#queues.wait(service, {
@@ -125,6 +125,7 @@
 				tokens: facts.prompt?.tokens ?? 0,
 				sharedKey: this.#shared.key,
 				sharedTokens: this.#shared.tokens,
+				bodyBytes: body?.byteLength ?? 0,
 				avoid: this.#course.avoid,
 				// A run that goes on behind an event is placed whole: the engine reads prompt and events again.
 				isInPlaceOnly: this.#lastEventId !== undefined,
@@ -222,7 +223,9 @@
 	/** Has a decode engine fetch what was read, chosen at this moment. */
 	async #sendWithHandle(handle: Handle): Promise<boolean> {
 		const {views, record} = engineViews(this.#context, this.#request.service);
-		const chosen = placeTokens({engines: views, availabilityZone: handle.engine.availabilityZone, avoid: this.#course.avoid});
+		const chosen = placeTokens({
+			engines: views, availabilityZone: this.#context.settings().availabilityZone, readerZone: handle.engine.availabilityZone, avoid: this.#course.avoid,
+		});
 		if (option.isNone(chosen)) {
 			this.#course.refuse(resultCode.noTarget, 800);
 			return false;
