Forget what engines keep as they read, and begin late prompts earlier

Cause: parts were believed kept by their own sum alone, while engines also forget for all else they read; late prompts were begun 0.4 s before their callers left.

--- a/source/decisions/entry/kept-parts.ts
+++ b/source/decisions/entry/kept-parts.ts
@@ -8,64 +8,69 @@
 a longer read, never a wrong answer.
 */
 
-/** Part of an engine's memory that is taken to hold shared parts; running requests have the rest. */
-const keptPart = 0.6;
+/**
+Part of an engine's memory that may be read anew before a part that was not used
+since is taken to be gone; running requests have the rest.
+*/
+const keptPart = 0.7;
 /** News kept for peers between two digests at most. */
 const mostNews = 200;
 
 type Kept = {readonly engine: string; readonly part: string; readonly tokens: number};
 
+type Part = {readonly tokens: number; readonly readThen: number};
+
+type Engine = {parts: Map<string, Part>; readTokens: number};
+
 /**
-Shared parts by engine incarnation, the least recently used first.
+Shared parts by engine incarnation. An engine forgets what was not used while it
+read about as much as it can keep, so what it reads is counted: what this gateway
+sends, taken to be its equal part of what all send.
 
 @example
 ```
-kept.used({engine: 'engine-3 17', part: '5c1e07a2', tokens: 13_300}, 435_004);
-kept.keeps('engine-3 17', '5c1e07a2');
+kept.used({engine: 'engine-3 17', part: '5c1e07a2', tokens: 13_300});
+kept.read('engine-3 17', 3720 * gateways);
+kept.keeps('engine-3 17', '5c1e07a2', 435_004);
 ```
 */
 export class KeptParts {
-	readonly #byEngine = new Map<string, Map<string, number>>();
+	readonly #byEngine = new Map<string, Engine>();
 	#news: Kept[] = [];
 
-	keeps(engine: string, part: string): boolean {
-		return this.#byEngine.get(engine)?.has(part) ?? false;
+	keeps(engine: string, part: string, cacheTokens: number): boolean {
+		const known = this.#byEngine.get(engine);
+		const kept = known?.parts.get(part);
+		return known !== undefined && kept !== undefined && known.readTokens - kept.readThen < cacheTokens * keptPart;
 	}
 
 	/** Engines that are believed to keep a part. */
-	keepers(part: string): readonly string[] {
-		return [...this.#byEngine].filter(([, parts]) => parts.has(part)).map(([engine]) => engine);
+	keepers(part: string, cacheTokens: number): readonly string[] {
+		return [...this.#byEngine.keys()].filter(engine => this.keeps(engine, part, cacheTokens));
 	}
 
-	/** Records that an engine read or fetched a part for this gateway. */
-	used(kept: Kept, cacheTokens: number): void {
-		const isNews = !this.keeps(kept.engine, kept.part);
-		this.hear(kept, cacheTokens);
-		if (isNews && this.#news.length < mostNews) {
+	/** Records that an engine read, fetched or used a part for this gateway. */
+	used(kept: Kept): void {
+		this.hear(kept);
+		if (this.#news.length < mostNews) {
 			this.#news.push(kept);
 		}
 	}
 
 	/** Takes a peer's word. */
-	hear({engine, part, tokens}: Kept, cacheTokens: number): void {
-		const parts = this.#byEngine.get(engine) ?? new Map<string, number>();
-		this.#byEngine.set(engine, parts);
-		parts.delete(part);
-		parts.set(part, tokens);
-		let sum = [...parts.values()].reduce((total, size) => total + size, 0);
-		for (const [oldest, size] of parts) {
-			if (sum <= cacheTokens * keptPart || oldest === part) {
-				break;
-			}
+	hear({engine, part, tokens}: Kept): void {
+		const known = this.#engine(engine);
+		known.parts.set(part, {tokens, readThen: known.readTokens});
+	}
 
-			parts.delete(oldest);
-			sum -= size;
-		}
+	/** Records tokens that an engine reads and has to keep for a while. */
+	read(engine: string, tokens: number): void {
+		this.#engine(engine).readTokens += tokens;
 	}
 
 	/** Records that an engine did not have a part after all. */
 	lost(engine: string, part: string): void {
-		this.#byEngine.get(engine)?.delete(part);
+		this.#byEngine.get(engine)?.parts.delete(part);
 	}
 
 	/** What peers have not been told yet; told once. */
@@ -82,4 +87,10 @@
 			}
 		}
 	}
+
+	#engine(engine: string): Engine {
+		const known = this.#byEngine.get(engine) ?? {parts: new Map<string, Part>(), readTokens: 0};
+		this.#byEngine.set(engine, known);
+		return known;
+	}
 }
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -29,8 +29,8 @@
 const usedSlots = 0.85;
 /** Time from the end of reading to the first event, at engines and on the way. */
 const firstEventMilliseconds = 190;
-/** Time before the caller gives up at which a late prompt must be begun. */
-const lateMarginMilliseconds = 400;
+/** Time before the caller gives up at which a late prompt must be begun: short ones, and long ones, whose reading is seldom alone. */
+const lateMargin = {short: 500, long: 900} as const;
 
 /** Part of a prefill engine's reading that a decode engine does beside its own work. */
 const decodeReaderPart = 0.3;
@@ -120,8 +120,10 @@
 		.toSorted((first, second) => first.giveUpAt - second.giveUpAt)
 		.flatMap(prompt => {
 			const waitMilliseconds = before + (ahead / pace);
-			const isHopeless = now + waitMilliseconds + lateMarginMilliseconds > prompt.giveUpAt;
-			ahead += isHopeless ? 0 : readOf(prompt, context);
+			const read = readOf(prompt, context);
+			const margin = read + (read < longReadMilliseconds ? lateMargin.short : lateMargin.long);
+			const isHopeless = now + waitMilliseconds + margin > prompt.giveUpAt;
+			ahead += isHopeless ? 0 : read;
 			return isHopeless ? [{prompt, waitMilliseconds}] : [];
 		});
 };
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -164,12 +164,11 @@
 	}
 
 	#hearKept({engines, parts, tokens}: Extract<PeerMessage, {kind: 'digest'}>['kept']): void {
-		const {kept, beliefs, service} = this.#options.context;
-		const records = new Map(beliefs.all().map(record => [record.incarnation, record]));
+		const {kept, beliefs} = this.#options.context;
+		const known = new Set(beliefs.all().map(({incarnation}) => incarnation));
 		for (const [index, engine] of engines.entries()) {
-			const record = records.get(engine);
-			if (record !== undefined) {
-				kept.hear({engine, part: parts[index] ?? '', tokens: tokens[index] ?? 0}, service(record.service)?.engine?.cacheTokens ?? 0);
+			if (known.has(engine)) {
+				kept.hear({engine, part: parts[index] ?? '', tokens: tokens[index] ?? 0});
 			}
 		}
 	}
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -104,7 +104,7 @@
 			availabilityZone: this.#context.settings().availabilityZone,
 			bytesPerToken: engine?.bytesPerToken ?? 0,
 			linkMegabitsPerSecond: engine?.linkMegabitsPerSecond ?? 1,
-			keepers: (key: string) => this.#keepers(key, views.map(({id}) => record(id))),
+			keepers: (key: string) => this.#keepers(key, views.map(({id}) => record(id)), engine?.cacheTokens ?? 0),
 		};
 		const chosen = promptQueue.next([...queue.keys()], context, now);
 		if (option.isNone(chosen)) {
@@ -130,8 +130,8 @@
 		return true;
 	}
 
-	#keepers(key: string, records: readonly TargetRecord[]): ReadonlySet<string> {
-		const incarnations = new Set(this.#context.kept.keepers(key));
+	#keepers(key: string, records: readonly TargetRecord[], cacheTokens: number): ReadonlySet<string> {
+		const incarnations = new Set(this.#context.kept.keepers(key, cacheTokens));
 		return new Set(records.filter(({incarnation}) => incarnations.has(incarnation)).map(({id}) => id));
 	}
 
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -160,11 +160,18 @@
 		return way === 'prefill first' ? this.#readPrompt(target, entry, fetchFrom?.address) : this.#sendStream(target, entry, {fetchFrom: fetchFrom?.address});
 	}
 
-	/** Records that an engine reads or fetches the shared parts of this prompt. */
+	/** Records that an engine reads or fetches this prompt, and keeps its shared parts. */
 	#keeps(target: TargetRecord): void {
-		const {key, tokens, cacheTokens} = this.#shared;
+		const {key, tokens} = this.#shared;
+		const {kept, gateways} = this.#context;
+		kept.read(target.incarnation, ((this.#request.facts.prompt?.tokens ?? 0) - tokens) * gateways());
 		if (tokens >= leastKeptTokens) {
-			this.#context.kept.used({engine: target.incarnation, part: key, tokens}, cacheTokens);
+			const {cacheTokens} = this.#shared;
+			if (!kept.keeps(target.incarnation, key, cacheTokens)) {
+				kept.read(target.incarnation, tokens * gateways());
+			}
+
+			kept.used({engine: target.incarnation, part: key, tokens});
 		}
 	}
 
