--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -35,7 +35,7 @@
 /** Part of a prefill engine's reading that a decode engine does beside its own work. */
 const decodeReaderPart = 0.3;
 /** Prompts looked at for each choice, so that a long queue does not cost more the longer it is. */
-const mostCompared = 24;
+const mostCompared = 12;
 
 type QueueContext = {
 	/** All engines of the service that may be used. */
@@ -55,10 +55,21 @@
 	? engine.readMilliseconds < mostBacklog[lane]
 	: engine.attempts < engine.slots * usedSlots && engine.readMilliseconds < mostBacklogInPlace[lane];
 
+/** Engines with room for a lane, found once for all prompts that wait. */
+type Room = {readonly all: readonly EngineView[]; readonly makers: readonly EngineView[]; readonly forLong: readonly EngineView[]};
+
+const roomOf = (engines: readonly EngineView[], lane: Lane): Room => {
+	const all = engines.filter(engine => isOpen(engine, lane));
+	return {
+		all,
+		makers: all.filter(({role}) => role === 'decode'),
+		forLong: all.filter(({role, attempts}) => role === 'prefill' || attempts <= mostRunningForLongRead),
+	};
+};
+
 /** Places a prompt among engines with room; none when it has to wait. */
-const place = (prompt: WaitingPrompt, lane: Lane, context: QueueContext): option.Option<PromptPlacement> => {
-	const usable = prompt.isInPlaceOnly ? context.engines.filter(({role}) => role === 'decode') : context.engines;
-	const open = usable.filter(engine => isOpen(engine, lane));
+const place = (prompt: WaitingPrompt, room: Room, context: QueueContext): option.Option<PromptPlacement> => {
+	const open = prompt.isInPlaceOnly ? room.makers : room.all;
 	if (open.length === 0) {
 		return option.none;
 	}
@@ -68,14 +79,17 @@
 	};
 	const placement = placePrompt(prompt, {...placeContext, engines: open});
 	const isLongInPlace = option.isSome(placement) && placement.value.way === 'in place' && placement.value.readMilliseconds >= longReadMilliseconds;
-	return isLongInPlace
-		? placePrompt(prompt, {...placeContext, engines: open.filter(({role, attempts}) => role === 'prefill' || attempts <= mostRunningForLongRead)})
-		: placement;
+	return isLongInPlace ? placePrompt(prompt, {...placeContext, engines: room.forLong.filter(engine => open.includes(engine))}) : placement;
 };
 
 const firstPlaced = (prompts: readonly WaitingPrompt[], lane: Lane, context: QueueContext, isGood: (prompt: WaitingPrompt, placement: PromptPlacement) => boolean): option.Option<Choice> => {
+	const room = roomOf(context.engines, lane);
+	if (room.all.length === 0) {
+		return option.none;
+	}
+
 	for (const prompt of prompts.slice(0, mostCompared)) {
-		const placement = place(prompt, lane, context);
+		const placement = place(prompt, room, context);
 		if (option.isSome(placement) && isGood(prompt, placement.value)) {
 			return option.some({prompt, placement: placement.value});
 		}
--- a/source/decisions/entry/sliding-count.ts
+++ b/source/decisions/entry/sliding-count.ts
@@ -42,7 +42,7 @@
 	/** Empties the parts that have left the window; gives the present one. */
 	#advance(now: number): number {
 		const part = Math.floor(now / this.#partMilliseconds);
-		const first = Math.max(this.#newest + 1, part - this.#counts.length + 1);
+		const first = Math.max(0, this.#newest + 1, part - this.#counts.length + 1);
 		for (let index = first; index <= part; index++) {
 			const place = index % this.#counts.length;
 			this.#total -= this.#counts[place]!;
--- a/source/entry/caller-door.ts
+++ b/source/entry/caller-door.ts
@@ -6,6 +6,7 @@
 */
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
+import type {Socket} from 'node:net';
 import {isProperRequest} from '../decisions/entry/is-proper-request.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import {CallerAnswer} from './caller-answer.js';
@@ -38,6 +39,8 @@
 	readonly #server: http.Server;
 	readonly #handlers: DoorHandlers;
 	#open = 0;
+	/** Connections on which something improper came; what follows there is not read as a request. */
+	readonly #refused = new WeakSet<Socket>();
 
 	constructor(handlers: DoorHandlers) {
 		this.#handlers = handlers;
@@ -76,6 +79,10 @@
 	}
 
 	#receive(request: http.IncomingMessage, response: http.ServerResponse): void {
+		if (this.#refused.has(request.socket)) {
+			return;
+		}
+
 		const startedAt = this.#handlers.now();
 		const answer = new CallerAnswer(response, this.#handlers.isClosing);
 		this.#open++;
@@ -122,6 +129,7 @@
 	#refuse(request: http.IncomingMessage, answer: CallerAnswer, reason: 'improper' | 'header too large' | 'body too large'): void {
 		if (!answer.isDone) {
 			answer.closeAfter();
+			this.#refused.add(request.socket);
 			this.#handlers.onRefused(request, answer, reason);
 		}
 	}
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -42,6 +42,10 @@
 	readonly log: Logger;
 };
 
+const refusalCodes = {
+	improper: resultCode.malformedRequest, 'header too large': resultCode.headerTooLarge, 'body too large': resultCode.requestTooLarge,
+} as const;
+
 /** How long the platform's balancer may still send new connections after readiness fails. */
 const balancerLagMilliseconds = 2600;
 const drainCheckMilliseconds = 50;
@@ -94,7 +98,7 @@
 			this.#exchange?.tellSoon();
 		});
 		this.#sender = new AttemptSender(this.#context, () => {
-			this.#queues.lookAll();
+			this.#queues.lookSoon();
 		});
 		this.#door = this.#createDoor();
 		const {peers: address} = options.settings.listen;
@@ -201,7 +205,7 @@
 				this.#route(request, body, answer, startedAt);
 			},
 			onRefused: (request, answer, reason) => {
-				const code = reason === 'body too large' ? resultCode.requestTooLarge : resultCode.malformedRequest;
+				const code = refusalCodes[reason];
 				this.#context.metrics.count(`request.refused.${code}`);
 				this.#log.info({event: 'request refused', reason, bytes: request.rawHeaders.length}, 'request refused at the door');
 				answer.refuse(code, {});
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -26,8 +26,8 @@
 
 type Entry = {readonly prompt: WaitingPrompt; readonly decide: (verdict: Verdict) => void};
 
-/** Pause between two looks at a queue in which nothing happened. */
-const lookMilliseconds = 15;
+/** Pause between two looks at a queue, as a look costs as much for one prompt as for many. */
+const lookMilliseconds = 8;
 /** Reading from which peers are told at once. */
 const longReadMilliseconds = 20;
 
@@ -63,14 +63,23 @@
 		const queue = this.#queues.get(service) ?? new Map<WaitingPrompt, Entry>();
 		this.#queues.set(service, queue);
 		queue.set(prompt, {prompt, decide});
-		this.#look(service, queue);
+		if (queue.size === 1) {
+			this.#look(service, queue);
+		} else {
+			this.#wake();
+		}
+
 		return () => {
 			queue.delete(prompt);
 		};
 	}
 
-	/** Looks at all queues, as when an engine has become free. */
-	lookAll(): void {
+	/** Looks at all queues soon, as when an engine has become free. */
+	lookSoon(): void {
+		this.#wake();
+	}
+
+	#lookAll(): void {
 		for (const [service, queue] of this.#queues) {
 			if (queue.size > 0) {
 				this.#look(service, queue);
@@ -149,7 +158,7 @@
 
 		this.#timer = setTimeout(() => {
 			this.#timer = undefined;
-			this.lookAll();
+			this.#lookAll();
 		}, lookMilliseconds);
 	}
 }
--- /dev/null
+++ b/stand-ins/platform-store-stand-in.ts
@@ -0,0 +1,103 @@
+/**
+Stand-in of the users' platform's store: the reading calls that an entry gateway
+makes, with faults that can be switched on for all callers or for one.
+*/
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+type Fault = 'none' | 'busy' | 'reset' | 'silent';
+
+/**
+Items by key, each with the revision of its last change. Pages hold `pageSize` items.
+
+@example
+```
+const store = new PlatformStoreStandIn();
+await store.start();
+store.put('op/config', JSON.stringify(configuration));
+```
+*/
+export class PlatformStoreStandIn {
+	fault: Fault = 'none';
+	pageSize = 50;
+	calls = 0;
+	#revision = 1;
+	readonly #items = new Map<string, {readonly value: string; readonly revision: number; readonly created: number}>();
+	readonly #server = http.createServer((request, response) => {
+		this.#answer(request, response);
+	});
+
+	get address(): string {
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	async start(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	stop(): void {
+		this.#server.closeAllConnections();
+		this.#server.close();
+	}
+
+	put(key: string, value: string): void {
+		this.#revision++;
+		this.#items.set(key, {
+			value: Buffer.from(value).toString('base64'), revision: this.#revision, created: this.#items.get(key)?.created ?? this.#revision,
+		});
+	}
+
+	remove(key: string): void {
+		this.#revision++;
+		this.#items.delete(key);
+	}
+
+	#answer(request: http.IncomingMessage, response: http.ServerResponse): void {
+		this.calls++;
+		switch (this.fault) {
+			case 'busy': {
+				this.#send(response, 503, {});
+				return;
+			}
+
+			case 'reset': {
+				request.socket.resetAndDestroy();
+				return;
+			}
+
+			case 'silent': {
+				return;
+			}
+
+			case 'none': {
+				this.#read(new URL(request.url ?? '/', 'http://store'), response);
+			}
+		}
+	}
+
+	#read(url: URL, response: http.ServerResponse): void {
+		if (url.pathname === '/v1/kv-key') {
+			const key = url.searchParams.get('key') ?? '';
+			const item = this.#items.get(key);
+			this.#send(response, item === undefined ? 404 : 200, item === undefined ? {} : {...this.#item(key), at: this.#revision});
+			return;
+		}
+
+		const prefix = url.searchParams.get('pathPrefix') ?? '';
+		const after = url.searchParams.get('after') ?? '';
+		const keys = [...this.#items.keys()].filter(key => key.startsWith(prefix) && key > after).toSorted();
+		this.#send(response, 200, {items: keys.slice(0, this.pageSize).map(key => this.#item(key)), hasMore: keys.length > this.pageSize, at: this.#revision});
+	}
+
+	#item(key: string): Record<string, unknown> {
+		return {key, ...this.#items.get(key), lease: 0};
+	}
+
+	#send(response: http.ServerResponse, status: number, body: unknown): void {
+		response.writeHead(status, {'content-type': 'application/json'});
+		response.end(JSON.stringify(body));
+	}
+}
--- /dev/null
+++ b/stand-ins/platform-target-stand-in.ts
@@ -0,0 +1,81 @@
+/**
+Stand-in of a target on the users' platform, whose answer to each request the
+test writes. It keeps what arrived and what it ran.
+*/
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+type Arrival = {readonly requestId: string; readonly method: string; readonly path: string; readonly headers: http.IncomingHttpHeaders; readonly body: string; isClosed: boolean};
+
+type Answer = (response: http.ServerResponse, arrival: Arrival, count: number) => void;
+
+const whole: Answer = (response, {requestId}) => {
+	response.writeHead(200, {'x-request-id': requestId, 'x-response-signature': 'proof'});
+	response.end('done');
+};
+
+/**
+Answers on a port of its own. Without an `answer`, each request gets a whole one.
+
+@example
+```
+const target = new PlatformTargetStandIn('i-1');
+await target.start();
+target.answer = response => response.socket?.resetAndDestroy();
+```
+*/
+export class PlatformTargetStandIn {
+	answer: Answer = whole;
+	readonly arrivals: Arrival[] = [];
+	readonly #server = http.createServer((request, response) => {
+		this.#receive(request, response);
+	});
+
+	constructor(readonly id: string) {}
+
+	get address(): string {
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	async start(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	stop(): void {
+		this.#server.closeAllConnections();
+		this.#server.close();
+	}
+
+	/** The entry of this target in the platform's list. */
+	entry(service: string, more: Readonly<Record<string, unknown>> = {}): string {
+		return JSON.stringify({
+			service, address: this.address, zone: 'zone-a', version: 'v1', slots: 8, state: 'ready', coldRemainingMs: 0, sequence: 1, born: 1000, ...more,
+		});
+	}
+
+	#receive(request: http.IncomingMessage, response: http.ServerResponse): void {
+		const chunks: string[] = [];
+		request.setEncoding('latin1');
+		request.on('data', (chunk: string) => {
+			chunks.push(chunk);
+		});
+		request.on('end', () => {
+			const arrival: Arrival = {
+				requestId: String(request.headers['x-request-id'] ?? ''), method: request.method ?? '', path: request.url ?? '', headers: request.headers, body: chunks.join(''), isClosed: false,
+			};
+			this.arrivals.push(arrival);
+			response.once('close', () => {
+				arrival.isClosed = true;
+			});
+			if (request.headers['x-expect-instance'] !== undefined && request.headers['x-expect-instance'] !== this.id) {
+				response.writeHead(421, {'x-instance-id': this.id});
+				response.end();
+				return;
+			}
+
+			this.answer(response, arrival, this.arrivals.length);
+		});
+	}
+}
--- /dev/null
+++ b/test/entry/entry-gateway.test.ts
@@ -0,0 +1,208 @@
+/**
+Configuration, membership, readiness and the door of an entry gateway.
+*/
+import net from 'node:net';
+import {test, type Test} from 'tap';
+import {EntryFleet} from '../support/entry-fleet.js';
+
+const bids = {
+	name: 'bids', pathPrefix: '/bids/', routeType: 'non_idempotent', service: 'floor',
+};
+
+const start = async (t: Test) => {
+	const fleet = await EntryFleet.start(t);
+	fleet.configure([bids], [{name: 'floor'}, {name: 'other'}]);
+	return fleet;
+};
+
+/** Sends bytes as they are; gives all that comes back. */
+const sendRaw = async (port: number, text: string): Promise<string> => new Promise(resolve => {
+	let seen = '';
+	const socket = net.connect(port, '127.0.0.1', () => {
+		socket.write(text, 'latin1');
+	});
+	socket.on('data', data => {
+		seen += data.toString('latin1');
+	});
+	socket.on('error', () => {
+		// The close event follows.
+	});
+	socket.on('close', () => {
+		resolve(seen);
+	});
+});
+
+test('before a configuration is known nothing is said not to exist', async t => {
+	const fleet = await EntryFleet.start(t);
+	const gateway = await fleet.addGateway({}, false);
+	const reply = await fleet.ask(gateway, {path: '/bids/1', requestId: 'r1'});
+	t.equal(reply.status, 503);
+	t.equal(gateway.gateway.isReady, false);
+});
+
+test('a route that is not there is said not to exist only while the store confirms the configuration', async t => {
+	const fleet = await start(t);
+	await fleet.addTarget('i-1', 'floor');
+	const gateway = await fleet.addGateway();
+	t.equal(await fleet.status(gateway, {path: '/nowhere/1', requestId: 'r1'}), 404);
+	fleet.store.fault = 'reset';
+	await fleet.until(() => fleet.logged('store lost').length > 0);
+	await fleet.until(() => fleet.logged('store lost').length > 0);
+	let {status} = await fleet.ask(gateway, {path: '/nowhere/1', requestId: 'r2'});
+	while (status === 404) {
+		({status} = await fleet.ask(gateway, {path: '/nowhere/1', requestId: 'r3'})); // eslint-disable-line no-await-in-loop
+	}
+
+	t.equal(status, 503);
+});
+
+test('a new configuration is taken, 350 routes at once too, and an older one never', async t => {
+	const fleet = await start(t);
+	const floor = await fleet.addTarget('i-1', 'floor');
+	const other = await fleet.addTarget('i-2', 'other');
+	const gateway = await fleet.addGateway();
+	const many = Array.from({length: 350}, (_, index) => ({
+		...bids, name: `r-${index}`, pathPrefix: `/many${index}/`, service: 'other',
+	}));
+	fleet.configure([{...bids, service: 'other'}, ...many], [{name: 'floor'}, {name: 'other'}], 50);
+	await fleet.until(() => fleet.logged('configuration adopted').some(({version}) => version === 50));
+	t.equal(await fleet.status(gateway, {path: '/many349/1', requestId: 'r1'}), 200);
+	t.equal(await fleet.status(gateway, {path: '/bids/1', requestId: 'r2'}), 200);
+	t.equal(other.arrivals.length, 2);
+	fleet.configure([bids], [{name: 'floor'}], 40);
+	const {calls} = fleet.store;
+	await fleet.until(() => fleet.store.calls > calls + 4);
+	t.equal(await fleet.status(gateway, {path: '/bids/1', requestId: 'r3'}), 200);
+	t.equal(other.arrivals.length, 3);
+	t.equal(floor.arrivals.length, 0);
+});
+
+test('a gateway that the store turns away learns configuration and leaving targets from its peers', async t => {
+	const fleet = await start(t);
+	const staying = await fleet.addTarget('i-1', 'floor');
+	const leaving = await fleet.addTarget('i-2', 'floor');
+	const first = await fleet.addGateway();
+	const second = await fleet.addGateway({peerSeeds: [`127.0.0.1:${first.settings.listen.peers!.port}`]});
+	await fleet.until(() => fleet.logged('peer found').length >= 2);
+	// The second reads from an address where nothing answers from now on.
+	second.gateway.reload({...second.settings, store: {...second.settings.store, address: '127.0.0.1:1'}});
+	await fleet.until(() => fleet.logged('store lost').length > 0);
+	fleet.store.put('servers/i-2', leaving.entry('floor', {state: 'draining'}));
+	fleet.configure([{...bids, pathPrefix: '/moved/'}], [{name: 'floor'}], 60);
+	await fleet.until(() => fleet.logged('configuration adopted').some(({version, source}) => version === 60 && source === 'peer'));
+	await fleet.until(() => fleet.logged('target leaving').some(({source}) => source === 'peer'));
+	for (const index of [1, 2, 3, 4, 5, 6]) {
+		t.equal(await fleet.status(second, {path: '/moved/1', requestId: `r${index}`}), 200); // eslint-disable-line no-await-in-loop
+	}
+
+	t.equal(leaving.arrivals.length, 0);
+	t.equal(staying.arrivals.length, 6);
+});
+
+test('a target that leaves gets no more work, also while its entry is listed', async t => {
+	const fleet = await start(t);
+	const staying = await fleet.addTarget('i-1', 'floor');
+	const leaving = await fleet.addTarget('i-2', 'floor');
+	const gateway = await fleet.addGateway();
+	fleet.store.put('servers/i-2', leaving.entry('floor', {state: 'draining'}));
+	await fleet.until(() => fleet.logged('target leaving').length > 0);
+	fleet.store.put('servers/i-2', leaving.entry('floor', {sequence: 9}));
+	for (const index of [1, 2, 3, 4, 5, 6]) {
+		await fleet.ask(gateway, {path: '/bids/1', requestId: `r${index}`}); // eslint-disable-line no-await-in-loop
+	}
+
+	t.equal(leaving.arrivals.length, 0);
+	t.equal(staying.arrivals.length, 6);
+});
+
+test('an address that another target has now is not used again, and the request goes elsewhere', async t => {
+	const fleet = await start(t);
+	const real = await fleet.addTarget('i-1', 'floor');
+	const reused = await fleet.addTarget('i-9', 'other');
+	fleet.store.put('servers/i-2', reused.entry('floor'));
+	const gateway = await fleet.addGateway();
+	const replies = await Promise.all(Array.from({length: 10}, async (_, index) => fleet.ask(gateway, {path: '/bids/1', requestId: `r${index}`})));
+	t.ok(replies.every(({status}) => status === 200));
+	t.equal(real.arrivals.length, 10);
+	const before = reused.arrivals.length;
+	await fleet.ask(gateway, {path: '/bids/1', requestId: 'last'});
+	t.equal(reused.arrivals.length, before);
+});
+
+test('entries that cannot be read name no target', async t => {
+	const fleet = await start(t);
+	await fleet.addTarget('i-1', 'floor');
+	fleet.store.put('servers/i-2', 'no entry');
+	fleet.store.put('servers/i-3', JSON.stringify({
+		service: 'floor', address: 7, zone: 'zone-a', slots: 1, state: 'ready',
+	}));
+	fleet.store.put('servers/i-4', JSON.stringify({
+		service: 'floor', address: '127.0.0.1:9', zone: 'zone-a', slots: 1, state: 'resting',
+	}));
+	fleet.store.pageSize = 2;
+	const gateway = await fleet.addGateway();
+	t.equal(await fleet.status(gateway, {path: '/bids/1', requestId: 'r1'}), 200);
+	t.strictSame(fleet.logged('target appeared').map(({target}) => target), ['i-1']);
+});
+
+test('requests that two readers could take for different ones are refused, and nothing of them is passed on', async t => {
+	const fleet = await start(t);
+	const target = await fleet.addTarget('i-1', 'floor');
+	const {settings} = await fleet.addGateway();
+	const {port} = settings.listen.callers;
+	const head = 'POST /bids/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r1\r\n';
+	const hidden = 'GET /bids/2 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: hidden\r\n\r\n';
+	const smuggled = [
+		`${head}Content-Length: 5\r\nContent-Length: 0\r\n\r\n${hidden}`,
+		`${head}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n${hidden}`,
+		`${head}Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n${hidden}`,
+		`${head}Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n${hidden}`,
+		`POST /bids/1 HTTP/1.1\r\nHost: a.example\r\nHost: b.example\r\nContent-Length: 0\r\n\r\n${hidden}`,
+		`POST http://a.example/bids/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n${hidden}`,
+	];
+	const answers = await Promise.all(smuggled.map(async text => sendRaw(port, text)));
+	t.ok(answers.every(answer => answer.startsWith('HTTP/1.1 400')), answers.map(answer => answer.slice(0, 20)).join(', '));
+	t.equal(target.arrivals.length, 0);
+});
+
+test('headers and bodies over the configured limits are refused', async t => {
+	const fleet = await start(t);
+	const target = await fleet.addTarget('i-1', 'floor');
+	const gateway = await fleet.addGateway();
+	t.equal(await fleet.status(gateway, {path: '/bids/1', requestId: 'r1', body: 'x'.repeat(100_001)}), 413);
+	t.equal(await fleet.status(gateway, {path: '/bids/1', requestId: 'r2', headers: {'x-long': 'y'.repeat(20_000)}}), 431);
+	t.equal(target.arrivals.length, 0);
+});
+
+test('a gateway that is told to stop is not ready at once, and still serves what comes', async t => {
+	const fleet = await start(t);
+	const target = await fleet.addTarget('i-1', 'floor');
+	const gateway = await fleet.addGateway({
+		bounds: {
+			drainMilliseconds: 2000, graceMilliseconds: 4000, retryShare: 0.2, retryWindowMilliseconds: 10_000, retryExtra: 50,
+		},
+	});
+	let release = (): void => undefined;
+	target.answer = (response, {requestId}) => {
+		release = () => {
+			response.writeHead(200, {'x-request-id': requestId, 'x-response-signature': 'proof'});
+			response.end('late');
+		};
+	};
+
+	const early = fleet.ask(gateway, {path: '/bids/1', requestId: 'r1'});
+	await fleet.until(() => target.arrivals.length === 1);
+	const stopped = gateway.gateway.stop();
+	t.equal(gateway.gateway.isReady, false);
+	release();
+	t.match(await early, {
+		status: 200, body: 'late', isWhole: true, headers: {connection: 'close'},
+	});
+	target.answer = (response, {requestId}) => {
+		response.writeHead(200, {'x-request-id': requestId, 'x-response-signature': 'proof'});
+		response.end('after');
+	};
+
+	t.match(await fleet.ask(gateway, {path: '/bids/1', requestId: 'r2'}), {status: 200, body: 'after'});
+	await stopped;
+});
--- /dev/null
+++ b/test/entry/stream-relay.test.ts
@@ -0,0 +1,134 @@
+/**
+Streams of engines: whole events only, one run's or joined behind the last one.
+*/
+import {test, type Test} from 'tap';
+import type {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
+import {EntryFleet} from '../support/entry-fleet.js';
+
+const prompt = {'x-model': 'm', 'x-token-count': '400,50', 'x-prompt-prefix': 'aa:300,bb:100'};
+const engine = {
+	slots: 8, kvCapacityTokens: 100_000, kvBytes: 1000, linkMbps: 100_000, handleTtlS: 5, roleSwitchS: 3,
+};
+
+const start = async (t: Test) => {
+	const fleet = await EntryFleet.start(t);
+	fleet.configure([
+		{
+			name: 'dossiers', pathPrefix: '/dossiers/', routeType: 'streaming', service: 'models', sessionAffinity: true, itlTargetMs: 300,
+		},
+		{
+			name: 'questions', pathPrefix: '/questions/', routeType: 'streaming', service: 'models', resumable: true, maxAttempts: 2, sessionAffinity: true, itlTargetMs: 300,
+		},
+	], [{name: 'models', engine}]);
+	return fleet;
+};
+
+const event = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
+
+const streaming = (events: readonly number[], ending: 'whole' | 'reset' | 'torn'): PlatformTargetStandIn['answer'] => (response, {requestId}) => {
+	response.writeHead(200, {'x-request-id': requestId, 'x-response-signature': `proof of ${events[0]}`, 'content-type': 'text/event-stream'});
+	const text = events.map(id => event(id)).join('') + (ending === 'torn' ? 'id: 99\nda' : '');
+	response.write(text, () => {
+		if (ending === 'whole') {
+			response.end();
+			return;
+		}
+
+		setTimeout(() => {
+			response.socket?.resetAndDestroy();
+		}, 30);
+	});
+};
+
+test('a stream passes whole', async t => {
+	const fleet = await start(t);
+	const target = await fleet.addTarget('i-1', 'models', {phase: 'decode'});
+	target.answer = streaming([1, 2, 3], 'whole');
+	const gateway = await fleet.addGateway();
+	const reply = await fleet.ask(gateway, {path: '/dossiers/1', requestId: 'r1', headers: prompt});
+	t.match(reply, {status: 200, isWhole: true, body: event(1) + event(2) + event(3)});
+});
+
+test('a stream that breaks off and may not go on elsewhere does not look complete, and ends with a whole event', async t => {
+	const fleet = await start(t);
+	const target = await fleet.addTarget('i-1', 'models', {phase: 'decode'});
+	const other = await fleet.addTarget('i-2', 'models', {phase: 'decode'});
+	target.answer = streaming([1, 2], 'torn');
+	other.answer = streaming([1, 2], 'torn');
+	const gateway = await fleet.addGateway();
+	const reply = await fleet.ask(gateway, {path: '/dossiers/1', requestId: 'r1', headers: prompt});
+	t.match(reply, {status: 200, isWhole: false, body: event(1) + event(2)});
+	t.equal(target.arrivals.length + other.arrivals.length, 1);
+});
+
+test('a resumable stream goes on elsewhere behind the last whole event, with the first one\'s headers', async t => {
+	const fleet = await start(t);
+	const targets = [await fleet.addTarget('i-1', 'models', {phase: 'decode'}), await fleet.addTarget('i-2', 'models', {phase: 'decode'})];
+	let runs = 0;
+	const answer: PlatformTargetStandIn['answer'] = (response, arrival, count) => {
+		runs++;
+		const next = runs === 1 ? streaming([1, 2], 'torn') : streaming([3, 4], 'whole');
+		next(response, arrival, count);
+	};
+
+	for (const target of targets) {
+		target.answer = answer;
+	}
+
+	const gateway = await fleet.addGateway();
+	const reply = await fleet.ask(gateway, {path: '/questions/1', requestId: 'r1', headers: prompt});
+	t.match(reply, {status: 200, isWhole: true, body: event(1) + event(2) + event(3) + event(4)});
+	t.equal(reply.headers['x-response-signature'], 'proof of 1');
+	const arrivals = targets.flatMap(({arrivals: seen}) => seen);
+	t.equal(arrivals.length, 2);
+	t.equal(arrivals.filter(({headers}) => headers['last-event-id'] === '2').length, 1);
+});
+
+test('a prompt is read at a prefill engine and handed over', async t => {
+	const fleet = await start(t);
+	const reader = await fleet.addTarget('i-1', 'models', {phase: 'prefill'});
+	const maker = await fleet.addTarget('i-2', 'models', {phase: 'decode'});
+	reader.answer = (response, {requestId}) => {
+		response.writeHead(200, {'x-request-id': requestId, 'content-type': 'application/json'});
+		response.end('{"kvHandle":"h1","tokens":400,"version":1}');
+	};
+
+	maker.answer = streaming([1, 2], 'whole');
+	const gateway = await fleet.addGateway();
+	const reply = await fleet.ask(gateway, {path: '/dossiers/1', requestId: 'r1', headers: {...prompt, 'x-token-count': '40000,50', 'x-prompt-prefix': 'aa:39000,bb:1000'}});
+	t.match(reply, {status: 200, isWhole: true, body: event(1) + event(2)});
+	t.equal(reader.arrivals[0]!.headers['x-inference-phase'], 'prefill');
+	t.equal(maker.arrivals[0]!.headers['x-kv-source'], `${reader.address}/h1`);
+});
+
+test('a handle that is not taken is freed when the caller leaves', async t => {
+	const fleet = await start(t);
+	const reader = await fleet.addTarget('i-1', 'models', {phase: 'prefill'});
+	const maker = await fleet.addTarget('i-2', 'models', {phase: 'decode'});
+	reader.answer = (response, {requestId, method}) => {
+		response.writeHead(200, {'x-request-id': requestId});
+		response.end(method === 'DELETE' ? '' : '{"kvHandle":"h1","tokens":400,"version":1}');
+	};
+
+	maker.answer = () => undefined;
+	const gateway = await fleet.addGateway();
+	await fleet.ask(gateway, {
+		path: '/dossiers/1', requestId: 'r1', headers: {...prompt, 'x-token-count': '40000,50'}, onRequest(request) {
+			void fleet.until(() => maker.arrivals.length === 1).then(() => { // eslint-disable-line promise/prefer-await-to-then
+				request.destroy();
+			});
+		},
+	});
+	await fleet.until(() => reader.arrivals.some(({method, path}) => method === 'DELETE' && path === '/v1/kv-handle/h1'));
+	await fleet.until(() => maker.arrivals[0]!.isClosed);
+	t.pass('freed');
+});
+
+test('a stream that no engine may take is refused as not run', async t => {
+	const fleet = await start(t);
+	await fleet.addTarget('i-1', 'models', {phase: 'prefill'});
+	const gateway = await fleet.addGateway();
+	const reply = await fleet.ask(gateway, {path: '/dossiers/1', requestId: 'r1', headers: prompt});
+	t.equal(reply.status, 503);
+	t.ok(Number(reply.headers['retry-after']) > 0);
+});
