Place prompts at prefill engines also while no decode engine has room for reading

Cause: whether any engine makes tokens was asked of the engines with room to read in place; under load none has, so nothing was placed at prefill engines either.

--- a/source/decisions/entry/place-prompt.ts
+++ b/source/decisions/entry/place-prompt.ts
@@ -114,7 +114,8 @@
 */
 export const placePrompt = (prompt: Prompt, context: PlaceContext): option.Option<PromptPlacement> => {
 	const decode = candidatesOf(context, 'decode');
-	const prefill = decode.length === 0 ? [] : candidatesOf(context, 'prefill');
+	const hasMakers = (context.known ?? context.engines).some(({role, id}) => role === 'decode' && !context.avoid.has(id));
+	const prefill = hasMakers ? candidatesOf(context, 'prefill') : [];
 	const home = prompt.sharedTokens >= leastSharedTokens ? homeOf(prefill, prompt.sharedKey) : undefined;
 	const placements = [...prefill, ...decode].map(engine => placement(engine, prompt, home, context));
 	return placements.length === 0
