--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -187,12 +187,14 @@
 		const isFailure = name === 'unknown' || name === 'broken' || name === 'failure' || (result.kind === 'not sent' && result.reason !== 'no longer wanted' && result.reason !== 'broken off by the gateway');
 		const isCancelled = 'reason' in result && result.reason === 'broken off by the gateway';
 		if (result.kind === 'not run' && result.isOtherTarget && beliefs.markLeaving(incarnation, now())) {
-			log.info({target: target.id, address: target.address, source: 'target'}, 'address belongs to another target');
+			log.info({
+				event: 'target leaving', target: target.id, address: target.address, source: 'target',
+			}, 'address belongs to another target');
 		} else if (isFailure && !isCancelled) {
 			if (health.failed(incarnation, name === 'failure' ? 'answered' : 'lost', now())) {
 				metrics.count('target.avoided');
 				log.warn({
-					target: target.id, address: target.address, outcome: name, failureShare: health.failureShare(incarnation),
+					event: 'target avoided', target: target.id, address: target.address, outcome: name, failureShare: health.failureShare(incarnation),
 				}, 'target avoided for a while');
 			}
 		} else if (result.kind === 'answer' || result.kind === 'streamed') {
