Send late work behind all that can be on time, and keep bodies in their zone

Change: the rank at the engine follows the lane; the engine that makes the tokens is chosen with the body's and the memory's way. Not measured yet in this commit.

--- a/source/decisions/entry/place-prompt.ts
+++ b/source/decisions/entry/place-prompt.ts
@@ -25,7 +25,7 @@
 /** A shared part below this is read again without regard to where it is kept. */
 const leastSharedTokens = 1000;
 /** What bytes between availability zones are charged, as they are dear there: for each request, and for each kilobyte of its body. */
-const otherZone = {milliseconds: 4, millisecondsPerKilobyte: 0.7} as const;
+const otherZone = {milliseconds: 8, millisecondsPerKilobyte: 0.7} as const;
 const failureMilliseconds = 400;
 /** Advantage of the engine that all gateways would choose for a part that none keeps yet. */
 const homeMilliseconds = 30;
--- a/source/decisions/entry/place-tokens.ts
+++ b/source/decisions/entry/place-tokens.ts
@@ -9,8 +9,8 @@
 
 /** Reading time that delays a running request as much as one more request beside it. */
 const readMillisecondsPerRequest = 7;
-/** Attempts that a crossing between availability zones is charged, by the body or by the prompt's memory. */
-const otherZoneAttempts = 2;
+/** Attempts that a crossing between availability zones is charged: of the prompt's memory, and of each 10 KB of its body. */
+const otherZoneAttempts = {memory: 3, body: 1.5} as const;
 const failureAttempts = 40;
 
 type TokensContext = {
@@ -19,13 +19,14 @@
 	readonly availabilityZone: string;
 	/** Zone of the engine that read the prompt, from which its memory comes. */
 	readonly readerZone: string;
+	readonly bodyBytes: number;
 	readonly avoid: ReadonlySet<string>;
 };
 
-const cost = (engine: EngineView, {availabilityZone, readerZone}: TokensContext): number => engine.attempts
+const cost = (engine: EngineView, {availabilityZone, readerZone, bodyBytes}: TokensContext): number => engine.attempts
 	+ (engine.readMilliseconds / readMillisecondsPerRequest)
-	+ (engine.availabilityZone === availabilityZone ? 0 : otherZoneAttempts)
-	+ (engine.availabilityZone === readerZone ? 0 : otherZoneAttempts)
+	+ (engine.availabilityZone === availabilityZone ? 0 : otherZoneAttempts.body * (1 + (bodyBytes / 10_000)))
+	+ (engine.availabilityZone === readerZone ? 0 : otherZoneAttempts.memory)
 	+ (engine.failureShare * failureAttempts);
 
 /**
@@ -33,7 +34,7 @@
 
 @example
 ```
-placeTokens({engines, availabilityZone, readerZone: reader.availabilityZone, avoid: new Set()});
+placeTokens({engines, availabilityZone, readerZone: reader.availabilityZone, bodyBytes: 34_000, avoid: new Set()});
 ```
 */
 export const placeTokens = (context: TokensContext): option.Option<EngineView> => {
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -49,7 +49,7 @@
 
 type Lane = 'onTime' | 'late';
 
-type Choice = {readonly prompt: WaitingPrompt; readonly placement: PromptPlacement};
+type Choice = {readonly prompt: WaitingPrompt; readonly placement: PromptPlacement; readonly lane: Lane};
 
 const isOpen = (engine: EngineView, lane: Lane): boolean => engine.role === 'prefill'
 	? engine.readMilliseconds < mostBacklog[lane]
@@ -91,7 +91,7 @@
 	for (const prompt of prompts.slice(0, mostCompared)) {
 		const placement = place(prompt, room, context);
 		if (option.isSome(placement) && isGood(prompt, placement.value)) {
-			return option.some({prompt, placement: placement.value});
+			return option.some({prompt, placement: placement.value, lane});
 		}
 	}
 
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -13,6 +13,8 @@
 type PlacedVerdict = {
 	readonly kind: 'placed';
 	readonly placement: PromptPlacement;
+	/** Whether its first event can be on time. */
+	readonly lane: 'onTime' | 'late';
 	readonly target: TargetRecord;
 	readonly fetchFrom: TargetRecord | undefined;
 	/** Reserved in the load book; whoever takes the verdict removes it. */
@@ -124,10 +126,11 @@
 			return false;
 		}
 
-		const {prompt, placement} = chosen.value;
+		const {prompt, placement, lane} = chosen.value;
 		this.#decide(queue, prompt, {
 			kind: 'placed',
 			placement,
+			lane,
 			target: record(placement.engine.id),
 			fetchFrom: placement.fetchFrom === undefined ? undefined : record(placement.fetchFrom.id),
 			entry: this.#context.book.add(placement.engine.id, placement.readMilliseconds),
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -22,8 +22,8 @@
 
 type Handle = {readonly engine: TargetRecord; readonly id: string; readonly readAt: number};
 
-/** Rank of the most urgent route; lower routes follow, as 9 is the last. */
-const firstRank = 3;
+/** Rank of the most urgent route at engines; others follow, as 9 is the last. Late work goes behind all that can be on time. */
+const firstRank = {onTime: 2, late: 6} as const;
 const lastRank = 9;
 /** Shared parts below this are not worth remembering. */
 const leastKeptTokens = 1000;
@@ -50,6 +50,7 @@
 	#head: AnswerFacts | undefined;
 	#handle: Handle | undefined;
 	#handleSends = 0;
+	#lane: 'onTime' | 'late' = 'onTime';
 	readonly #queues: PromptQueues;
 	readonly #shared: {readonly key: string; readonly tokens: number; readonly cacheTokens: number};
 
@@ -137,18 +138,20 @@
 		});
 	}
 
-	async #sendPlaced({placement, target, fetchFrom, entry}: Extract<Verdict, {readonly kind: 'placed'}>): Promise<boolean> {
+	async #sendPlaced({placement, lane, target, fetchFrom, entry}: Extract<Verdict, {readonly kind: 'placed'}>): Promise<boolean> {
 		if (this.#course.isOver) {
 			this.#context.book.remove(entry);
 			return false;
 		}
 
 		const {way, readMilliseconds, cost, engine, latency} = placement;
+		this.#lane = lane;
 		this.#keeps(target);
 		this.#context.metrics.count(`placed.${way.replace(' ', '-')}`);
 		this.#course.lines.add('placed', {
 			target: target.id,
 			way,
+			lane,
 			readMilliseconds: Math.round(readMilliseconds),
 			cost: Math.round(cost),
 			latency: Math.round(latency),
@@ -179,7 +182,7 @@
 		return {
 			targetId: target.id,
 			remainingMilliseconds: this.#course.remaining,
-			rank: Math.min(lastRank, firstRank + this.#request.route.priority),
+			rank: Math.min(lastRank, firstRank[this.#lane] + this.#request.route.priority),
 			isPrefillOnly: false,
 			handle: undefined,
 			fetchFrom: undefined,
@@ -231,7 +234,7 @@
 	async #sendWithHandle(handle: Handle): Promise<boolean> {
 		const {views, record} = engineViews(this.#context, this.#request.service);
 		const chosen = placeTokens({
-			engines: views, availabilityZone: this.#context.settings().availabilityZone, readerZone: handle.engine.availabilityZone, avoid: this.#course.avoid,
+			engines: views, availabilityZone: this.#context.settings().availabilityZone, readerZone: handle.engine.availabilityZone, bodyBytes: this.#request.body?.byteLength ?? 0, avoid: this.#course.avoid,
 		});
 		if (option.isNone(chosen)) {
 			this.#course.refuse(resultCode.noTarget, 800);
--- a/test/decisions/entry/place.test.ts
+++ b/test/decisions/entry/place.test.ts
@@ -69,7 +69,7 @@
 
 test('tokens are made where few are made and little is read', t => {
 	const chosen = placeTokens({
-		engines: [view('p1', 'prefill'), view('d1', 'decode', {attempts: 10}), view('d2', 'decode', {attempts: 4, readMilliseconds: 90}), view('d3', 'decode', {attempts: 6})], availabilityZone: 'a', readerZone: 'a', avoid: new Set(),
+		engines: [view('p1', 'prefill'), view('d1', 'decode', {attempts: 10}), view('d2', 'decode', {attempts: 4, readMilliseconds: 90}), view('d3', 'decode', {attempts: 6})], availabilityZone: 'a', readerZone: 'a', bodyBytes: 700, avoid: new Set(),
 	});
 	t.equal(option.isSome(chosen) ? chosen.value.id : '', 'd3');
 	t.end();
--- /dev/null
+++ b/test/platform/decode.test.ts
@@ -0,0 +1,101 @@
+/**
+What the platform's names are translated into, and what is not taken.
+*/
+import * as option from 'fp-ts/lib/Option.js';
+import {test} from 'tap';
+import {decodeConfiguration} from '../../platform/decode-configuration.js';
+import {decodeSettings} from '../../platform/decode-settings.js';
+import {decodeTarget} from '../../platform/decode-target.js';
+import {targetProtocol} from '../../platform/target-protocol.js';
+
+const settings = `
+nodeName = "edge-1"
+zone = "zone-a"
+seeds = ["10.1.0.35:8146"]
+later = "ignored"
+[listen]
+frontend = "10.1.0.35:8144"
+readyAddress = "10.1.0.35:8140"
+controlPlane = "10.1.0.35:8146"
+[bounds]
+drainMs = 2000
+graceS = 8
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetExtra = 58
+[platform]
+address = "10.200.1.7:8142"
+readsPerS = 2000
+`;
+
+test('settings are translated, and fields that are not known are passed over', t => {
+	t.match(decodeSettings(settings)._unsafeUnwrap(), {
+		name: 'edge-1', availabilityZone: 'zone-a', peerSeeds: ['10.1.0.35:8146'], listen: {callers: {host: '10.1.0.35', port: 8144}}, bounds: {graceMilliseconds: 8000, retryExtra: 58}, store: {address: '10.200.1.7:8142'},
+	});
+	t.end();
+});
+
+test('settings have all their errors named', t => {
+	const errors = decodeSettings(settings.replace('"edge-1"', '7').replace('10.200.1.7:8142', 'nowhere'))._unsafeUnwrapErr();
+	t.ok(errors.some(error => error.startsWith('nodeName:')));
+	t.ok(errors.some(error => error.startsWith('platform.address:')));
+	t.ok(decodeSettings('a = ').isErr());
+	t.end();
+});
+
+const entry = {
+	service: 's', address: '10.0.0.9:80', zone: 'a', slots: 4, state: 'ready', born: 17,
+};
+
+test('an entry is a target only when it is whole', t => {
+	const decode = (value: unknown) => decodeTarget('i-1', typeof value === 'string' ? value : JSON.stringify(value));
+	t.match(decode({...entry, phase: 'prefill'}), option.some({
+		id: 'i-1', incarnation: 'i-1 17', role: 'prefill', isDraining: false,
+	}));
+	t.match(decode({...entry, state: 'draining'}), option.some({isDraining: true}));
+	const forged = ['', 'null', '7', '[]', {...entry, service: 3}, {...entry, address: 'x'}, {...entry, slots: '4'}, {...entry, state: 'asleep'}, {...entry, born: 1.5}, {...entry, phase: 'both'}, {...entry, zone: undefined}];
+	t.ok(forged.every(value => option.isNone(decode(value))));
+	t.end();
+});
+
+test('a configuration is translated; a kind that is not known may run at most once', t => {
+	const text = JSON.stringify({
+		version: 7,
+		routes: [
+			{
+				name: 'a', host: 'A.example', pathPrefix: '/a/', routeType: 'streaming', timeoutMs: 6000, targetLatencyMs: 800, itlTargetMs: 300, priority: 1, trafficSplit: [{service: 's', weight: 90}, {service: 'z', weight: 0}], maxAttempts: 1, resumable: true,
+			},
+			{
+				name: 'b', host: 'b.example', pathPrefix: '/b/', routeType: 'strange', service: 's',
+			},
+		],
+		services: [{name: 's', maxConnections: 9}],
+		limits: {},
+	});
+	t.match(decodeConfiguration(text)._unsafeUnwrap(), {
+		version: 7,
+		routes: [{
+			host: 'a.example', kind: 'streaming', firstEventPatienceMilliseconds: 3200, split: [{service: 's', weight: 90}], isResumable: true,
+		}, {kind: 'non-idempotent', mostAttempts: 1}],
+		services: [{name: 's', engine: undefined, mostConnections: 9}],
+	});
+	t.ok(decodeConfiguration('{').isErr());
+	t.ok(decodeConfiguration('{"routes": []}').isErr());
+	t.end();
+});
+
+test('headers of an attempt are the caller\'s and the system\'s, never the caller\'s in the system\'s place', t => {
+	const facts = targetProtocol.readRequest(['Host', 'a', 'X-Request-Id', 'r', 'X-Deadline-Ms', '900', 'X-Kv-Source', 'forged', 'X-Token-Count', '40,5', 'X-Prompt-Prefix', 'aa:30,bb:10', 'Last-Event-Id', '3']);
+	t.match(facts, {
+		requestId: 'r', patienceMilliseconds: 900, prompt: {tokens: 40, mostOutputTokens: 5, parts: [{id: 'aa', tokens: 30}, {id: 'bb', tokens: 10}]}, lastEventId: '3',
+	});
+	const headers = targetProtocol.writeAttempt(facts, {
+		targetId: 'i-1', remainingMilliseconds: 500.7, rank: 3, isPrefillOnly: false, handle: {address: '10.0.0.1:1', id: 'h'}, fetchFrom: undefined, lastEventId: '8',
+	});
+	const named = new Map(headers.flatMap((name, index) => index % 2 === 0 ? [[name.toLowerCase(), headers[index + 1]] as const] : []));
+	t.match(Object.fromEntries(named), {
+		'x-kv-source': '10.0.0.1:1/h', 'x-deadline-ms': '500', 'x-expect-instance': 'i-1', 'x-request-priority': '3', 'last-event-id': '8', 'x-token-count': '40,5',
+	});
+	t.equal(headers.filter(name => name.toLowerCase() === 'last-event-id').length, 1);
+	t.end();
+});
