--- a/experiments/run-mutations.ts
+++ b/experiments/run-mutations.ts
@@ -14,6 +14,11 @@
 
 const mostMilliseconds = 120_000;
 
+const runProof = (folder: string, test: string): boolean => {
+	const {status} = spawnSync(process.execPath, [`build/test/${test}.test.js`], {cwd: folder, timeout: mostMilliseconds, stdio: 'ignore'});
+	return status === 0;
+};
+
 const runOne = (folder: string, {file, find, replace, test}: Mutation): 'fails' | 'passes' | 'not applied' => {
 	const source = path.join('build/source', `${file}.js`);
 	const text = fs.readFileSync(source, 'utf8');
@@ -23,9 +28,9 @@
 
 	const target = path.join(folder, source);
 	fs.writeFileSync(target, text.replace(find, () => replace));
-	const {status} = spawnSync(process.execPath, [`build/test/${test}.test.js`], {cwd: folder, timeout: mostMilliseconds, stdio: 'ignore'});
+	const isPassed = runProof(folder, test);
 	fs.writeFileSync(target, text);
-	return status === 0 ? 'passes' : 'fails';
+	return isPassed ? 'passes' : 'fails';
 };
 
 /**
@@ -43,12 +48,18 @@
 		fs.cpSync('build', path.join(folder, 'build'), {recursive: true});
 		fs.copyFileSync('package.json', path.join(folder, 'package.json'));
 		fs.symlinkSync(path.resolve('node_modules'), path.join(folder, 'node_modules'));
+		// A proof that fails without any mutation would seem to notice each.
+		const failing = [...new Set(mutations.map(({test}) => test))].filter(test => !runProof(folder, test));
+		for (const test of failing) {
+			console.log(`FAILS WITHOUT A MUTATION | ${test}`);
+		}
+
 		const results = mutations.map(mutation => {
 			const result = runOne(folder, mutation);
 			console.log(`${result === 'fails' ? 'noticed' : `NOT NOTICED (${result})`} | ${mutation.name} | ${mutation.test}`);
 			return result;
 		});
-		return results.filter(result => result !== 'fails').length;
+		return failing.length + results.filter(result => result !== 'fails').length;
 	} finally {
 		fs.rmSync(folder, {recursive: true, force: true});
 	}
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -16,14 +16,21 @@
 		file, name, command, seen, issue,
 	}));
 
+/* The processes' own log lines, shown only when something failed. */
+const mostErrorCharacters = 200_000;
+
 const runTap = async () => new Promise(resolve => {
-	const child = spawn('npx', ['tap', '--reporter=tap', ...process.argv.slice(2)], {stdio: ['ignore', 'pipe', 'inherit']});
+	const child = spawn('npx', ['tap', '--reporter=tap', ...process.argv.slice(2)], {stdio: ['ignore', 'pipe', 'pipe']});
 	let output = '';
+	let errors = '';
+	child.stderr.on('data', data => {
+		errors = (errors + data).slice(-mostErrorCharacters);
+	});
 	child.stdout.on('data', data => {
 		output += data;
 	});
 	child.on('close', code => {
-		resolve({output, code});
+		resolve({output, errors, code});
 	});
 });
 
@@ -50,7 +57,7 @@
 	return results;
 };
 
-const {output, code} = await runTap();
+const {output, errors, code} = await runTap();
 const results = readResults(output);
 const isKnown = result => knownRed.some(entry => result.file.endsWith(entry.file) && result.name === entry.name);
 const failed = results.filter(({passed}) => !passed);
@@ -60,6 +67,7 @@
 
 if (unknown.length > 0 || (code !== 0 && failed.length === 0)) {
 	console.log(output);
+	console.error(errors);
 }
 
 for (const result of unknown) {
