Keep some decode engines free of reading, so that long answers keep their pace

Change: while there are prefill engines, two fifths of the decode engines read in place; tokens are made where a step is shortest.

--- a/source/decisions/entry/place-tokens.ts
+++ b/source/decisions/entry/place-tokens.ts
@@ -7,11 +7,13 @@
 import * as option from 'fp-ts/lib/Option.js';
 import type {EngineView} from './engine-view.js';
 
-/** Reading time that delays a running request as much as one more request beside it. */
-const readMillisecondsPerRequest = 7;
-/** Attempts that a crossing between availability zones is charged: of the prompt's memory, and of each 10 KB of its body. */
-const otherZoneAttempts = {memory: 3, body: 1.5} as const;
-const failureAttempts = 40;
+/** A step of a decode engine makes one token of each running request: its time alone, and what each request adds. */
+const step = {milliseconds: 4.55, millisecondsPerRequest: 0.181} as const;
+/** What reading in place adds to a step, and the reading under way from which every step bears it. */
+const reading = {milliseconds: 16.7, fullMilliseconds: 30} as const;
+/** What a crossing between availability zones is charged, in milliseconds of a step: of the prompt's memory, and of each 10 KB of its body. */
+const otherZone = {memory: 0.5, body: 0.3} as const;
+const failureMilliseconds = 8;
 
 type TokensContext = {
 	readonly engines: readonly EngineView[];
@@ -23,11 +25,15 @@
 	readonly avoid: ReadonlySet<string>;
 };
 
-const cost = (engine: EngineView, {availabilityZone, readerZone, bodyBytes}: TokensContext): number => engine.attempts
-	+ (engine.readMilliseconds / readMillisecondsPerRequest)
-	+ (engine.availabilityZone === availabilityZone ? 0 : otherZoneAttempts.body * (1 + (bodyBytes / 10_000)))
-	+ (engine.availabilityZone === readerZone ? 0 : otherZoneAttempts.memory)
-	+ (engine.failureShare * failureAttempts);
+/** Time of one token there, as far as it is known. */
+const tokenMilliseconds = ({attempts, readMilliseconds}: EngineView): number => step.milliseconds
+	+ ((attempts + 1) * step.millisecondsPerRequest)
+	+ (Math.min(1, readMilliseconds / reading.fullMilliseconds) * reading.milliseconds);
+
+const cost = (engine: EngineView, {availabilityZone, readerZone, bodyBytes}: TokensContext): number => tokenMilliseconds(engine)
+	+ (engine.availabilityZone === availabilityZone ? 0 : otherZone.body * (1 + (bodyBytes / 10_000)))
+	+ (engine.availabilityZone === readerZone ? 0 : otherZone.memory)
+	+ (engine.failureShare * failureMilliseconds);
 
 /**
 Returns the engine to send to, none when no engine may take it.
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -11,6 +11,7 @@
 at once, with the time when there will be room.
 */
 import * as option from 'fp-ts/lib/Option.js';
+import {rendezvousScore} from '../routing/rendezvous-score.js';
 import {engineSpeed} from './engine-speed.js';
 import type {EngineView} from './engine-view.js';
 import {placePrompt} from './place-prompt.js';
@@ -34,6 +35,8 @@
 
 /** Part of a prefill engine's reading that a decode engine does beside its own work. */
 const decodeReaderPart = 0.3;
+/** Part of the decode engines that read in place while there are prefill engines. */
+const readingPart = 0.4;
 /** Prompts looked at for each choice, so that a long queue does not cost more the longer it is. */
 const mostCompared = 12;
 
@@ -55,31 +58,67 @@
 	? engine.readMilliseconds < mostBacklog[lane]
 	: engine.attempts < engine.slots * usedSlots && engine.readMilliseconds < mostBacklogInPlace[lane];
 
-/** Engines with room for a lane, found once for all prompts that wait. */
-type Room = {readonly all: readonly EngineView[]; readonly makers: readonly EngineView[]; readonly forLong: readonly EngineView[]};
+/** Time that reading a prompt will take an idle prefill engine, wherever it is read. */
+const readOf = (prompt: WaitingPrompt, context: QueueContext): number => {
+	const kept = prompt.sharedTokens > 0 && context.keepers(prompt.sharedKey).size > 0 ? prompt.sharedTokens : 0;
+	return engineSpeed.read(Math.max(1, prompt.tokens - kept), kept);
+};
+
+/**
+Engines with room for a lane, found once for all prompts that wait.
+
+Reading in place makes each token of the others beside it take three times as
+long, so while there are prefill engines only some decode engines read: the
+others stay quick for long answers, which else miss their deadline.
+*/
+type Room = {
+	/** Prefill engines, and the decode engines that read. */
+	readonly readers: readonly EngineView[];
+	/** Of these, the ones that may read long prompts. */
+	readonly longReaders: readonly EngineView[];
+	/** All engines with room. */
+	readonly all: readonly EngineView[];
+};
+
+/** Decode engines that read in place, the same at every gateway. */
+const readingMakers = (engines: readonly EngineView[]): ReadonlySet<string> => {
+	const makers = engines.filter(({role}) => role === 'decode').map(({id}) => id);
+	const count = makers.length === engines.length ? makers.length : Math.ceil(makers.length * readingPart);
+	return new Set(makers
+		.map(id => ({id, score: rendezvousScore('reads in place', id)}))
+		.toSorted((first, second) => second.score - first.score)
+		.slice(0, count)
+		.map(({id}) => id));
+};
 
 const roomOf = (engines: readonly EngineView[], lane: Lane): Room => {
 	const all = engines.filter(engine => isOpen(engine, lane));
-	return {
-		all,
-		makers: all.filter(({role}) => role === 'decode'),
-		forLong: all.filter(({role, attempts}) => role === 'prefill' || attempts <= mostRunningForLongRead),
-	};
+	const reading = readingMakers(engines);
+	const readers = all.filter(({role, id}) => role === 'prefill' || reading.has(id));
+	return {all, readers, longReaders: readers.filter(({role, attempts}) => role === 'prefill' || attempts <= mostRunningForLongRead)};
 };
 
 /** Places a prompt among engines with room; none when it has to wait. */
-const place = (prompt: WaitingPrompt, room: Room, context: QueueContext): option.Option<PromptPlacement> => {
-	const open = prompt.isInPlaceOnly ? room.makers : room.all;
-	if (open.length === 0) {
-		return option.none;
-	}
-
+const place = (prompt: WaitingPrompt, room: Room, context: QueueContext, isGood: (placement: PromptPlacement) => boolean): option.Option<PromptPlacement> => {
 	const placeContext = {
 		...context, known: context.engines, keepers: context.keepers(prompt.sharedKey), avoid: prompt.avoid,
 	};
-	const placement = placePrompt(prompt, {...placeContext, engines: open});
-	const isLongInPlace = option.isSome(placement) && placement.value.way === 'in place' && placement.value.readMilliseconds >= longReadMilliseconds;
-	return isLongInPlace ? placePrompt(prompt, {...placeContext, engines: room.forLong.filter(engine => open.includes(engine))}) : placement;
+	const among = (engines: readonly EngineView[]): option.Option<PromptPlacement> => {
+		const placement = engines.length === 0 ? option.none : placePrompt(prompt, {...placeContext, engines});
+		return option.isSome(placement) && isGood(placement.value) ? placement : option.none;
+	};
+
+	if (prompt.isInPlaceOnly) {
+		return among(room.all.filter(({role}) => role === 'decode'));
+	}
+
+	const first = among(room.readers);
+	const isShort = readOf(prompt, context) < longReadMilliseconds;
+	if (isShort) {
+		return option.isSome(first) ? first : among(room.all);
+	}
+
+	return option.isSome(first) && first.value.way === 'in place' ? among(room.longReaders) : first;
 };
 
 const firstPlaced = (prompts: readonly WaitingPrompt[], lane: Lane, context: QueueContext, isGood: (prompt: WaitingPrompt, placement: PromptPlacement) => boolean): option.Option<Choice> => {
@@ -89,8 +128,8 @@
 	}
 
 	for (const prompt of prompts.slice(0, mostCompared)) {
-		const placement = place(prompt, room, context);
-		if (option.isSome(placement) && isGood(prompt, placement.value)) {
+		const placement = place(prompt, room, context, candidate => isGood(prompt, candidate));
+		if (option.isSome(placement)) {
 			return option.some({prompt, placement: placement.value, lane});
 		}
 	}
@@ -111,12 +150,6 @@
 	return firstPlaced(waiting.toSorted((first, second) => first.giveUpAt - second.giveUpAt), 'late', context, () => true);
 };
 
-/** Time that reading a prompt will take an idle prefill engine, wherever it is read. */
-const readOf = (prompt: WaitingPrompt, context: QueueContext): number => {
-	const kept = prompt.sharedTokens > 0 && context.keepers(prompt.sharedKey).size > 0 ? prompt.sharedTokens : 0;
-	return engineSpeed.read(Math.max(1, prompt.tokens - kept), kept);
-};
-
 /** Prefill engines' worth of reading that all engines do together. */
 const readers = (engines: readonly EngineView[]): number => engines
 	.reduce((sum, {role}) => sum + (role === 'prefill' ? 1 : decodeReaderPart), 0);
