--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -137,9 +137,6 @@
 	return option.none;
 };
 
-/** Callers that were turned away once go first, then those that give up soonest. */
-const byPatience = (first: WaitingPrompt, second: WaitingPrompt): number => Number(second.hasReturned) - Number(first.hasReturned) || first.giveUpAt - second.giveUpAt;
-
 const byUrgency = (first: WaitingPrompt, second: WaitingPrompt): number => first.priority - second.priority || first.aimAt - second.aimAt;
 
 /** The prompt to send now and where, none when all have to wait. */
@@ -150,7 +147,7 @@
 		return onTime;
 	}
 
-	return firstPlaced(waiting.toSorted(byPatience), 'late', context, () => true);
+	return firstPlaced(waiting.toSorted((first, second) => first.giveUpAt - second.giveUpAt), 'late', context, () => true);
 };
 
 /** Prefill engines' worth of reading that all engines do together. */
@@ -167,7 +164,7 @@
 	const before = context.engines.reduce((sum, {readMilliseconds}) => sum + readMilliseconds, 0) / Math.max(1, context.engines.length);
 	let ahead = 0;
 	return waiting
-		.toSorted(byPatience)
+		.toSorted((first, second) => first.giveUpAt - second.giveUpAt)
 		.flatMap(prompt => {
 			const waitMilliseconds = before + (ahead / pace);
 			const read = readOf(prompt, context);
--- a/source/decisions/entry/waiting-prompt.ts
+++ b/source/decisions/entry/waiting-prompt.ts
@@ -9,8 +9,6 @@
 	readonly id: string;
 	/** Rank of its route; 0 is the most urgent. */
 	readonly priority: number;
-	/** True when its caller was turned away before. */
-	readonly hasReturned: boolean;
 	/** When its first event should reach the caller. */
 	readonly aimAt: number;
 	/** When the caller gives up waiting for the first event. */
--- a/source/entry/caller-request.ts
+++ b/source/entry/caller-request.ts
@@ -19,7 +19,5 @@
 	readonly body: Uint8Array | undefined;
 	readonly answer: CallerAnswer;
 	readonly startedAt: number;
-	/** Milliseconds that passed for the caller in earlier tries. */
-	readonly elapsedBefore: number;
 	readonly limitAt: number;
 };
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -7,7 +7,6 @@
 import * as option from 'fp-ts/lib/Option.js';
 import {KeptParts} from '../decisions/entry/kept-parts.js';
 import {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
-import {PatienceBook} from '../decisions/entry/patience-book.js';
 import {RateLimit} from '../decisions/entry/rate-limit.js';
 import {RetryWindow} from '../decisions/entry/retry-window.js';
 import {TargetBeliefs} from '../decisions/entry/target-beliefs.js';
@@ -82,7 +81,6 @@
 	readonly #inForce = new ConfigurationInForce();
 	readonly #services = new Map<string, FleetConfiguration['services'][number]>();
 	readonly #retries = new Map<string, RetryWindow>();
-	readonly #patience = new PatienceBook();
 	readonly #context: EntryContext;
 	readonly #sender: AttemptSender;
 	readonly #queues: PromptQueues;
@@ -347,7 +345,7 @@
 		const service = this.#chooseService(route.split);
 		const isModel = this.#services.get(service)?.engine !== undefined && route.kind === 'streaming';
 		const callerRequest = {
-			facts, route, service, configurationVersion: this.#inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, elapsedBefore: this.#patience.elapsedBefore(route.name, facts.patienceMilliseconds), limitAt: startedAt + waits,
+			facts, route, service, configurationVersion: this.#inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, limitAt: startedAt + waits,
 		};
 		const relay = isModel ? new StreamRelay(callerRequest, this.#context, this.#sender, this.#queues) : new PlainRelay(callerRequest, this.#context, this.#sender);
 		// Under load a caller may have left while its request waited to be read; two turns of the loop show that.
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -115,14 +115,13 @@
 	}
 
 	async #wait(): Promise<Verdict | {readonly kind: 'withdrawn'}> {
-		const {route, startedAt, elapsedBefore, limitAt, service, facts, body} = this.#request;
+		const {route, startedAt, limitAt, service, facts, body} = this.#request;
 		const patience = route.firstEventPatienceMilliseconds;
 		return new Promise(resolve => {
 			const withdraw = this.#queues.wait(service, {
 				id: facts.requestId,
 				priority: route.priority,
-				hasReturned: elapsedBefore > 0,
-				aimAt: startedAt - elapsedBefore + route.targetLatencyMilliseconds,
+				aimAt: startedAt + route.targetLatencyMilliseconds,
 				giveUpAt: Math.min(limitAt, (this.#lastEventId === undefined ? startedAt : this.#context.now()) + patience),
 				tokens: facts.prompt?.tokens ?? 0,
 				sharedKey: this.#shared.key,
