--- a/source/entry/request-course.ts
+++ b/source/entry/request-course.ts
@@ -191,7 +191,7 @@
 		this.#context.metrics.count(`request.${ending.outcome.replaceAll(' ', '-')}${ending.code === undefined ? '' : `.${ending.code}`}`);
 		this.#context.metrics.record(`request-${route.kind}`, milliseconds);
 		this.lines.add('request ended', {
-			route: route.name, service, configurationVersion, milliseconds, ran: this.#ran, arrivals: this.#arrivals, ...ending,
+			route: route.name, service, configurationVersion, milliseconds, firstEvent: this.#firstEventAt === undefined ? undefined : Math.round(this.#firstEventAt - startedAt), ran: this.#ran, arrivals: this.#arrivals, ...ending,
 		}, now);
 		const wentWell = ending.outcome === 'answered' && (this.#firstEventAt ?? now) - startedAt <= route.targetLatencyMilliseconds;
 		this.lines.end(!wentWell, this.#context.sampling, now);
