Revert: less work before prefill engines

Tried: 140 instead of 260 ms before prefill engines. First events still come 260 ms later than estimated at the median of long prompts, so the queue before the engines is not what the estimate lacks.

--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -19,7 +19,7 @@
 import type {WaitingPrompt} from './waiting-prompt.js';
 
 /** Reading that an engine may have before it, in milliseconds, for work that can be on time and for late work. */
-const mostBacklog = {onTime: 140, late: 90} as const;
+const mostBacklog = {onTime: 260, late: 150} as const;
 /** The same for reading in place, between the tokens of others. */
 const mostBacklogInPlace = {onTime: 45, late: 25} as const;
 /** Reading from which a prompt counts as long. */
