--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -152,6 +152,7 @@
 			target: target.id,
 			way,
 			lane,
+			sharedPart: this.#shared.key,
 			readMilliseconds: Math.round(readMilliseconds),
 			cost: Math.round(cost),
 			latency: Math.round(latency),
