--- a/source/decisions/entry/kept-parts.ts
+++ b/source/decisions/entry/kept-parts.ts
@@ -13,14 +13,12 @@
 since is taken to be gone; running requests have the rest.
 */
 const keptPart = 0.7;
-/** Time after which a part that was to be read has been read, so that others can fetch it. */
-const readMilliseconds = 700;
 /** News kept for peers between two digests at most. */
 const mostNews = 200;
 
 type Kept = {readonly engine: string; readonly part: string; readonly tokens: number};
 
-type Part = {readonly tokens: number; readonly readThen: number; readonly since: number};
+type Part = {readonly tokens: number; readonly readThen: number};
 
 type Engine = {parts: Map<string, Part>; readTokens: number};
 
@@ -31,7 +29,7 @@
 
 @example
 ```
-kept.used({engine: 'engine-3 17', part: '5c1e07a2', tokens: 13_300}, now);
+kept.used({engine: 'engine-3 17', part: '5c1e07a2', tokens: 13_300});
 kept.read('engine-3 17', 3720 * gateways);
 kept.keeps('engine-3 17', '5c1e07a2', 435_004);
 ```
@@ -51,23 +49,18 @@
 		return [...this.#byEngine.keys()].filter(engine => this.keeps(engine, part, cacheTokens));
 	}
 
-	/** Engines from which a part can be fetched: it has been read there, not only sent to be read. */
-	sources(part: string, cacheTokens: number, now: number): readonly string[] {
-		return this.keepers(part, cacheTokens).filter(engine => now - (this.#byEngine.get(engine)?.parts.get(part)?.since ?? now) >= readMilliseconds);
-	}
-
-	/** Records that an engine read or used a part for this gateway. */
-	used(kept: Kept, now: number): void {
-		this.hear(kept, now);
+	/** Records that an engine read, fetched or used a part for this gateway. */
+	used(kept: Kept): void {
+		this.hear(kept);
 		if (this.#news.length < mostNews) {
 			this.#news.push(kept);
 		}
 	}
 
 	/** Takes a peer's word. */
-	hear({engine, part, tokens}: Kept, now: number): void {
+	hear({engine, part, tokens}: Kept): void {
 		const known = this.#engine(engine);
-		known.parts.set(part, {tokens, readThen: known.readTokens, since: known.parts.get(part)?.since ?? now});
+		known.parts.set(part, {tokens, readThen: known.readTokens});
 	}
 
 	/** Records tokens that an engine reads and has to keep for a while. */
--- a/source/decisions/entry/place-prompt.ts
+++ b/source/decisions/entry/place-prompt.ts
@@ -46,8 +46,6 @@
 	readonly availabilityZone: string;
 	/** Engines that are believed to keep the shared parts. */
 	readonly keepers: ReadonlySet<string>;
-	/** Of these, the ones that have read them already, so that others can fetch them. */
-	readonly sources: ReadonlySet<string>;
 	readonly bytesPerToken: number;
 	readonly linkMegabitsPerSecond: number;
 	/** Engines not to be used for this request. */
@@ -60,13 +58,13 @@
 	return healthy.length > 0 ? healthy : all;
 };
 
-/** The engine to fetch shared parts from, the near ones first. Decode engines soon lose theirs to what they run. */
+/** The engine to fetch shared parts from, the near ones first. */
 const sourceOf = (engine: EngineView, prompt: Prompt, context: PlaceContext): EngineView | undefined => {
 	if (prompt.sharedTokens < leastSharedTokens || context.keepers.has(engine.id)) {
 		return undefined;
 	}
 
-	const sources = (context.known ?? context.engines).filter(({id, role, isAvoided}) => context.sources.has(id) && role === 'prefill' && !isAvoided);
+	const sources = (context.known ?? context.engines).filter(({id, isAvoided}) => context.keepers.has(id) && !isAvoided);
 	return sources.find(({availabilityZone}) => availabilityZone === engine.availabilityZone) ?? sources[0];
 };
 
@@ -111,7 +109,7 @@
 
 @example
 ```
-placePrompt(prompt, {engines, availabilityZone, keepers: new Set(['engine-3']), sources: new Set(['engine-3']), bytesPerToken, linkMegabitsPerSecond, avoid: new Set()});
+placePrompt(prompt, {engines, availabilityZone, keepers: new Set(['engine-3']), bytesPerToken, linkMegabitsPerSecond, avoid: new Set()});
 ```
 */
 export const placePrompt = (prompt: Prompt, context: PlaceContext): option.Option<PromptPlacement> => {
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -48,8 +48,6 @@
 	readonly linkMegabitsPerSecond: number;
 	/** Identifiers of the engines that are believed to keep a shared part. */
 	readonly keepers: (sharedKey: string) => ReadonlySet<string>;
-	/** Of these, the ones from which it can be fetched. */
-	readonly sources: (sharedKey: string) => ReadonlySet<string>;
 };
 
 type Lane = 'onTime' | 'late';
@@ -103,7 +101,7 @@
 /** Places a prompt among engines with room; none when it has to wait. */
 const place = (prompt: WaitingPrompt, room: Room, context: QueueContext, isGood: (placement: PromptPlacement) => boolean): option.Option<PromptPlacement> => {
 	const placeContext = {
-		...context, known: context.engines, keepers: context.keepers(prompt.sharedKey), sources: context.sources(prompt.sharedKey), avoid: prompt.avoid,
+		...context, known: context.engines, keepers: context.keepers(prompt.sharedKey), avoid: prompt.avoid,
 	};
 	const among = (engines: readonly EngineView[]): option.Option<PromptPlacement> => {
 		const placement = engines.length === 0 ? option.none : placePrompt(prompt, {...placeContext, engines});
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -164,12 +164,11 @@
 	}
 
 	#hearKept({engines, parts, tokens}: Extract<PeerMessage, {kind: 'digest'}>['kept']): void {
-		const {kept, beliefs, now: clock} = this.#options.context;
-		const now = clock();
+		const {kept, beliefs} = this.#options.context;
 		const known = new Set(beliefs.all().map(({incarnation}) => incarnation));
 		for (const [index, engine] of engines.entries()) {
 			if (known.has(engine)) {
-				kept.hear({engine, part: parts[index] ?? '', tokens: tokens[index] ?? 0}, now);
+				kept.hear({engine, part: parts[index] ?? '', tokens: tokens[index] ?? 0});
 			}
 		}
 	}
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -110,15 +110,12 @@
 
 		const now = this.#context.now();
 		const engine = this.#context.service(service)?.engine;
-		const cacheTokens = engine?.cacheTokens ?? 0;
-		const records = views.map(({id}) => record(id));
 		const context = {
 			engines: views,
 			availabilityZone: this.#context.settings().availabilityZone,
 			bytesPerToken: engine?.bytesPerToken ?? 0,
 			linkMegabitsPerSecond: engine?.linkMegabitsPerSecond ?? 1,
-			keepers: (key: string) => this.#idsOf(this.#context.kept.keepers(key, cacheTokens), records),
-			sources: (key: string) => this.#idsOf(this.#context.kept.sources(key, cacheTokens, now), records),
+			keepers: (key: string) => this.#keepers(key, views.map(({id}) => record(id)), engine?.cacheTokens ?? 0),
 		};
 		const chosen = promptQueue.next([...queue.keys()], context, now);
 		if (option.isNone(chosen)) {
@@ -145,9 +142,9 @@
 		return true;
 	}
 
-	#idsOf(incarnations: readonly string[], records: readonly TargetRecord[]): ReadonlySet<string> {
-		const wanted = new Set(incarnations);
-		return new Set(records.filter(({incarnation}) => wanted.has(incarnation)).map(({id}) => id));
+	#keepers(key: string, records: readonly TargetRecord[], cacheTokens: number): ReadonlySet<string> {
+		const incarnations = new Set(this.#context.kept.keepers(key, cacheTokens));
+		return new Set(records.filter(({incarnation}) => incarnations.has(incarnation)).map(({id}) => id));
 	}
 
 	#decide(queue: Map<WaitingPrompt, Entry>, prompt: WaitingPrompt, verdict: Verdict): void {
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -167,7 +167,7 @@
 	/** Records that an engine reads or fetches this prompt, and keeps its shared parts. */
 	#keeps(target: TargetRecord): void {
 		const {key, tokens} = this.#shared;
-		const {kept, gateways, now} = this.#context;
+		const {kept, gateways} = this.#context;
 		kept.read(target.incarnation, ((this.#request.facts.prompt?.tokens ?? 0) - tokens) * gateways());
 		if (tokens >= leastKeptTokens) {
 			const {cacheTokens} = this.#shared;
@@ -175,7 +175,7 @@
 				kept.read(target.incarnation, tokens * gateways());
 			}
 
-			kept.used({engine: target.incarnation, part: key, tokens}, now());
+			kept.used({engine: target.incarnation, part: key, tokens});
 		}
 	}
 
@@ -244,7 +244,7 @@
 
 		const target = record(chosen.value.id);
 		this.#handleSends++;
-		this.#context.kept.read(target.incarnation, (this.#request.facts.prompt?.tokens ?? 0) * this.#context.gateways());
+		this.#keeps(target);
 		this.#course.lines.add('tokens placed', {target: target.id, attempts: chosen.value.attempts, readMilliseconds: Math.round(chosen.value.readMilliseconds)}, this.#context.now());
 		const isAgain = await this.#sendStream(target, this.#context.book.add(target.id, 0), {handle: {address: handle.engine.address, id: handle.id}});
 		if (isAgain && this.#handleSends > 1) {
