--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -4,7 +4,6 @@
 */
 import http from 'node:http';
 import type {Logger} from 'roarr';
-import * as option from 'fp-ts/lib/Option.js';
 import {KeptParts} from '../decisions/entry/kept-parts.js';
 import {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
 import {RateLimit} from '../decisions/entry/rate-limit.js';
@@ -20,7 +19,6 @@
 import {newIdentifier} from '../shared/new-identifier.js';
 import {pause} from '../shared/pause.js';
 import {AttemptSender} from './attempt-sender.js';
-import type {CallerAnswer} from './caller-answer.js';
 import {CallerDoor} from './caller-door.js';
 import type {EntryContext} from './entry-context.js';
 import {EntryMetrics} from './entry-metrics.js';
@@ -28,10 +26,9 @@
 import {LoadBook} from './load-book.js';
 import {PeerExchange} from './peer-exchange.js';
 import {Peers} from './peers.js';
-import {PlainRelay} from './plain-relay.js';
 import {PromptQueues} from './prompt-queues.js';
+import {RequestRouter} from './request-router.js';
 import {StoreReader} from './store-reader.js';
-import {StreamRelay} from './stream-relay.js';
 import {TargetConnections} from './target-connections.js';
 
 type EntryOptions = {
@@ -84,6 +81,7 @@
 	readonly #context: EntryContext;
 	readonly #sender: AttemptSender;
 	readonly #queues: PromptQueues;
+	readonly #router: RequestRouter;
 	readonly #door: CallerDoor;
 	readonly #servers: http.Server[] = [];
 	readonly #peers: Peers | undefined;
@@ -100,6 +98,9 @@
 		this.#sender = new AttemptSender(this.#context, () => {
 			this.#queues.lookSoon();
 		});
+		this.#router = new RequestRouter({
+			context: this.#context, inForce: this.#inForce, sender: this.#sender, queues: this.#queues, storeReadAt: () => this.#storeReadAt,
+		});
 		this.#door = this.#createDoor();
 		const {peers: address} = options.settings.listen;
 		if (address !== undefined) {
@@ -202,7 +203,7 @@
 			limits: () => this.#inForce.current?.limits,
 			isClosing: () => this.#isClosing,
 			onRequest: (request, body, answer, startedAt) => {
-				this.#route(request, body, answer, startedAt);
+				this.#router.route(request, body, answer, startedAt);
 			},
 			onRefused: (request, answer, reason) => {
 				const code = refusalCodes[reason];
@@ -330,72 +331,6 @@
 		}
 	}
 
-	#route(request: http.IncomingMessage, body: Uint8Array | undefined, answer: CallerAnswer, startedAt: number): void {
-		const {protocol} = this.#options;
-		const facts = protocol.readRequest(request.rawHeaders);
-		const path = request.url ?? '/';
-		const found = this.#inForce.routes.find(request.headers.host ?? '', path);
-		if (option.isNone(found)) {
-			this.#refuseUnrouted(facts.requestId, answer);
-			return;
-		}
-
-		const route = found.value;
-		const waits = Math.min(route.timeoutMilliseconds, facts.patienceMilliseconds ?? route.timeoutMilliseconds);
-		const service = this.#chooseService(route.split);
-		const isModel = this.#services.get(service)?.engine !== undefined && route.kind === 'streaming';
-		const callerRequest = {
-			facts, route, service, configurationVersion: this.#inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, limitAt: startedAt + waits,
-		};
-		const relay = isModel ? new StreamRelay(callerRequest, this.#context, this.#sender, this.#queues) : new PlainRelay(callerRequest, this.#context, this.#sender);
-		// Under load a caller may have left while its request waited to be read; two turns of the loop show that.
-		setImmediate(() => {
-			setImmediate(() => {
-				if (!answer.isDone) {
-					void this.#carry(relay, facts.requestId, answer);
-				}
-			});
-		});
-	}
-
-	/** An error of our own fails that one request, never the process. */
-	async #carry(relay: {readonly run: () => Promise<void>}, requestId: string, answer: CallerAnswer): Promise<void> {
-		try {
-			await relay.run();
-		} catch (error) {
-			this.#context.metrics.count('request.error');
-			this.#log.error({event: 'request error', request: requestId, stack: (error as Error).stack ?? ''}, 'request failed by an error of the gateway');
-			if (answer.isStarted) {
-				answer.breakOff();
-			} else {
-				answer.refuse(resultCode.answerInvariantBroken, this.#options.protocol.writeRefusal(requestId));
-			}
-		}
-	}
-
-	/** A service by weight, among those with usable targets while there are any. */
-	#chooseService(split: FleetConfiguration['routes'][number]['split']): string {
-		const live = split.filter(({service}) => this.#context.beliefs.usable(service).length > 0);
-		const candidates = live.length > 0 ? live : split;
-		const total = candidates.reduce((sum, {weight}) => sum + weight, 0);
-		let left = Math.random() * total;
-		const chosen = candidates.find(({weight}) => {
-			left -= weight;
-			return left < 0;
-		});
-		return (chosen ?? candidates[0])?.service ?? '';
-	}
-
-	#refuseUnrouted(requestId: string, answer: CallerAnswer): void {
-		const isSure = this.#inForce.isSure(clock());
-		const code = isSure ? resultCode.unknownService : resultCode.noConfiguration;
-		this.#context.metrics.count(`request.refused.${code}`);
-		this.#log.info({
-			event: 'request ended', request: requestId, outcome: 'refused', code, configurationVersion: this.#inForce.version, storeAge: Math.round(clock() - this.#storeReadAt),
-		}, 'no route');
-		answer.refuse(code, this.#options.protocol.writeRefusal(requestId), isSure ? undefined : 0.5);
-	}
-
 	async #serve(address: {readonly host: string; readonly port: number}, path: string, answer: () => {readonly status: number; readonly text: string}): Promise<void> {
 		const server = http.createServer((request, response) => {
 			const {status, text} = request.url === path ? answer() : {status: 404, text: 'not found'};
