Give up silent engines, and see callers leave at the end of what they send

Ruled out: load (the other prefill engines were idle) and the store (it answered). Change: a target that has work and says nothing for 1.2 s is avoided until it speaks; what is overdue there and may run again is placed anew. Both tests fail without it. Also: a caller's leaving is taken from the end of what it sends, some turns of the loop before its connection counts as closed.

--- a/source/decisions/entry/target-health.ts
+++ b/source/decisions/entry/target-health.ts
@@ -21,6 +21,11 @@
 	inRow: 0, share: 0, avoidedUntil: Number.NEGATIVE_INFINITY, times: 0,
 };
 
+/** Time without a word from a target that has work, after which it is taken to be silent. */
+const silentMilliseconds = 1200;
+
+type Work = {readonly open: number; readonly waitingSince: number; readonly isTold: boolean};
+
 /**
 Outcomes by target incarnation. Times are on the gateway's monotonic clock.
 
@@ -32,6 +37,7 @@
 */
 export class TargetHealth {
 	readonly #byTarget = new Map<string, Health>();
+	readonly #work = new Map<string, Work>();
 
 	succeeded(target: string): void {
 		const health = this.#byTarget.get(target) ?? unknownHealth;
@@ -58,8 +64,52 @@
 		return isAvoided;
 	}
 
+	/** Records that an attempt was handed over. */
+	sent(target: string, now: number): void {
+		const work = this.#work.get(target);
+		this.#work.set(target, work === undefined ? {open: 1, waitingSince: now, isTold: false} : {...work, open: work.open + 1});
+	}
+
+	/** Records any word from the target. */
+	heard(target: string, now: number): void {
+		const work = this.#work.get(target);
+		if (work !== undefined) {
+			this.#work.set(target, {...work, waitingSince: now, isTold: false});
+		}
+	}
+
+	/** Records that an attempt ended, by whatever end. */
+	ended(target: string): void {
+		const work = this.#work.get(target);
+		if (work === undefined) {
+			return;
+		}
+
+		if (work.open <= 1) {
+			this.#work.delete(target);
+		} else {
+			this.#work.set(target, {...work, open: work.open - 1});
+		}
+	}
+
+	/** True while a target has work and has long said nothing: its machine may be gone without a word. */
+	isSilent(target: string, now: number): boolean {
+		const work = this.#work.get(target);
+		return work !== undefined && now - work.waitingSince > silentMilliseconds;
+	}
+
+	/** Targets that have fallen silent since the last call. */
+	takeSilent(now: number): readonly string[] {
+		const silent = [...this.#work].filter(([target, {isTold}]) => !isTold && this.isSilent(target, now));
+		for (const [target, work] of silent) {
+			this.#work.set(target, {...work, isTold: true});
+		}
+
+		return silent.map(([target]) => target);
+	}
+
 	isAvoided(target: string, now: number): boolean {
-		return now < (this.#byTarget.get(target) ?? unknownHealth).avoidedUntil;
+		return now < (this.#byTarget.get(target) ?? unknownHealth).avoidedUntil || this.isSilent(target, now);
 	}
 
 	/** Share of failures among recent outcomes, 0 to 1. */
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -27,6 +27,8 @@
 	readonly readMilliseconds: number;
 	/** Its entry in the load book where one was reserved. */
 	readonly entry?: LoadEntry;
+	/** Time until its answer should begin, from which on a silent target is given up; without it, it never is. */
+	readonly answerDueMilliseconds?: number;
 	/** Called when the first byte is handed over. */
 	readonly onSent?: () => void;
 	/** Takes a successful answer as it comes; without it answers are collected. */
@@ -37,6 +39,9 @@
 
 type RunningAttempt = {readonly outcome: Promise<AttemptOutcome>; readonly cancel: () => void};
 
+const brokenOff = 'broken off by the gateway';
+/** Pause between two looks whether a target has fallen silent. */
+const watchMilliseconds = 200;
 /** Bytes of an answer that are collected before it is passed on as it comes. */
 const mostCollectedBytes = 1_048_576;
 
@@ -115,9 +120,12 @@
 			return {outcome: Promise.resolve({kind: 'not sent', reason: 'no free connection'}), cancel() {/* Nothing is under way. */}};
 		}
 
+		const watchOver = this.#watch.bind(this);
 		const arrival: Arrival = {chunks: [], bytes: 0};
 		const startedAt = context.now();
-		let breakOff = (): void => undefined;
+		let isSent = false;
+		let breakOff = (_reason: string): void => undefined;
+		let watch: NodeJS.Timeout | undefined;
 		const outcome = new Promise<AttemptOutcome>(resolve => {
 			breakOff = connection.value.send({
 				method: plan.method, path: plan.path, headers: context.protocol.writeAttempt(plan.facts, plan.instructions), body: plan.body,
@@ -126,11 +134,18 @@
 					const isUsable = context.beliefs.isUsable(target);
 					if (isUsable) {
 						plan.onSent?.();
+						context.health.sent(target.incarnation, context.now());
+						isSent = true;
+						watch = watchOver(plan, startedAt, reason => {
+							breakOff(reason);
+						});
 					}
 
 					return isUsable;
 				},
 				onHead(status, headers) {
+					clearInterval(watch);
+					context.health.heard(target.incarnation, context.now());
 					arrival.facts = context.protocol.readAnswer(status, headers);
 					arrival.judgement = judgeAnswer(arrival.facts, plan.facts.requestId, !plan.instructions.isPrefillOnly);
 					context.metrics.record('target-head', context.now() - startedAt);
@@ -141,10 +156,16 @@
 				},
 				onData(chunk, flow) {
 					context.book.promptRead(entry);
+					context.health.heard(target.incarnation, context.now());
 					collect(arrival, chunk, flow, plan.spill);
 				},
 				onEnd: end => {
+					clearInterval(watch);
 					context.book.remove(entry);
+					if (isSent) {
+						context.health.ended(target.incarnation);
+					}
+
 					const result: AttemptOutcome = end.kind === 'not sent' ? end : conclude(arrival, end.kind === 'complete', end.kind === 'broken' ? end.reason : '');
 					if (arrival.judgement === 'foreign') {
 						connection.value.destroy();
@@ -160,7 +181,7 @@
 		return {
 			outcome,
 			cancel() {
-				breakOff();
+				breakOff(brokenOff);
 			},
 		};
 	}
@@ -179,13 +200,27 @@
 		this.#context.log.debug({request: facts.requestId, target: target.id, outcome: result.kind}, 'unused prompt freed');
 	}
 
+	/** Gives an attempt up whose answer is overdue at a target that says nothing to anyone here. */
+	#watch({target, answerDueMilliseconds}: AttemptPlan, startedAt: number, giveUp: (reason: string) => void): NodeJS.Timeout | undefined {
+		if (answerDueMilliseconds === undefined) {
+			return undefined;
+		}
+
+		const {health, now} = this.#context;
+		return setInterval(() => {
+			if (now() - startedAt > answerDueMilliseconds && health.isSilent(target.incarnation, now())) {
+				giveUp('silent');
+			}
+		}, watchMilliseconds);
+	}
+
 	#learn(target: TargetRecord, result: AttemptOutcome): void {
 		const {beliefs, health, metrics, log, now} = this.#context;
 		const {incarnation} = target;
 		const name = result.kind === 'streamed' && !result.isWhole ? 'broken' : result.kind;
 		metrics.count(`attempt.${name}`);
-		const isFailure = name === 'unknown' || name === 'broken' || name === 'failure' || (result.kind === 'not sent' && result.reason !== 'no longer wanted' && result.reason !== 'broken off by the gateway');
-		const isCancelled = 'reason' in result && result.reason === 'broken off by the gateway';
+		const isFailure = name === 'unknown' || name === 'broken' || name === 'failure' || (result.kind === 'not sent' && result.reason !== 'no longer wanted' && result.reason !== brokenOff);
+		const isCancelled = 'reason' in result && result.reason === brokenOff;
 		if (result.kind === 'not run' && result.isOtherTarget && beliefs.markLeaving(incarnation, now())) {
 			log.info({
 				event: 'target leaving', target: target.id, address: target.address, source: 'target',
--- a/source/entry/caller-answer.ts
+++ b/source/entry/caller-answer.ts
@@ -33,10 +33,17 @@
 	constructor(response: http.ServerResponse, mustClose: () => boolean) {
 		this.#response = response;
 		this.#mustClose = mustClose;
+		const {socket} = response.req;
+		const onEnd = (): void => {
+			this.#leave();
+		};
+
+		// The end of what the caller sends is read some turns of the loop before its connection counts as closed.
+		socket.once('end', onEnd);
 		response.once('close', () => {
+			socket.off('end', onEnd);
 			if (!response.writableFinished) {
-				this.#isDone = true;
-				this.#onGone?.();
+				this.#leave();
 			}
 		});
 	}
@@ -129,6 +136,14 @@
 		this.#response.destroy();
 	}
 
+	#leave(): void {
+		if (!this.#isDone) {
+			this.#isDone = true;
+			this.#onGone?.();
+			this.#response.destroy();
+		}
+	}
+
 	#head(status: number, headers: Readonly<Record<string, string | readonly string[]>>): void {
 		this.#response.writeHead(status, {
 			...headers as Record<string, string | string[]>,
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -355,6 +355,11 @@
 		const {beliefs, kept, health, connections, metrics} = this.#context;
 		const records = beliefs.all();
 		const incarnations = new Set(records.map(record => record.incarnation));
+		for (const target of health.takeSilent(clock())) {
+			metrics.count('target.silent');
+			this.#log.warn({event: 'target avoided', target, reason: 'silent'}, 'target avoided while it says nothing');
+		}
+
 		kept.keepOnly(incarnations);
 		health.keepOnly(incarnations);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -25,6 +25,8 @@
 /** Rank of the most urgent route at engines; others follow, as 9 is the last. Late work goes behind all that can be on time. */
 const firstRank = {onTime: 2, late: 6} as const;
 const lastRank = 9;
+/** Time beyond the estimate after which an answer is overdue. */
+const overdueMilliseconds = 1200;
 /** Shared parts below this are not worth remembering. */
 const leastKeptTokens = 1000;
 
@@ -161,7 +163,7 @@
 			attempts: engine.attempts,
 			listAge: Math.round(this.#context.now() - this.#context.beliefs.listedAt),
 		}, this.#context.now());
-		return way === 'prefill first' ? this.#readPrompt(target, entry, fetchFrom?.address) : this.#sendStream(target, entry, {fetchFrom: fetchFrom?.address});
+		return way === 'prefill first' ? this.#readPrompt(target, entry, latency, fetchFrom?.address) : this.#sendStream(target, entry, {fetchFrom: fetchFrom?.address});
 	}
 
 	/** Records that an engine reads or fetches this prompt, and keeps its shared parts. */
@@ -193,11 +195,11 @@
 	}
 
 	/** Has a prefill engine read the prompt; repeating that does no harm. */
-	async #readPrompt(target: TargetRecord, entry: LoadEntry, fetchFrom: string | undefined): Promise<boolean> {
+	async #readPrompt(target: TargetRecord, entry: LoadEntry, latency: number, fetchFrom: string | undefined): Promise<boolean> {
 		const {facts, method, path, body} = this.#request;
 		const startedAt = this.#context.now();
 		const {outcome, cancel} = this.#sender.send({
-			target, facts, method, path, body, instructions: this.#instructions(target, {isPrefillOnly: true, fetchFrom}), readMilliseconds: entry.readMilliseconds, entry,
+			target, facts, method, path, body, instructions: this.#instructions(target, {isPrefillOnly: true, fetchFrom}), readMilliseconds: entry.readMilliseconds, entry, answerDueMilliseconds: (latency * 2) + overdueMilliseconds,
 		});
 		this.#course.attemptUnderWay(cancel);
 		const result = await outcome;
@@ -267,6 +269,8 @@
 			instructions: this.#instructions(target, parts),
 			readMilliseconds: entry.readMilliseconds,
 			entry,
+			// Only a stream that may run again is given up at a silent engine.
+			answerDueMilliseconds: this.#isRepeatable ? (entry.readMilliseconds * 4) + overdueMilliseconds : undefined,
 			onSent: () => {
 				this.#isLive = true;
 				this.#course.arrived();
--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -80,8 +80,8 @@
 		return this.#opened;
 	}
 
-	/** Gives a function that breaks the attempt off and closes the connection. */
-	send(request: AttemptRequest, handlers: AttemptHandlers): () => void {
+	/** Gives a function that breaks the attempt off for a reason and closes the connection. */
+	send(request: AttemptRequest, handlers: AttemptHandlers): (reason: string) => void {
 		this.#isBusy = true;
 		let isStarted = false;
 		let isEnded = false;
@@ -130,12 +130,12 @@
 		this.#client.dispatch({
 			method: request.method, path: request.path, headers: [...request.headers], body: request.body,
 		}, handler);
-		return () => {
+		return reason => {
 			if (isEnded) {
 				return;
 			}
 
-			end(isStarted ? {kind: 'broken', reason: 'broken off by the gateway'} : {kind: 'not sent', reason: 'broken off by the gateway'});
+			end({kind: isStarted ? 'broken' : 'not sent', reason});
 			abort?.();
 		};
 	}
--- a/test/decisions/entry/small-decisions.test.ts
+++ b/test/decisions/entry/small-decisions.test.ts
@@ -135,3 +135,21 @@
 	t.ok(passed >= 100 && passed <= 111, String(passed));
 	t.end();
 });
+
+test('a target that has work and says nothing is avoided until it speaks or its work has ended', t => {
+	const health = new TargetHealth();
+	health.sent('a', 0);
+	health.sent('a', 500);
+	t.equal(health.isAvoided('a', 1000), false);
+	t.equal(health.isAvoided('a', 1300), true);
+	t.strictSame(health.takeSilent(1300), ['a']);
+	t.strictSame(health.takeSilent(1400), [], 'told once');
+	health.heard('a', 1500);
+	t.equal(health.isAvoided('a', 1600), false);
+	t.equal(health.isAvoided('a', 2800), true);
+	health.ended('a');
+	t.equal(health.isAvoided('a', 2800), true);
+	health.ended('a');
+	t.equal(health.isAvoided('a', 9000), false, 'without work silence says nothing');
+	t.end();
+});
--- a/test/entry/entry-gateway.test.ts
+++ b/test/entry/entry-gateway.test.ts
@@ -1,7 +1,9 @@
 /**
 Configuration, membership, readiness and the door of an entry gateway.
 */
+import {spawn} from 'node:child_process';
 import net from 'node:net';
+import process from 'node:process';
 import {test, type Test} from 'tap';
 import {EntryFleet} from '../support/entry-fleet.js';
 
@@ -165,6 +167,41 @@
 	t.equal(target.arrivals.length, 0);
 });
 
+/** A caller in a process of its own: connects, and on a word sends a request on each connection and leaves. */
+const leavingCaller = `
+import net from 'node:net';
+const sockets = Array.from({length: 20}, () => net.connect(Number(process.argv[1]), '127.0.0.1'));
+sockets.forEach(socket => socket.on('error', () => undefined).resume());
+await Promise.all(sockets.map(socket => new Promise(resolve => socket.once('connect', resolve))));
+console.log('connected');
+process.stdin.once('data', () => {
+	sockets.forEach((socket, index) => socket.end('POST /bids/1 HTTP/1.1\\r\\nHost: a.example\\r\\nX-Request-Id: gone-' + index + '\\r\\nContent-Length: 2\\r\\n\\r\\nhi'));
+	process.stdin.destroy();
+});
+`;
+
+test('requests whose callers have left by the time they are read are not passed on', async t => {
+	const fleet = await start(t);
+	const target = await fleet.addTarget('i-1', 'floor');
+	const gateway = await fleet.addGateway();
+	const caller = spawn(process.execPath, ['--input-type=module', '-e', leavingCaller, String(gateway.settings.listen.callers.port)], {stdio: ['pipe', 'pipe', 'inherit']});
+	const ended = new Promise(resolve => {
+		caller.once('exit', resolve);
+	});
+	await new Promise(resolve => {
+		caller.stdout.once('data', resolve);
+	});
+	caller.stdin.write('go');
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	// The gateway's thread stands still while its callers ask and leave, as on a VM that is short of processor time.
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1000);
+	await ended;
+	t.equal(await fleet.status(gateway, {path: '/bids/1', requestId: 'r1'}), 200);
+	t.strictSame(target.arrivals.map(({requestId}) => requestId), ['r1']);
+});
+
 test('headers and bodies over the configured limits are refused', async t => {
 	const fleet = await start(t);
 	const target = await fleet.addTarget('i-1', 'floor');
--- a/test/entry/stream-relay.test.ts
+++ b/test/entry/stream-relay.test.ts
@@ -132,3 +132,25 @@
 	t.equal(reply.status, 503);
 	t.ok(Number(reply.headers['retry-after']) > 0);
 });
+
+test('a prompt at an engine that has gone without a word is read elsewhere, and the engine gets no more', async t => {
+	const fleet = await start(t);
+	const dark = await fleet.addTarget('i-1', 'models', {phase: 'prefill'});
+	const reader = await fleet.addTarget('i-2', 'models', {phase: 'prefill'});
+	const maker = await fleet.addTarget('i-3', 'models', {phase: 'decode'});
+	const answer: PlatformTargetStandIn['answer'] = (response, {requestId}) => {
+		response.writeHead(200, {'x-request-id': requestId, 'content-type': 'application/json'});
+		response.end('{"kvHandle":"h1","tokens":400,"version":1}');
+	};
+
+	dark.answer = () => undefined;
+	reader.answer = answer;
+	maker.answer = streaming([1, 2], 'whole');
+	const gateway = await fleet.addGateway();
+	const ask = async (index: number) => fleet.ask(gateway, {path: '/dossiers/1', requestId: `r${index}`, headers: {...prompt, 'x-token-count': '4000,50', 'x-prompt-prefix': `p${index}:3000,bb:1000`}});
+	const replies = await Promise.all(Array.from({length: 8}, async (_, index) => ask(index)));
+	t.ok(replies.every(({status, isWhole}) => status === 200 && isWhole), replies.map(({status}) => status).join(' '));
+	t.ok(dark.arrivals.length > 0, 'the engine had some of them');
+	await fleet.until(() => dark.arrivals.every(({isClosed}) => isClosed));
+	t.equal(reader.arrivals.length, 8);
+});
