--- a/source/decisions/entry/kept-parts.ts
+++ b/source/decisions/entry/kept-parts.ts
@@ -16,9 +16,9 @@
 /** News kept for peers between two digests at most. */
 const mostNews = 200;
 
-type Kept = {readonly engine: string; readonly part: string; readonly tokens: number};
+type Kept = {readonly engine: string; readonly part: string};
 
-type Part = {readonly tokens: number; readonly readThen: number};
+type Part = {readonly readThen: number};
 
 type Engine = {parts: Map<string, Part>; readTokens: number};
 
@@ -29,7 +29,7 @@
 
 @example
 ```
-kept.used({engine: 'engine-3 17', part: '5c1e07a2', tokens: 13_300});
+kept.used({engine: 'engine-3 17', part: '5c1e07a2'});
 kept.read('engine-3 17', 3720 * gateways);
 kept.keeps('engine-3 17', '5c1e07a2', 435_004);
 ```
@@ -58,9 +58,9 @@
 	}
 
 	/** Takes a peer's word. */
-	hear({engine, part, tokens}: Kept): void {
+	hear({engine, part}: Kept): void {
 		const known = this.#engine(engine);
-		known.parts.set(part, {tokens, readThen: known.readTokens});
+		known.parts.set(part, {readThen: known.readTokens});
 	}
 
 	/** Records tokens that an engine reads and has to keep for a while. */
@@ -68,11 +68,6 @@
 		this.#engine(engine).readTokens += tokens;
 	}
 
-	/** Records that an engine did not have a part after all. */
-	lost(engine: string, part: string): void {
-		this.#byEngine.get(engine)?.parts.delete(part);
-	}
-
 	/** What peers have not been told yet; told once. */
 	takeNews(): readonly Kept[] {
 		const news = this.#news;
--- a/source/decisions/entry/target-health.ts
+++ b/source/decisions/entry/target-health.ts
@@ -21,10 +21,10 @@
 	inRow: 0, share: 0, avoidedUntil: Number.NEGATIVE_INFINITY, times: 0,
 };
 
-/** Time without a word from a target that has work, after which it is taken to be silent. */
+/** Time without a word from a target after one was due, after which it is taken to be silent. */
 const silentMilliseconds = 1200;
 
-type Work = {readonly open: number; readonly waitingSince: number; readonly isTold: boolean};
+type Work = {readonly open: number; readonly dueAt: number; readonly isTold: boolean};
 
 /**
 Outcomes by target incarnation. Times are on the gateway's monotonic clock.
@@ -64,17 +64,18 @@
 		return isAvoided;
 	}
 
-	/** Records that an attempt was handed over. */
-	sent(target: string, now: number): void {
+	/** Records that an attempt was handed over, and the time within which a word on it is expected. */
+	sent(target: string, expectedMilliseconds: number, now: number): void {
 		const work = this.#work.get(target);
-		this.#work.set(target, work === undefined ? {open: 1, waitingSince: now, isTold: false} : {...work, open: work.open + 1});
+		const dueAt = now + expectedMilliseconds;
+		this.#work.set(target, work === undefined ? {open: 1, dueAt, isTold: false} : {...work, open: work.open + 1, dueAt: Math.max(work.dueAt, dueAt)});
 	}
 
 	/** Records any word from the target. */
 	heard(target: string, now: number): void {
 		const work = this.#work.get(target);
 		if (work !== undefined) {
-			this.#work.set(target, {...work, waitingSince: now, isTold: false});
+			this.#work.set(target, {...work, dueAt: Math.max(work.dueAt, now), isTold: false});
 		}
 	}
 
@@ -92,10 +93,14 @@
 		}
 	}
 
-	/** True while a target has work and has long said nothing: its machine may be gone without a word. */
+	/**
+	True while a target has work and says nothing though a word was due: its machine may be gone.
+
+	An engine that reads one long prompt for one gateway says nothing for seconds, which is no silence.
+	*/
 	isSilent(target: string, now: number): boolean {
 		const work = this.#work.get(target);
-		return work !== undefined && now - work.waitingSince > silentMilliseconds;
+		return work !== undefined && now - work.dueAt > silentMilliseconds;
 	}
 
 	/** Targets that have fallen silent since the last call. */
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -27,6 +27,8 @@
 	readonly readMilliseconds: number;
 	/** Its entry in the load book where one was reserved. */
 	readonly entry?: LoadEntry;
+	/** Time within which the target should say something, 0 when left out. */
+	readonly expectedMilliseconds?: number;
 	/** Time until its answer should begin, from which on a silent target is given up; without it, it never is. */
 	readonly answerDueMilliseconds?: number;
 	/** Called when the first byte is handed over. */
@@ -134,7 +136,7 @@
 					const isUsable = context.beliefs.isUsable(target);
 					if (isUsable) {
 						plan.onSent?.();
-						context.health.sent(target.incarnation, context.now());
+						context.health.sent(target.incarnation, plan.expectedMilliseconds ?? 0, context.now());
 						isSent = true;
 						watch = watchOver(plan, startedAt, reason => {
 							breakOff(reason);
--- a/source/entry/entry-settings.ts
+++ b/source/entry/entry-settings.ts
@@ -14,8 +14,6 @@
 	readonly peerSeeds: readonly string[];
 	readonly store: {readonly address: string; readonly readsPerSecond: number};
 	readonly bounds: {
-		/** How long work may still reach a target that is known to leave. */
-		readonly drainMilliseconds: number;
 		/** From the request to stop until the process is killed. */
 		readonly graceMilliseconds: number;
 		readonly retryShare: number;
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -126,7 +126,7 @@
 			hasStore: this.hasStore,
 			leaving: isFull ? [...context.beliefs.leaving()] : [],
 			peers: isFull ? [...peers.addresses] : [],
-			kept: {engines: kept.map(({engine}) => engine), parts: kept.map(({part}) => part), tokens: kept.map(({tokens}) => Math.round(tokens))},
+			kept: {engines: kept.map(({engine}) => engine), parts: kept.map(({part}) => part)},
 			outstanding: {ids: own.map(({id}) => id), attempts: own.map(({attempts}) => attempts), readMilliseconds: own.map(({readMilliseconds}) => readMilliseconds)},
 		};
 	}
@@ -163,12 +163,12 @@
 		this.#help(peer, digest, inForce, now);
 	}
 
-	#hearKept({engines, parts, tokens}: Extract<PeerMessage, {kind: 'digest'}>['kept']): void {
+	#hearKept({engines, parts}: Extract<PeerMessage, {kind: 'digest'}>['kept']): void {
 		const {kept, beliefs} = this.#options.context;
 		const known = new Set(beliefs.all().map(({incarnation}) => incarnation));
 		for (const [index, engine] of engines.entries()) {
 			if (known.has(engine)) {
-				kept.hear({engine, part: parts[index] ?? '', tokens: tokens[index] ?? 0});
+				kept.hear({engine, part: parts[index] ?? ''});
 			}
 		}
 	}
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -20,7 +20,7 @@
 
 type Verdict = Parameters<Parameters<PromptQueues['wait']>[2]>[0];
 
-type Handle = {readonly engine: TargetRecord; readonly id: string; readonly readAt: number};
+type Handle = {readonly engine: TargetRecord; readonly id: string};
 
 /** Rank of the most urgent route at engines; others follow, as 9 is the last. Late work goes behind all that can be on time. */
 const firstRank = {onTime: 2, late: 6} as const;
@@ -177,7 +177,7 @@
 				kept.read(target.incarnation, tokens * gateways());
 			}
 
-			kept.used({engine: target.incarnation, part: key, tokens});
+			kept.used({engine: target.incarnation, part: key});
 		}
 	}
 
@@ -199,7 +199,7 @@
 		const {facts, method, path, body} = this.#request;
 		const startedAt = this.#context.now();
 		const {outcome, cancel} = this.#sender.send({
-			target, facts, method, path, body, instructions: this.#instructions(target, {isPrefillOnly: true, fetchFrom}), readMilliseconds: entry.readMilliseconds, entry, answerDueMilliseconds: (latency * 2) + overdueMilliseconds,
+			target, facts, method, path, body, instructions: this.#instructions(target, {isPrefillOnly: true, fetchFrom}), readMilliseconds: entry.readMilliseconds, entry, expectedMilliseconds: latency * 2, answerDueMilliseconds: (latency * 2) + overdueMilliseconds,
 		});
 		this.#course.attemptUnderWay(cancel);
 		const result = await outcome;
@@ -230,7 +230,7 @@
 		}
 
 		const read = this.#context.protocol.readPrefill(result.body);
-		return option.isNone(read) ? option.none : option.some({engine: target, id: read.value.id, readAt: this.#context.now()});
+		return option.isNone(read) ? option.none : option.some({engine: target, id: read.value.id});
 	}
 
 	/** Has a decode engine fetch what was read, chosen at this moment. */
@@ -269,6 +269,7 @@
 			instructions: this.#instructions(target, parts),
 			readMilliseconds: entry.readMilliseconds,
 			entry,
+			expectedMilliseconds: entry.readMilliseconds * 4,
 			// Only a stream that may run again is given up at a silent engine.
 			answerDueMilliseconds: this.#isRepeatable ? (entry.readMilliseconds * 4) + overdueMilliseconds : undefined,
 			onSent: () => {
--- a/source/fleet/answer-facts.ts
+++ b/source/fleet/answer-facts.ts
@@ -15,8 +15,5 @@
 	/** True when another target has the address. */
 	readonly isOtherTarget: boolean;
 	readonly isEncoded: boolean;
-	readonly isEventStream: boolean;
-	/** The target's own load, undefined when it tells none. */
-	readonly load: {readonly running: number; readonly waiting: number; readonly slots: number} | undefined;
 	readonly headers: Readonly<Record<string, string | readonly string[]>>;
 };
--- a/source/fleet/request-facts.ts
+++ b/source/fleet/request-facts.ts
@@ -11,12 +11,9 @@
 	readonly patienceMilliseconds: number | undefined;
 	readonly prompt: {
 		readonly tokens: number;
-		readonly mostOutputTokens: number;
 		/** Parts in order; the last belongs to the request or its session. */
 		readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
 	} | undefined;
-	/** The caller's estimate of the output, undefined when it gives none. */
-	readonly outputTokensHint: number | undefined;
 	readonly lastEventId: string | undefined;
 	readonly headers: readonly string[];
 };
--- a/source/fleet/route.ts
+++ b/source/fleet/route.ts
@@ -15,8 +15,6 @@
 	readonly pathPrefix: string;
 	readonly kind: 'idempotent' | 'non-idempotent' | 'streaming';
 	readonly isResumable: boolean;
-	/** True when requests carry prompts that share parts with others. */
-	readonly hasSharedPrompts: boolean;
 	/** The longest time that a request may be kept waiting. */
 	readonly timeoutMilliseconds: number;
 	/** The time within which an answer, or a stream's first event, is on time. */
--- a/source/fleet/service-description.ts
+++ b/source/fleet/service-description.ts
@@ -15,8 +15,5 @@
 		readonly cacheTokens: number;
 		readonly bytesPerToken: number;
 		readonly linkMegabitsPerSecond: number;
-		/** How long an engine keeps a prompt that it has read for another engine. */
-		readonly handleMilliseconds: number;
-		readonly roleChangeMilliseconds: number;
 	} | undefined;
 };
