Believe what engines themselves say that they keep of shared prompt parts

Cause: first events of long prompts came 0.3 to 0.4 s later than estimated where a shared part was fetched, and up to 2 s later in bursts. A trial asked the engines for their own word beside the beliefs: of 60 long prompts believed to be kept somewhere, 16 were kept nowhere or not where they were believed. Each then read a quarter of a second or more that nobody had counted, and all prompts sent to that engine waited for it.

Ruled out: the kind and the age of the source (earlier trial); the queue's own estimate (prompts kept where they were believed came as estimated at the median); lost transfers.

Change: one gateway follows each engine's changes (asked every half second, all asked for only after a restart or a gap) and tells its peers about parts that requests share. What was just sent counts until the engine has had time to say so; an engine that nobody hears is judged as before. Beliefs are now tokens for each part instead of yes or no. The views of engines and the choice of those that read in place are built once a look at a queue, not once a prompt.

--- a/source/decisions/entry/kept-parts.ts
+++ b/source/decisions/entry/kept-parts.ts
@@ -3,64 +3,135 @@
 
 The load it answers: many prompts begin with one of some hundred long parts, more
 than one engine can keep. Reading such a part again takes an engine a quarter of
-a second; fetching it from the engine that keeps it takes a tenth of that. So all
-gateways tell each other which engine last read which part. A wrong belief costs
-a longer read, never a wrong answer.
+a second; fetching it from the engine that keeps it takes a tenth of that. A
+belief that is wrong costs more than its own read: all prompts behind it wait for
+a read that nobody counted.
+
+So the word of the engine itself goes before all else. One gateway follows each
+engine's changes and tells the others. What was just sent to an engine is taken
+to be kept there until the engine has had time to say so. An engine that nobody
+follows is taken to forget what was not used while it read about as much as it
+can keep.
 */
 
+/** How long an engine's own word counts, and how long it may take to say that a prompt was read. */
+const wordMilliseconds = 4000;
+const unconfirmedMilliseconds = 2500;
 /**
 Part of an engine's memory that may be read anew before a part that was not used
 since is taken to be gone; running requests have the rest.
 */
 const keptPart = 0.7;
+/** Parts below this are not worth remembering. */
+const leastTokens = 1000;
 /** News kept for peers between two digests at most. */
-const mostNews = 200;
+const mostNews = 400;
+
+type SharedPart = {readonly id: string; readonly tokens: number};
+
+/** What was sent to an engine, which it will keep. */
+type Sent = {readonly engine: string; readonly part: string; readonly tokens: number};
 
-type Kept = {readonly engine: string; readonly part: string};
+/** What an engine said of itself. */
+type Told = {readonly engine: string; readonly part: string; readonly tokens: number};
 
-type Part = {readonly readThen: number};
+type Part = {
+	/** Tokens that the engine said it keeps. */
+	told: number;
+	/** Tokens that it keeps once it has read what was sent. */
+	expected: number;
+	sentAt: number;
+	readThen: number;
+};
 
-type Engine = {parts: Map<string, Part>; readTokens: number};
+type Engine = {parts: Map<string, Part>; readTokens: number; toldAt: number};
 
 /**
-Shared parts by engine incarnation. An engine forgets what was not used while it
-read about as much as it can keep, so what it reads is counted: what this gateway
-sends, taken to be its equal part of what all send.
+Shared parts by engine incarnation. Times are in milliseconds.
 
 @example
 ```
-kept.used({engine: 'engine-3 17', part: '5c1e07a2'});
-kept.read('engine-3 17', 3720 * gateways);
-kept.keeps('engine-3 17', '5c1e07a2', 435_004);
+kept.sent('engine-3 17', [{id: '5c1e07a2', tokens: 13_300}], clock());
+kept.told('engine-3 17', [{part: '5c1e07a2', tokens: 0}], clock());
+kept.tokens('engine-3 17', parts, {cacheTokens: 435_004, now: clock()});
 ```
 */
 export class KeptParts {
 	readonly #byEngine = new Map<string, Engine>();
-	#news: Kept[] = [];
+	readonly #shared = new Set<string>();
+	#sentNews: Sent[] = [];
+	#toldNews: Told[] = [];
+
+	/** Tokens at the beginning of a prompt that an engine is believed to keep. */
+	tokens(engine: string, parts: readonly SharedPart[], {cacheTokens, now}: {readonly cacheTokens: number; readonly now: number}): number {
+		const known = this.#byEngine.get(engine);
+		if (known === undefined) {
+			return 0;
+		}
+
+		let sum = 0;
+		for (const {id, tokens} of parts) {
+			const kept = Math.min(tokens, this.#keptOf(known, id, cacheTokens, now));
+			sum += kept;
+			if (kept < tokens && tokens >= leastTokens) {
+				break;
+			}
+		}
+
+		return sum;
+	}
 
-	keeps(engine: string, part: string, cacheTokens: number): boolean {
+	/** True while the engine's own word is fresh. */
+	isFollowed(engine: string, now: number): boolean {
 		const known = this.#byEngine.get(engine);
-		const kept = known?.parts.get(part);
-		return known !== undefined && kept !== undefined && known.readTokens - kept.readThen < cacheTokens * keptPart;
+		return known !== undefined && now - known.toldAt < wordMilliseconds;
 	}
 
-	/** Engines that are believed to keep a part. */
-	keepers(part: string, cacheTokens: number): readonly string[] {
-		return [...this.#byEngine.keys()].filter(engine => this.keeps(engine, part, cacheTokens));
+	/** Records that this gateway sent a prompt with these shared parts to an engine. */
+	sent(engine: string, parts: readonly SharedPart[], now: number): void {
+		for (const {id, tokens} of parts.filter(part => part.tokens >= leastTokens)) {
+			const sent = {engine, part: id, tokens};
+			this.hearSent(sent, now);
+			if (this.#sentNews.length < mostNews) {
+				this.#sentNews.push(sent);
+			}
+		}
+	}
+
+	/** Takes a peer's word of what it sent. */
+	hearSent({engine, part, tokens}: Sent, now: number): void {
+		const known = this.#engine(engine);
+		const former = known.parts.get(part);
+		this.#nowShared(part);
+		known.parts.set(part, {
+			told: former?.told ?? 0, expected: tokens, sentAt: now, readThen: known.readTokens,
+		});
 	}
 
-	/** Records that an engine read, fetched or used a part for this gateway. */
-	used(kept: Kept): void {
-		this.hear(kept);
-		if (this.#news.length < mostNews) {
-			this.#news.push(kept);
+	/** Takes an engine's own word that reached this gateway; it is passed on to peers. */
+	told(engine: string, changes: ReadonlyArray<Omit<Told, 'engine'>>, now: number): void {
+		this.hearTold(engine, changes, now);
+		for (const {part, tokens} of changes) {
+			if (this.#shared.has(part)) {
+				this.#tell({engine, part, tokens});
+			}
 		}
 	}
 
-	/** Takes a peer's word. */
-	hear({engine, part}: Kept): void {
+	/** Takes an engine's own word that a peer passed on. */
+	hearTold(engine: string, changes: ReadonlyArray<Omit<Told, 'engine'>>, now: number): void {
 		const known = this.#engine(engine);
-		known.parts.set(part, {readThen: known.readTokens});
+		known.toldAt = now;
+		for (const {part, tokens} of changes) {
+			this.#hearChange(known, part, tokens, now);
+		}
+	}
+
+	/** Forgets what an engine said, as when it has restarted or some of its changes were missed. */
+	forgetTold(engine: string): void {
+		for (const part of this.#engine(engine).parts.values()) {
+			part.told = 0;
+		}
 	}
 
 	/** Records tokens that an engine reads and has to keep for a while. */
@@ -69,12 +140,20 @@
 	}
 
 	/** What peers have not been told yet; told once. */
-	takeNews(): readonly Kept[] {
-		const news = this.#news;
-		this.#news = [];
+	takeNews(): {readonly sent: readonly Sent[]; readonly told: readonly Told[]} {
+		const news = {sent: this.#sentNews, told: this.#toldNews};
+		this.#sentNews = [];
+		this.#toldNews = [];
 		return news;
 	}
 
+	/** All that engines said of shared parts, for a peer that has just come. */
+	allTold(engines: readonly string[]): readonly Told[] {
+		return engines.flatMap(engine => [...this.#byEngine.get(engine)?.parts ?? []]
+			.filter(([part, {told}]) => told > 0 && this.#shared.has(part))
+			.map(([part, {told}]) => ({engine, part, tokens: told})));
+	}
+
 	keepOnly(engines: ReadonlySet<string>): void {
 		for (const engine of this.#byEngine.keys()) {
 			if (!engines.has(engine)) {
@@ -83,8 +162,59 @@
 		}
 	}
 
+	/** What engines said of a part before it was known that requests share it is news then. */
+	#nowShared(part: string): void {
+		if (this.#shared.has(part)) {
+			return;
+		}
+
+		this.#shared.add(part);
+		for (const [engine, {parts}] of this.#byEngine) {
+			const told = parts.get(part)?.told ?? 0;
+			if (told > 0) {
+				this.#tell({engine, part, tokens: told});
+			}
+		}
+	}
+
+	#tell(news: Told): void {
+		if (this.#toldNews.length < mostNews) {
+			this.#toldNews.push(news);
+		}
+	}
+
+	#hearChange(known: Engine, part: string, tokens: number, now: number): void {
+		const former = known.parts.get(part);
+		if (former === undefined && tokens < leastTokens) {
+			return;
+		}
+
+		const isAwaited = former !== undefined && now - former.sentAt < unconfirmedMilliseconds;
+		if (tokens === 0 && !isAwaited) {
+			known.parts.delete(part);
+			return;
+		}
+
+		known.parts.set(part, {
+			told: tokens, expected: former?.expected ?? 0, sentAt: former?.sentAt ?? Number.NEGATIVE_INFINITY, readThen: former?.readThen ?? known.readTokens,
+		});
+	}
+
+	#keptOf(known: Engine, id: string, cacheTokens: number, now: number): number {
+		const part = known.parts.get(id);
+		if (part === undefined) {
+			return 0;
+		}
+
+		if (now - known.toldAt < wordMilliseconds) {
+			return now - part.sentAt < unconfirmedMilliseconds ? Math.max(part.told, part.expected) : part.told;
+		}
+
+		return known.readTokens - part.readThen < cacheTokens * keptPart ? Math.max(part.told, part.expected) : 0;
+	}
+
 	#engine(engine: string): Engine {
-		const known = this.#byEngine.get(engine) ?? {parts: new Map<string, Part>(), readTokens: 0};
+		const known = this.#byEngine.get(engine) ?? {parts: new Map<string, Part>(), readTokens: 0, toldAt: Number.NEGATIVE_INFINITY};
 		this.#byEngine.set(engine, known);
 		return known;
 	}
--- a/source/decisions/entry/place-prompt.ts
+++ b/source/decisions/entry/place-prompt.ts
@@ -44,8 +44,8 @@
 	/** All engines, of which shared parts may be fetched; without it, `engines`. */
 	readonly known?: readonly EngineView[];
 	readonly availabilityZone: string;
-	/** Engines that are believed to keep the shared parts. */
-	readonly keepers: ReadonlySet<string>;
+	/** Tokens of the shared parts that an engine is believed to keep, by its identifier. */
+	readonly kept: (engine: string) => number;
 	readonly bytesPerToken: number;
 	readonly linkMegabitsPerSecond: number;
 	/** Engines not to be used for this request. */
@@ -58,24 +58,26 @@
 	return healthy.length > 0 ? healthy : all;
 };
 
-/** The engine to fetch shared parts from, the near ones first. */
+/** The engine to fetch shared parts from: the one that keeps most beyond what the reader keeps, of equal ones a near one. */
 const sourceOf = (engine: EngineView, prompt: Prompt, context: PlaceContext): EngineView | undefined => {
-	if (prompt.sharedTokens < leastSharedTokens || context.keepers.has(engine.id)) {
+	const least = context.kept(engine.id) + leastSharedTokens;
+	if (prompt.sharedTokens < least) {
 		return undefined;
 	}
 
-	const sources = (context.known ?? context.engines).filter(({id, isAvoided}) => context.keepers.has(id) && !isAvoided);
-	return sources.find(({availabilityZone}) => availabilityZone === engine.availabilityZone) ?? sources[0];
+	const nearness = ({id, availabilityZone}: EngineView): number => context.kept(id) + (availabilityZone === engine.availabilityZone ? 1 : 0);
+	const sources = (context.known ?? context.engines).filter(({id, isAvoided}) => id !== engine.id && !isAvoided && context.kept(id) >= least);
+	return sources.length === 0 ? undefined : sources.reduce((best, source) => nearness(source) > nearness(best) ? source : best);
 };
 
 const placement = (engine: EngineView, prompt: Prompt, home: string | undefined, context: PlaceContext): PromptPlacement => {
 	const source = sourceOf(engine, prompt, context);
-	const isShared = prompt.sharedTokens >= leastSharedTokens;
-	const kept = isShared && (context.keepers.has(engine.id) || source !== undefined) ? prompt.sharedTokens : 0;
+	const own = context.kept(engine.id);
+	const kept = source === undefined ? own : context.kept(source.id);
 	const fetch = source === undefined
 		? 0
 		: engineSpeed.transfer({
-			tokens: prompt.sharedTokens, bytesPerToken: context.bytesPerToken, linkMegabitsPerSecond: context.linkMegabitsPerSecond, isSameZone: source.availabilityZone === engine.availabilityZone,
+			tokens: kept - own, bytesPerToken: context.bytesPerToken, linkMegabitsPerSecond: context.linkMegabitsPerSecond, isSameZone: source.availabilityZone === engine.availabilityZone,
 		});
 	const factor = engine.role === 'prefill' ? 1 : inPlaceFactor;
 	const readMilliseconds = engineSpeed.read(Math.max(1, prompt.tokens - kept), kept);
@@ -88,9 +90,10 @@
 		: engine.attempts * perRunningMilliseconds;
 	const delayed = engine.role === 'prefill' ? 1 : 1 + (engine.attempts / delayedRequests);
 	const zone = engine.availabilityZone === context.availabilityZone ? 0 : otherZone.milliseconds + (prompt.bodyBytes / 1000 * otherZone.millisecondsPerKilobyte);
-	const homeless = isShared && context.keepers.size === 0 && engine.id !== home ? homeMilliseconds : 0;
+	const homeless = home !== undefined && engine.id !== home && kept < leastSharedTokens ? homeMilliseconds : 0;
 	return {
 		engine,
+		keptTokens: own,
 		way: engine.role === 'prefill' ? 'prefill first' : 'in place',
 		readMilliseconds,
 		fetchFrom: source,
@@ -109,7 +112,7 @@
 
 @example
 ```
-placePrompt(prompt, {engines, availabilityZone, keepers: new Set(['engine-3']), bytesPerToken, linkMegabitsPerSecond, avoid: new Set()});
+placePrompt(prompt, {engines, availabilityZone, kept: id => id === 'engine-3' ? 13_300 : 0, bytesPerToken, linkMegabitsPerSecond, avoid: new Set()});
 ```
 */
 export const placePrompt = (prompt: Prompt, context: PlaceContext): option.Option<PromptPlacement> => {
--- a/source/decisions/entry/prompt-placement.ts
+++ b/source/decisions/entry/prompt-placement.ts
@@ -8,6 +8,8 @@
 */
 export type PromptPlacement = {
 	readonly engine: EngineView;
+	/** Tokens of the shared parts that it is believed to keep. */
+	readonly keptTokens: number;
 	readonly way: 'prefill first' | 'in place';
 	/** What it takes an idle prefill engine. */
 	readonly readMilliseconds: number;
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -46,8 +46,10 @@
 	readonly availabilityZone: string;
 	readonly bytesPerToken: number;
 	readonly linkMegabitsPerSecond: number;
-	/** Identifiers of the engines that are believed to keep a shared part. */
-	readonly keepers: (sharedKey: string) => ReadonlySet<string>;
+	/** Decode engines that read in place while there are prefill engines, as `readingMakers` gives them. */
+	readonly reading: ReadonlySet<string>;
+	/** Tokens of a prompt's shared parts that an engine is believed to keep. */
+	readonly kept: (prompt: WaitingPrompt, engine: string) => number;
 };
 
 type Lane = 'onTime' | 'late';
@@ -60,7 +62,7 @@
 
 /** Time that reading a prompt will take an idle prefill engine, wherever it is read. */
 const readOf = (prompt: WaitingPrompt, context: QueueContext): number => {
-	const kept = prompt.sharedTokens > 0 && context.keepers(prompt.sharedKey).size > 0 ? prompt.sharedTokens : 0;
+	const kept = prompt.sharedTokens === 0 ? 0 : context.engines.reduce((most, {id}) => Math.max(most, context.kept(prompt, id)), 0);
 	return engineSpeed.read(Math.max(1, prompt.tokens - kept), kept);
 };
 
@@ -80,8 +82,8 @@
 	readonly all: readonly EngineView[];
 };
 
-/** Decode engines that read in place, the same at every gateway. */
-const readingMakers = (engines: readonly EngineView[]): ReadonlySet<string> => {
+/** Decode engines that read in place, the same at every gateway; to be found once for a list of engines. */
+const readingMakers = (engines: ReadonlyArray<Pick<EngineView, 'id' | 'role'>>): ReadonlySet<string> => {
 	const makers = engines.filter(({role}) => role === 'decode').map(({id}) => id);
 	const count = makers.length === engines.length ? makers.length : Math.ceil(makers.length * readingPart);
 	return new Set(makers
@@ -91,9 +93,8 @@
 		.map(({id}) => id));
 };
 
-const roomOf = (engines: readonly EngineView[], lane: Lane): Room => {
+const roomOf = ({engines, reading}: QueueContext, lane: Lane): Room => {
 	const all = engines.filter(engine => isOpen(engine, lane));
-	const reading = readingMakers(engines);
 	const readers = all.filter(({role, id}) => role === 'prefill' || reading.has(id));
 	return {all, readers, longReaders: readers.filter(({role, attempts}) => role === 'prefill' || attempts <= mostRunningForLongRead)};
 };
@@ -101,7 +102,7 @@
 /** Places a prompt among engines with room; none when it has to wait. */
 const place = (prompt: WaitingPrompt, room: Room, context: QueueContext, isGood: (placement: PromptPlacement) => boolean): option.Option<PromptPlacement> => {
 	const placeContext = {
-		...context, known: context.engines, keepers: context.keepers(prompt.sharedKey), avoid: prompt.avoid,
+		...context, known: context.engines, kept: (engine: string) => context.kept(prompt, engine), avoid: prompt.avoid,
 	};
 	const among = (engines: readonly EngineView[]): option.Option<PromptPlacement> => {
 		const placement = engines.length === 0 ? option.none : placePrompt(prompt, {...placeContext, engines});
@@ -122,7 +123,7 @@
 };
 
 const firstPlaced = (prompts: readonly WaitingPrompt[], lane: Lane, context: QueueContext, isGood: (prompt: WaitingPrompt, placement: PromptPlacement) => boolean): option.Option<Choice> => {
-	const room = roomOf(context.engines, lane);
+	const room = roomOf(context, lane);
 	if (room.all.length === 0) {
 		return option.none;
 	}
@@ -183,4 +184,4 @@
 const chosen = promptQueue.next(waiting, context, clock());
 ```
 */
-export const promptQueue = {next, hopeless} as const;
+export const promptQueue = {next, hopeless, readingMakers} as const;
--- a/source/decisions/entry/waiting-prompt.ts
+++ b/source/decisions/entry/waiting-prompt.ts
@@ -14,7 +14,8 @@
 	/** When the caller gives up waiting for the first event. */
 	readonly giveUpAt: number;
 	readonly tokens: number;
-	/** Key and size of the parts that other requests share. */
+	/** The parts that other requests share, their key and size together. */
+	readonly sharedParts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
 	readonly sharedKey: string;
 	readonly sharedTokens: number;
 	readonly bodyBytes: number;
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -20,6 +20,7 @@
 import {pause} from '../shared/pause.js';
 import {AttemptSender} from './attempt-sender.js';
 import {CallerDoor} from './caller-door.js';
+import {EngineFollowers} from './engine-followers.js';
 import type {EntryContext} from './entry-context.js';
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
@@ -86,12 +87,14 @@
 	readonly #servers: http.Server[] = [];
 	readonly #peers: Peers | undefined;
 	readonly #exchange: PeerExchange | undefined;
+	readonly #followers: EngineFollowers;
 
 	constructor(options: EntryOptions) {
 		this.#options = options;
 		this.#settings = options.settings;
 		this.#log = options.log;
 		this.#context = this.#createContext();
+		this.#followers = new EngineFollowers(this.#context);
 		this.#queues = new PromptQueues(this.#context, () => {
 			this.#exchange?.tellSoon();
 		});
@@ -152,6 +155,7 @@
 		await this.#drained(stopAt + graceMilliseconds - graceMarginMilliseconds);
 		clearInterval(this.#sweep);
 		this.#reader?.stop();
+		this.#followers.stop();
 		this.#exchange?.stop();
 		this.#peers?.stop();
 		this.#context.connections.close();
@@ -238,6 +242,7 @@
 			peers,
 			inForce: this.#inForce,
 			storeReadAt: () => this.#storeReadAt,
+			followed: () => this.#followers.engines,
 			onConfiguration: (configuration, peer) => {
 				this.#adopt(configuration, 'peer', peer);
 			},
@@ -360,6 +365,7 @@
 			this.#log.warn({event: 'target avoided', target, reason: 'silent'}, 'target avoided while it says nothing');
 		}
 
+		this.#followers.update(records, this.#settings.name, this.#peers?.names ?? []);
 		kept.keepOnly(incarnations);
 		health.keepOnly(incarnations);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -28,10 +28,14 @@
 	readonly inForce: ConfigurationInForce;
 	/** When the store last answered. */
 	readonly storeReadAt: () => number;
+	/** Engines that this gateway follows. */
+	readonly followed: () => readonly string[];
 	readonly onConfiguration: (configuration: FleetConfiguration, peer: string) => void;
 	readonly onTargets: (targets: readonly TargetRecord[], peer: string) => void;
 };
 
+type Digest = Extract<PeerMessage, {kind: 'digest'}>;
+
 type PeerState = {laggingSince: number | undefined; toldTargets: string};
 
 /**
@@ -90,7 +94,7 @@
 		switch (message.kind) {
 			case 'hello': {
 				this.#states.set(peer, {laggingSince: undefined, toldTargets: ''});
-				this.#options.peers.send(peer, this.#digest([], true));
+				this.#options.peers.send(peer, this.#digest({sent: [], told: this.#options.context.kept.allTold(this.#options.followed())}, true, true));
 				return;
 			}
 
@@ -117,16 +121,22 @@
 		this.#options.context.book.forgetPeer(peer);
 	}
 
-	#digest(kept: ReturnType<EntryContext['kept']['takeNews']>, isFull: boolean): Extract<PeerMessage, {kind: 'digest'}> {
+	#digest({sent, told}: ReturnType<EntryContext['kept']['takeNews']>, isFull: boolean, isWhole: boolean): Digest {
 		const {context, peers, inForce} = this.#options;
 		const own = context.book.own();
+		const followed = this.#options.followed();
+		const rows = new Map(followed.map((engine, row) => [engine, row]));
+		const heard = told.filter(({engine}) => rows.has(engine));
 		return {
 			kind: 'digest',
 			configurationVersion: inForce.version,
 			hasStore: this.hasStore,
 			leaving: isFull ? [...context.beliefs.leaving()] : [],
 			peers: isFull ? [...peers.addresses] : [],
-			kept: {engines: kept.map(({engine}) => engine), parts: kept.map(({part}) => part)},
+			sent: {engines: sent.map(({engine}) => engine), parts: sent.map(({part}) => part), tokens: sent.map(({tokens}) => tokens)},
+			told: {
+				engines: [...followed], rows: heard.map(({engine}) => rows.get(engine)!), parts: heard.map(({part}) => part), tokens: heard.map(({tokens}) => tokens), isWhole,
+			},
 			outstanding: {ids: own.map(({id}) => id), attempts: own.map(({attempts}) => attempts), readMilliseconds: own.map(({readMilliseconds}) => readMilliseconds)},
 		};
 	}
@@ -135,7 +145,7 @@
 		const now = this.#options.context.now();
 		const isFull = now - this.#fullAt >= fullMilliseconds;
 		this.#fullAt = isFull ? now : this.#fullAt;
-		const digest = this.#digest(this.#options.context.kept.takeNews(), isFull);
+		const digest = this.#digest(this.#options.context.kept.takeNews(), isFull, false);
 		const text = JSON.stringify(digest);
 		this.#quiet = text === this.#lastDigest ? this.#quiet + 1 : 0;
 		if (this.#quiet % (quietDigests + 1) === 0) {
@@ -144,12 +154,13 @@
 		}
 	}
 
-	#hearDigest(peer: string, digest: Extract<PeerMessage, {kind: 'digest'}>): void {
+	#hearDigest(peer: string, digest: Digest): void {
 		const {context, peers, inForce} = this.#options;
 		const now = context.now();
 		const {ids, attempts, readMilliseconds} = digest.outstanding;
 		context.book.hearPeer(peer, ids.map((id, index) => ({id, attempts: attempts[index] ?? 0, readMilliseconds: readMilliseconds[index] ?? 0})), now);
-		this.#hearKept(digest.kept);
+		this.#hearSent(digest.sent, now);
+		this.#hearTold(digest.told, now);
 		peers.hear(digest.peers);
 		for (const incarnation of digest.leaving) {
 			if (context.beliefs.markLeaving(incarnation, now)) {
@@ -163,18 +174,38 @@
 		this.#help(peer, digest, inForce, now);
 	}
 
-	#hearKept({engines, parts}: Extract<PeerMessage, {kind: 'digest'}>['kept']): void {
-		const {kept, beliefs} = this.#options.context;
-		const known = new Set(beliefs.all().map(({incarnation}) => incarnation));
+	#hearSent({engines, parts, tokens}: Digest['sent'], now: number): void {
+		const {kept} = this.#options.context;
+		const known = this.#knownTargets();
 		for (const [index, engine] of engines.entries()) {
 			if (known.has(engine)) {
-				kept.hear({engine, part: parts[index] ?? ''});
+				kept.hearSent({engine, part: parts[index] ?? '', tokens: tokens[index] ?? 0}, now);
+			}
+		}
+	}
+
+	#hearTold({engines, rows, parts, tokens, isWhole}: Digest['told'], now: number): void {
+		const {kept} = this.#options.context;
+		const known = this.#knownTargets();
+		for (const [row, engine] of engines.entries()) {
+			if (!known.has(engine)) {
+				continue;
 			}
+
+			if (isWhole) {
+				kept.forgetTold(engine);
+			}
+
+			kept.hearTold(engine, parts.flatMap((part, index) => rows[index] === row ? [{part, tokens: tokens[index] ?? 0}] : []), now);
 		}
 	}
 
+	#knownTargets(): ReadonlySet<string> {
+		return new Set(this.#options.context.beliefs.all().map(({incarnation}) => incarnation));
+	}
+
 	/** Sends a peer what it lacks. */
-	#help(peer: string, digest: Extract<PeerMessage, {kind: 'digest'}>, inForce: ConfigurationInForce, now: number): void {
+	#help(peer: string, digest: Digest, inForce: ConfigurationInForce, now: number): void {
 		const {context, peers} = this.#options;
 		const state = this.#states.get(peer) ?? {laggingSince: undefined, toldTargets: ''};
 		this.#states.set(peer, state);
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -3,6 +3,7 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import type {PromptPlacement} from '../decisions/entry/prompt-placement.js';
+import type {EngineView} from '../decisions/entry/engine-view.js';
 import {promptQueue} from '../decisions/entry/prompt-queue.js';
 import type {WaitingPrompt} from '../decisions/entry/waiting-prompt.js';
 import type {TargetRecord} from '../fleet/target-record.js';
@@ -26,6 +27,8 @@
 	| {readonly kind: 'no engine'}
 	| {readonly kind: 'hopeless'; readonly waitMilliseconds: number};
 
+type QueueContext = Parameters<typeof promptQueue.next>[1];
+
 type Entry = {readonly prompt: WaitingPrompt; readonly decide: (verdict: Verdict) => void};
 
 /** Pause between two looks at a queue, as a look costs as much for one prompt as for many. */
@@ -90,61 +93,72 @@
 	}
 
 	#look(service: string, queue: Map<WaitingPrompt, Entry>): void {
-		while (queue.size > 0 && this.#placeOne(service, queue)) {
-			// Each round decides on one prompt.
-		}
-
-		this.#wake();
-	}
-
-	/** Decides on one prompt; true when there may be more to decide. */
-	#placeOne(service: string, queue: Map<WaitingPrompt, Entry>): boolean {
 		const {views, record} = engineViews(this.#context, service);
-		if (!views.some(({role}) => role === 'decode')) {
+		if (views.some(({role}) => role === 'decode')) {
+			this.#placeAll(service, queue, views, record);
+		} else {
 			for (const prompt of queue.keys()) {
 				this.#decide(queue, prompt, {kind: 'no engine'});
 			}
-
-			return false;
 		}
 
+		this.#wake();
+	}
+
+	/** Places prompts until those that are left have to wait; what is placed counts for the next. */
+	#placeAll(service: string, queue: Map<WaitingPrompt, Entry>, views: readonly EngineView[], record: (id: string) => TargetRecord): void {
 		const now = this.#context.now();
-		const engine = this.#context.service(service)?.engine;
-		const context = {
-			engines: views,
-			availabilityZone: this.#context.settings().availabilityZone,
-			bytesPerToken: engine?.bytesPerToken ?? 0,
-			linkMegabitsPerSecond: engine?.linkMegabitsPerSecond ?? 1,
-			keepers: (key: string) => this.#keepers(key, views.map(({id}) => record(id)), engine?.cacheTokens ?? 0),
-		};
-		const chosen = promptQueue.next([...queue.keys()], context, now);
-		if (option.isNone(chosen)) {
-			for (const {prompt, waitMilliseconds} of promptQueue.hopeless([...queue.keys()], context, this.#context.gateways(), now)) {
-				this.#decide(queue, prompt, {kind: 'hopeless', waitMilliseconds});
+		const common = this.#queueContext(service, views, record, now);
+		let engines = views;
+		while (queue.size > 0) {
+			const context = {...common, engines};
+			const chosen = promptQueue.next([...queue.keys()], context, now);
+			if (option.isNone(chosen)) {
+				this.#turnAwayHopeless(queue, context, now);
+				return;
 			}
 
-			return false;
+			const {prompt, placement, lane} = chosen.value;
+			const {engine, fetchFrom, readMilliseconds} = placement;
+			engines = engines.map(view => view.id === engine.id ? {...view, attempts: view.attempts + 1, readMilliseconds: view.readMilliseconds + readMilliseconds} : view);
+			this.#decide(queue, prompt, {
+				kind: 'placed',
+				placement,
+				lane,
+				target: record(engine.id),
+				fetchFrom: fetchFrom === undefined ? undefined : record(fetchFrom.id),
+				entry: this.#context.book.add(engine.id, readMilliseconds),
+			});
+			if (readMilliseconds >= longReadMilliseconds) {
+				this.#onPlaced();
+			}
 		}
+	}
 
-		const {prompt, placement, lane} = chosen.value;
-		this.#decide(queue, prompt, {
-			kind: 'placed',
-			placement,
-			lane,
-			target: record(placement.engine.id),
-			fetchFrom: placement.fetchFrom === undefined ? undefined : record(placement.fetchFrom.id),
-			entry: this.#context.book.add(placement.engine.id, placement.readMilliseconds),
-		});
-		if (placement.readMilliseconds >= longReadMilliseconds) {
-			this.#onPlaced();
+	#turnAwayHopeless(queue: Map<WaitingPrompt, Entry>, context: QueueContext, now: number): void {
+		for (const {prompt, waitMilliseconds} of promptQueue.hopeless([...queue.keys()], context, this.#context.gateways(), now)) {
+			this.#decide(queue, prompt, {kind: 'hopeless', waitMilliseconds});
 		}
-
-		return true;
 	}
 
-	#keepers(key: string, records: readonly TargetRecord[], cacheTokens: number): ReadonlySet<string> {
-		const incarnations = new Set(this.#context.kept.keepers(key, cacheTokens));
-		return new Set(records.filter(({incarnation}) => incarnations.has(incarnation)).map(({id}) => id));
+	/** What one look needs beside the engines' load; beliefs are asked once for each prompt and engine. */
+	#queueContext(service: string, views: readonly EngineView[], record: (id: string) => TargetRecord, now: number): Omit<QueueContext, 'engines'> {
+		const engine = this.#context.service(service)?.engine;
+		const {cacheTokens = 0, bytesPerToken = 0, linkMegabitsPerSecond = 1} = engine ?? {};
+		const known = new Map<WaitingPrompt, Map<string, number>>();
+		return {
+			reading: promptQueue.readingMakers(views),
+			availabilityZone: this.#context.settings().availabilityZone,
+			bytesPerToken,
+			linkMegabitsPerSecond,
+			kept: (prompt, id) => {
+				const byEngine = known.get(prompt) ?? new Map<string, number>();
+				known.set(prompt, byEngine);
+				const kept = byEngine.get(id) ?? this.#context.kept.tokens(record(id).incarnation, prompt.sharedParts, {cacheTokens, now});
+				byEngine.set(id, kept);
+				return kept;
+			},
+		};
 	}
 
 	#decide(queue: Map<WaitingPrompt, Entry>, prompt: WaitingPrompt, verdict: Verdict): void {
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -27,8 +27,6 @@
 const lastRank = 9;
 /** Time beyond the estimate after which an answer is overdue. */
 const overdueMilliseconds = 1200;
-/** Shared parts below this are not worth remembering. */
-const leastKeptTokens = 1000;
 
 /**
 Chooses engines, sends, and joins the events of several runs into one answer.
@@ -54,7 +52,7 @@
 	#handleSends = 0;
 	#lane: 'onTime' | 'late' = 'onTime';
 	readonly #queues: PromptQueues;
-	readonly #shared: {readonly key: string; readonly tokens: number; readonly cacheTokens: number};
+	readonly #shared: {readonly parts: NonNullable<CallerRequest['facts']['prompt']>['parts']; readonly key: string; readonly tokens: number; readonly cacheTokens: number};
 
 	constructor(request: CallerRequest, context: EntryContext, sender: AttemptSender, queues: PromptQueues) {
 		this.#request = request;
@@ -63,6 +61,7 @@
 		this.#queues = queues;
 		const parts = request.facts.prompt?.parts.slice(0, -1) ?? [];
 		this.#shared = {
+			parts,
 			key: parts.map(({id}) => id).join(','),
 			tokens: parts.reduce((sum, {tokens}) => sum + tokens, 0),
 			cacheTokens: context.service(request.service)?.engine?.cacheTokens ?? 0,
@@ -126,6 +125,7 @@
 				aimAt: startedAt + route.targetLatencyMilliseconds,
 				giveUpAt: Math.min(limitAt, (this.#lastEventId === undefined ? startedAt : this.#context.now()) + patience),
 				tokens: facts.prompt?.tokens ?? 0,
+				sharedParts: this.#shared.parts,
 				sharedKey: this.#shared.key,
 				sharedTokens: this.#shared.tokens,
 				bodyBytes: body?.byteLength ?? 0,
@@ -159,6 +159,8 @@
 			cost: Math.round(cost),
 			latency: Math.round(latency),
 			fetchFrom: fetchFrom?.id,
+			keptTokens: placement.keptTokens,
+			isKeptTold: this.#context.kept.isFollowed(target.incarnation, this.#context.now()),
 			waitingMilliseconds: Math.round(engine.readMilliseconds),
 			attempts: engine.attempts,
 			listAge: Math.round(this.#context.now() - this.#context.beliefs.listedAt),
@@ -168,17 +170,11 @@
 
 	/** Records that an engine reads or fetches this prompt, and keeps its shared parts. */
 	#keeps(target: TargetRecord): void {
-		const {key, tokens} = this.#shared;
-		const {kept, gateways} = this.#context;
-		kept.read(target.incarnation, ((this.#request.facts.prompt?.tokens ?? 0) - tokens) * gateways());
-		if (tokens >= leastKeptTokens) {
-			const {cacheTokens} = this.#shared;
-			if (!kept.keeps(target.incarnation, key, cacheTokens)) {
-				kept.read(target.incarnation, tokens * gateways());
-			}
-
-			kept.used({engine: target.incarnation, part: key});
-		}
+		const {parts, tokens, cacheTokens} = this.#shared;
+		const {kept, gateways, now} = this.#context;
+		const unread = (this.#request.facts.prompt?.tokens ?? 0) - kept.tokens(target.incarnation, parts, {cacheTokens, now: now()});
+		kept.read(target.incarnation, Math.max(0, unread) * gateways());
+		kept.sent(target.incarnation, parts, now());
 	}
 
 	#instructions(target: TargetRecord, parts: Partial<SendInstructions>): SendInstructions {
--- a/stand-ins/platform-target-stand-in.ts
+++ b/stand-ins/platform-target-stand-in.ts
@@ -26,6 +26,8 @@
 */
 export class PlatformTargetStandIn {
 	answer: Answer = whole;
+	/** What the target says of its cache, by the path of the question; without it, nothing new after the wait. */
+	tellKept: ((path: string) => unknown) | undefined;
 	readonly arrivals: Arrival[] = [];
 	readonly #server = http.createServer((request, response) => {
 		this.#receive(request, response);
@@ -55,7 +57,32 @@
 		});
 	}
 
+	/** Questions on the cache are no arrivals. */
+	#answerKept(request: http.IncomingMessage, response: http.ServerResponse): void {
+		const send = (value: unknown): void => {
+			response.writeHead(200, {'content-type': 'application/json'});
+			response.end(JSON.stringify(value));
+		};
+
+		if (this.tellKept !== undefined) {
+			send(this.tellKept(request.url ?? ''));
+			return;
+		}
+
+		const timer = setTimeout(send, Number(request.headers['wait-ms'] ?? 0), {
+			epoch: 1, next: 0, lost: false, events: [],
+		});
+		response.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+
 	#receive(request: http.IncomingMessage, response: http.ServerResponse): void {
+		if (request.url?.startsWith('/v1/kv-events') === true || request.url === '/v1/kv-list') {
+			this.#answerKept(request, response);
+			return;
+		}
+
 		const chunks: string[] = [];
 		request.setEncoding('latin1');
 		request.on('data', (chunk: string) => {
