Let few gateways of a large fleet read the store, and pace digests by the fleet

Ruled out: watches, as an entry of a target changes with each heartbeat; reads that may be stale, as leaving targets must be known within 2 s.

Change: in fleets of more than six gateways three read. Each other gateway relies on one of them, is sent its whole list and then every change, and reads itself once its reader's last reading is older than 1.25 s. Digests go out in proportion more seldom from eight gateways on, and long prompts that were placed are not told to all there, since the gateway that speaks for the engine is asked anyway.

Small fleets are as before.

--- a/source/decisions/entry/configuration-in-force.ts
+++ b/source/decisions/entry/configuration-in-force.ts
@@ -54,6 +54,13 @@
 		return true;
 	}
 
+	/** Takes the word of a gateway that read the store then and found the version that is in force here. */
+	confirm(version: number, readAt: number): void {
+		if (version === this.version) {
+			this.#confirmedAt = Math.max(this.#confirmedAt, readAt);
+		}
+	}
+
 	/** True when a route that is not there can be said not to exist. */
 	isSure(now: number): boolean {
 		return this.#current !== undefined && now - this.#confirmedAt < sureMilliseconds;
--- /dev/null
+++ b/source/decisions/entry/store-feed.ts
@@ -0,0 +1,94 @@
+/**
+Decides whether a gateway reads the store itself, or is told by another that does.
+
+The load it answers: each gateway that reads several times a second is cheap as
+long as there are five. With thirty their calls cost more than all machines, and
+with some hundred the store would turn them away. So in a large fleet a few read,
+each of the others is told by one of them, and reads itself only while it is not.
+
+What is told is as good as what is read: the reader sends each change before its
+next digest, and a digest says when it last read. Without such a word a gateway
+reads, so that what it believes is never older than a little over a second while
+the store answers.
+*/
+import {rendezvousScore} from '../routing/rendezvous-score.js';
+
+/** Up to this many gateways all read. */
+const mostWithoutFeed = 6;
+const readers = 3;
+/** Age of what was told from which on a gateway reads itself. */
+const oldestMilliseconds = 1250;
+
+const rank = (gateways: readonly string[], key: string): readonly string[] => gateways
+	.map(gateway => ({gateway, score: rendezvousScore(key, gateway)}))
+	.toSorted((first, second) => second.score - first.score)
+	.map(({gateway}) => gateway);
+
+/**
+What one gateway is told by the reader that it relies on.
+
+Invariant: `isFed` is true only while a reader has sent its whole list since it
+was chosen, and its last reading is fresh.
+
+@example
+```
+const feed = new StoreFeed('gateway-9');
+feed.update(peers.names);
+if (!feed.isFed(clock())) { await reader.read(); }
+```
+*/
+export class StoreFeed {
+	#reader = '';
+	#hasList = false;
+	#readAt = Number.NEGATIVE_INFINITY;
+	readonly #own: string;
+
+	constructor(own: string) {
+		this.#own = own;
+	}
+
+	/** The gateway that is relied on, empty when this one reads itself. */
+	get reader(): string {
+		return this.#reader;
+	}
+
+	/** When what was told was read. */
+	get readAt(): number {
+		return this.#hasList ? this.#readAt : Number.NEGATIVE_INFINITY;
+	}
+
+	/** Chooses anew as gateways come and go. */
+	update(peers: readonly string[]): void {
+		const gateways = [this.#own, ...peers];
+		const first = rank(gateways, 'reads the store').slice(0, readers);
+		const reader = gateways.length <= mostWithoutFeed || first.includes(this.#own) ? '' : rank(first, this.#own)[0] ?? '';
+		if (reader !== this.#reader) {
+			this.#reader = reader;
+			this.#hasList = false;
+			this.#readAt = Number.NEGATIVE_INFINITY;
+		}
+	}
+
+	/** Records a whole list from a gateway. */
+	list(peer: string): void {
+		this.#hasList ||= peer === this.#reader;
+	}
+
+	/** Records when a gateway last read the store. */
+	hear(peer: string, readAt: number): void {
+		if (peer === this.#reader) {
+			this.#readAt = readAt;
+		}
+	}
+
+	/** Forgets a gateway that cannot be reached. */
+	lost(peer: string): void {
+		if (peer === this.#reader) {
+			this.#hasList = false;
+		}
+	}
+
+	isFed(now: number): boolean {
+		return this.#reader !== '' && now - this.readAt < oldestMilliseconds;
+	}
+}
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -5,13 +5,10 @@
 import http from 'node:http';
 import type {Logger} from 'roarr';
 import {KeptParts} from '../decisions/entry/kept-parts.js';
-import {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
 import {RateLimit} from '../decisions/entry/rate-limit.js';
 import {RetryWindow} from '../decisions/entry/retry-window.js';
 import {TargetBeliefs} from '../decisions/entry/target-beliefs.js';
 import {TargetHealth} from '../decisions/entry/target-health.js';
-import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
-import type {TargetRecord} from '../fleet/target-record.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {FleetStore} from '../ports/fleet-store.js';
 import type {TargetProtocol} from '../ports/target-protocol.js';
@@ -24,13 +21,13 @@
 import type {EntryContext} from './entry-context.js';
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
+import {FleetKnowledge} from './fleet-knowledge.js';
 import {LoadBook} from './load-book.js';
 import {PeerExchange} from './peer-exchange.js';
 import {Peers} from './peers.js';
 import {ReadGrants} from './read-grants.js';
 import {PromptQueues} from './prompt-queues.js';
 import {RequestRouter} from './request-router.js';
-import {StoreReader} from './store-reader.js';
 import {TargetConnections} from './target-connections.js';
 
 type EntryOptions = {
@@ -68,17 +65,11 @@
 	#settings: EntrySettings;
 	#isStopping = false;
 	#isClosing = false;
-	#storeReadAt = Number.NEGATIVE_INFINITY;
-	#hasStore = false;
 	#wasReady = false;
-	#reader: StoreReader | undefined;
-	#store: FleetStore | undefined;
 	#sweep: NodeJS.Timeout | undefined;
 	readonly #incarnation = newIdentifier();
 	readonly #options: EntryOptions;
 	readonly #log: Logger;
-	readonly #inForce = new ConfigurationInForce();
-	readonly #services = new Map<string, FleetConfiguration['services'][number]>();
 	readonly #retries = new Map<string, RetryWindow>();
 	readonly #context: EntryContext;
 	readonly #sender: AttemptSender;
@@ -90,12 +81,26 @@
 	readonly #exchange: PeerExchange | undefined;
 	readonly #followers: EngineFollowers;
 	readonly #grants: ReadGrants;
+	readonly #knowledge: FleetKnowledge;
 
 	constructor(options: EntryOptions) {
 		this.#options = options;
 		this.#settings = options.settings;
 		this.#log = options.log;
 		this.#context = this.#createContext();
+		this.#knowledge = new FleetKnowledge({
+			context: this.#context,
+			createStore: options.createStore,
+			onConfiguration: configuration => {
+				this.#door.setLimits(configuration.limits);
+				this.#exchange?.feedPeers();
+				this.#exchange?.tellNow();
+				this.#tellReadiness();
+			},
+			onTargets: changes => {
+				this.#onTargets(changes);
+			},
+		});
 		this.#followers = new EngineFollowers(this.#context);
 		this.#grants = new ReadGrants({
 			context: this.#context,
@@ -107,6 +112,7 @@
 		this.#context.book.onLongRead = (target, readMilliseconds) => {
 			this.#grants.read(target, readMilliseconds);
 		};
+
 		this.#queues = new PromptQueues(this.#context, this.#grants, () => {
 			this.#exchange?.tellSoon();
 		});
@@ -114,7 +120,7 @@
 			this.#queues.lookSoon();
 		});
 		this.#router = new RequestRouter({
-			context: this.#context, inForce: this.#inForce, sender: this.#sender, queues: this.#queues, storeReadAt: () => this.#storeReadAt,
+			context: this.#context, inForce: this.#knowledge.inForce, sender: this.#sender, queues: this.#queues, storeReadAt: () => this.#knowledge.storeReadAt,
 		});
 		this.#door = this.#createDoor();
 		const {peers: address} = options.settings.listen;
@@ -125,7 +131,7 @@
 	}
 
 	get isReady(): boolean {
-		return !this.#isStopping && this.#inForce.current !== undefined && this.#context.beliefs.all().length > 0;
+		return !this.#isStopping && this.#knowledge.inForce.current !== undefined && this.#context.beliefs.all().length > 0;
 	}
 
 	async start(): Promise<void> {
@@ -139,7 +145,7 @@
 		await this.#door.listen(settings.listen.callers);
 		this.#peers?.start();
 		this.#exchange?.start();
-		this.#startReader();
+		this.#knowledge.start();
 		this.#sweep = setInterval(() => {
 			this.#clean();
 		}, sweepMilliseconds);
@@ -151,7 +157,7 @@
 		this.#settings = settings;
 		this.#log.info({event: 'reload', seeds: settings.peerSeeds, store: settings.store.address}, 'settings reloaded');
 		if (former.store.address !== settings.store.address) {
-			this.#startReader();
+			this.#knowledge.start();
 		}
 	}
 
@@ -166,7 +172,6 @@
 		this.#door.close();
 		await this.#drained(stopAt + graceMilliseconds - graceMarginMilliseconds);
 		clearInterval(this.#sweep);
-		this.#reader?.stop();
 		this.#followers.stop();
 		this.#exchange?.stop();
 		this.#peers?.stop();
@@ -176,7 +181,7 @@
 			server.close();
 		}
 
-		await this.#store?.close();
+		await this.#knowledge.stop();
 	}
 
 	#createContext(): EntryContext {
@@ -202,7 +207,7 @@
 			now: clock,
 			random: Math.random,
 			gateways: () => (this.#peers?.names.length ?? 0) + 1,
-			service: name => this.#services.get(name),
+			service: name => this.#knowledge.service(name),
 			retries: service => this.#retriesOf(service),
 		};
 	}
@@ -216,7 +221,7 @@
 
 	#createDoor(): CallerDoor {
 		return new CallerDoor({
-			limits: () => this.#inForce.current?.limits,
+			limits: () => this.#knowledge.inForce.current?.limits,
 			isClosing: () => this.#isClosing,
 			onRequest: (request, body, answer, startedAt) => {
 				this.#router.route(request, body, answer, startedAt);
@@ -252,87 +257,15 @@
 		return new PeerExchange({
 			context: this.#context,
 			peers,
-			inForce: this.#inForce,
-			storeReadAt: () => this.#storeReadAt,
+			knowledge: this.#knowledge,
 			followed: () => this.#followers.engines,
 			grants: this.#grants,
-			onConfiguration: (configuration, peer) => {
-				this.#adopt(configuration, 'peer', peer);
-			},
-			onTargets: (targets, peer) => {
-				this.#adoptTargets(targets, 'peer', peer);
-			},
-		});
-	}
-
-	#startReader(): void {
-		this.#reader?.stop();
-		void this.#store?.close();
-		const store = this.#options.createStore(this.#settings);
-		this.#store = store;
-		this.#reader = new StoreReader(store, this.#settings.store.readsPerSecond, {
-			onConfiguration: configuration => {
-				this.#adopt(configuration, 'store', 'store');
-			},
-			onTargets: (targets, unreadable) => {
-				this.#context.metrics.gauge('targets.unreadable', unreadable);
-				this.#adoptTargets(targets, 'store', 'store');
-			},
-			onFailure: (call, detail) => {
-				this.#storeFailed(call, detail);
-			},
-			onSuccess: () => {
-				this.#storeAnswered();
-			},
-			gateways: this.#context.gateways,
-			random: Math.random,
 		});
-		this.#reader.start();
-	}
-
-	#storeAnswered(): void {
-		this.#storeReadAt = clock();
-		if (!this.#hasStore) {
-			this.#hasStore = true;
-			this.#log.info({event: 'store reached'}, 'store answers');
-		}
-	}
-
-	#storeFailed(call: string, detail: string): void {
-		this.#context.beliefs.storeFailed(clock());
-		this.#context.metrics.count('store.failed');
-		if (this.#hasStore) {
-			this.#hasStore = false;
-			this.#log.warn({event: 'store lost', call, detail}, 'store does not answer');
-		}
-	}
-
-	#adopt(configuration: FleetConfiguration, source: 'store' | 'peer', from: string): void {
-		if (!this.#inForce.adopt(configuration, source, clock())) {
-			return;
-		}
-
-		this.#services.clear();
-		for (const service of configuration.services) {
-			this.#services.set(service.name, service);
-		}
-
-		this.#door.setLimits(configuration.limits);
-		this.#context.metrics.gauge('configuration.version', configuration.version);
-		this.#log.info({
-			event: 'configuration adopted', version: configuration.version, routes: configuration.routes.length, source, from,
-		}, 'configuration adopted');
-		this.#exchange?.tellNow();
-		this.#tellReadiness();
 	}
 
-	#adoptTargets(targets: readonly TargetRecord[], source: 'store' | 'peer', from: string): void {
-		const changes = this.#context.beliefs.adoptList(targets, source, clock());
-		for (const {kind, record} of changes) {
-			this.#context.metrics.count(`target.${kind}`);
-			this.#log.info({
-				event: `target ${kind}`, target: record.id, bornAt: record.bornAt, address: record.address, service: record.service, role: record.role, source, from,
-			}, `target ${kind}`);
+	#onTargets(changes: ReadonlyArray<{readonly kind: string}>): void {
+		if (changes.length > 0) {
+			this.#exchange?.feedPeers();
 		}
 
 		if (changes.some(({kind}) => kind === 'leaving')) {
@@ -345,7 +278,7 @@
 	#tellReadiness(): void {
 		if (this.isReady && !this.#wasReady) {
 			this.#wasReady = true;
-			this.#log.info({event: 'ready', version: this.#inForce.version, targets: this.#context.beliefs.all().length}, 'ready');
+			this.#log.info({event: 'ready', version: this.#knowledge.inForce.version, targets: this.#context.beliefs.all().length}, 'ready');
 		}
 	}
 
@@ -378,6 +311,7 @@
 			this.#log.warn({event: 'target avoided', target, reason: 'silent'}, 'target avoided while it says nothing');
 		}
 
+		this.#knowledge.updateFeed(this.#peers?.names ?? []);
 		this.#followers.update(records, this.#settings.name, this.#peers?.names ?? []);
 		kept.keepOnly(incarnations);
 		health.keepOnly(incarnations);
--- /dev/null
+++ b/source/entry/fleet-knowledge.ts
@@ -0,0 +1,167 @@
+/**
+What a gateway knows of configuration and targets, from the store and from peers.
+*/
+import {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
+import {StoreFeed} from '../decisions/entry/store-feed.js';
+import type {TargetBeliefs} from '../decisions/entry/target-beliefs.js';
+import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
+import type {ServiceDescription} from '../fleet/service-description.js';
+import type {TargetRecord} from '../fleet/target-record.js';
+import type {FleetStore} from '../ports/fleet-store.js';
+import type {EntryContext} from './entry-context.js';
+import type {EntrySettings} from './entry-settings.js';
+import {StoreReader} from './store-reader.js';
+
+type Changes = ReturnType<TargetBeliefs['adoptList']>;
+
+type KnowledgeOptions = {
+	readonly context: EntryContext;
+	readonly createStore: (settings: EntrySettings) => FleetStore;
+	/** Called once a newer configuration is in force. */
+	readonly onConfiguration: (configuration: FleetConfiguration) => void;
+	/** Called after each list of targets, with what it changed. */
+	readonly onTargets: (changes: Changes) => void;
+};
+
+const mostLoggedAge = 3_600_000;
+
+/**
+Adopts what the store and peers say, and logs each change of belief.
+
+Invariant: the configuration in force never goes back.
+
+@example
+```
+knowledge.start();
+knowledge.adoptTargets(targets, 'peer', 'gateway-2');
+```
+*/
+export class FleetKnowledge {
+	readonly inForce = new ConfigurationInForce();
+	readonly feed: StoreFeed;
+	#configurationReadAt = Number.NEGATIVE_INFINITY;
+	#targetsReadAt = Number.NEGATIVE_INFINITY;
+	#hasStore = false;
+	#wasFed = false;
+	#reader: StoreReader | undefined;
+	#store: FleetStore | undefined;
+	readonly #options: KnowledgeOptions;
+	readonly #services = new Map<string, ServiceDescription>();
+
+	constructor(options: KnowledgeOptions) {
+		this.#options = options;
+		this.feed = new StoreFeed(options.context.settings().name);
+	}
+
+	/** When both configuration and targets were last read from the store by this gateway. */
+	get storeReadAt(): number {
+		return Math.min(this.#configurationReadAt, this.#targetsReadAt);
+	}
+
+	service(name: string): ServiceDescription | undefined {
+		return this.#services.get(name);
+	}
+
+	/** Reads the store that the settings name, from now on. */
+	start(): void {
+		const {context, createStore} = this.#options;
+		this.#reader?.stop();
+		void this.#store?.close();
+		const store = createStore(context.settings());
+		this.#store = store;
+		this.#reader = new StoreReader(store, context.settings().store.readsPerSecond, {
+			onConfiguration: (configuration, askedAt) => {
+				this.#configurationReadAt = askedAt;
+				this.#storeAnswered();
+				if (configuration !== undefined) {
+					this.adopt(configuration, 'store', 'store');
+				}
+			},
+			onTargets: (targets, unreadable, askedAt) => {
+				this.#targetsReadAt = askedAt;
+				context.metrics.gauge('targets.unreadable', unreadable);
+				this.adoptTargets(targets, 'store', 'store');
+			},
+			onFailure: (call, detail) => {
+				this.#storeFailed(call, detail);
+			},
+			gateways: context.gateways,
+			random: context.random,
+			now: context.now,
+			isFed: () => this.feed.isFed(context.now()),
+		});
+		this.#reader.start();
+	}
+
+	async stop(): Promise<void> {
+		this.#reader?.stop();
+		await this.#store?.close();
+	}
+
+	adopt(configuration: FleetConfiguration, source: 'store' | 'peer', from: string): void {
+		const {context, onConfiguration} = this.#options;
+		if (!this.inForce.adopt(configuration, source, context.now())) {
+			return;
+		}
+
+		this.#services.clear();
+		for (const service of configuration.services) {
+			this.#services.set(service.name, service);
+		}
+
+		context.metrics.gauge('configuration.version', configuration.version);
+		context.log.info({
+			event: 'configuration adopted', version: configuration.version, routes: configuration.routes.length, source, from,
+		}, 'configuration adopted');
+		onConfiguration(configuration);
+	}
+
+	adoptTargets(targets: readonly TargetRecord[], source: 'store' | 'peer', from: string): void {
+		const {context, onTargets} = this.#options;
+		const changes = context.beliefs.adoptList(targets, source, context.now());
+		for (const {kind, record} of changes) {
+			context.metrics.count(`target.${kind}`);
+			context.log.info({
+				event: `target ${kind}`, target: record.id, bornAt: record.bornAt, address: record.address, service: record.service, role: record.role, source, from,
+			}, `target ${kind}`);
+		}
+
+		onTargets(changes);
+	}
+
+	/** Chooses the gateway that reads the store for this one, as gateways come and go. */
+	updateFeed(peers: readonly string[]): void {
+		const {metrics, log, now} = this.#options.context;
+		const former = this.feed.reader;
+		this.feed.update(peers);
+		if (this.feed.reader !== former) {
+			log.info({event: 'store reader', reader: this.feed.reader}, this.feed.reader === '' ? 'this gateway reads the store' : 'another gateway reads the store for this one');
+		}
+
+		const isFed = this.feed.isFed(now());
+		metrics.gauge('store.fed', isFed ? 1 : 0);
+		if (isFed !== this.#wasFed) {
+			this.#wasFed = isFed;
+			log.info({
+				event: 'store fed', isFed, reader: this.feed.reader, age: Math.round(Math.min(mostLoggedAge, now() - this.feed.readAt)),
+			}, isFed ? 'told by another gateway what the store says' : 'not told what the store says; reads itself');
+		}
+	}
+
+	#storeAnswered(): void {
+		if (!this.#hasStore) {
+			this.#hasStore = true;
+			this.#options.context.log.info({event: 'store reached'}, 'store answers');
+		}
+	}
+
+	#storeFailed(call: string, detail: string): void {
+		const {beliefs, metrics, log, now} = this.#options.context;
+		beliefs.storeFailed(now());
+		metrics.count('store.failed');
+		if (this.#hasStore) {
+			this.#hasStore = false;
+			log.warn({event: 'store lost', call, detail}, 'store does not answer');
+		}
+	}
+}
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -5,10 +5,10 @@
 peer that lacks them and cannot read them from the store itself.
 */
 import type {PeerMessage} from '../generated/peer-messages.js';
-import type {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
+import {digestPace} from '../decisions/entry/digest-pace.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
-import type {TargetRecord} from '../fleet/target-record.js';
 import type {EntryContext} from './entry-context.js';
+import type {FleetKnowledge} from './fleet-knowledge.js';
 import type {Peers} from './peers.js';
 import type {ReadGrants} from './read-grants.js';
 
@@ -22,23 +22,21 @@
 const lagMilliseconds = 1200;
 /** A store that was read this long ago is taken as out of reach. */
 const storeMilliseconds = 1500;
+/** Age that stands for never. */
+const mostStoreAge = 3_600_000;
 
 type ExchangeOptions = {
 	readonly context: EntryContext;
 	readonly peers: Peers;
-	readonly inForce: ConfigurationInForce;
-	/** When the store last answered. */
-	readonly storeReadAt: () => number;
+	readonly knowledge: FleetKnowledge;
 	/** Engines that this gateway follows. */
 	readonly followed: () => readonly string[];
 	readonly grants: ReadGrants;
-	readonly onConfiguration: (configuration: FleetConfiguration, peer: string) => void;
-	readonly onTargets: (targets: readonly TargetRecord[], peer: string) => void;
 };
 
 type Digest = Extract<PeerMessage, {kind: 'digest'}>;
 
-type PeerState = {laggingSince: number | undefined; toldTargets: string};
+type PeerState = {laggingSince: number | undefined; toldTargets: string; digest: Digest | undefined};
 
 /**
 Sends digests on a timer and answers those of peers.
@@ -55,6 +53,7 @@
 	#timer: NodeJS.Timeout | undefined;
 	#lastDigest = '';
 	#quiet = 0;
+	#ticks = 0;
 	#fullAt = Number.NEGATIVE_INFINITY;
 	#soon: NodeJS.Timeout | undefined;
 
@@ -62,13 +61,18 @@
 		this.#options = options;
 	}
 
+	get #storeAge(): number {
+		const {context, knowledge} = this.#options;
+		return Math.round(Math.min(mostStoreAge, context.now() - knowledge.storeReadAt));
+	}
+
 	get hasStore(): boolean {
-		return this.#options.context.now() - this.#options.storeReadAt() < storeMilliseconds;
+		return this.#options.context.now() - this.#options.knowledge.storeReadAt < storeMilliseconds;
 	}
 
 	start(): void {
 		this.#timer = setInterval(() => {
-			this.#tell();
+			this.#tick();
 		}, digestMilliseconds);
 	}
 
@@ -84,8 +88,21 @@
 		this.#tell();
 	}
 
+	/** Sends those that rely on this gateway what they lack, at once. */
+	feedPeers(): void {
+		for (const [peer, {digest}] of this.#states) {
+			if (digest !== undefined && this.#isReader(digest)) {
+				this.#help(peer, digest, this.#options.context.now());
+			}
+		}
+	}
+
 	/** Tells peers within a few milliseconds, many news at once. */
 	tellSoon(): void {
+		if (!digestPace(this.#options.context.gateways()).isPlacementTold) {
+			return;
+		}
+
 		this.#soon ??= setTimeout(() => {
 			this.#soon = undefined;
 			this.#tell();
@@ -95,7 +112,7 @@
 	receive(peer: string, message: PeerMessage): void {
 		switch (message.kind) {
 			case 'hello': {
-				this.#states.set(peer, {laggingSince: undefined, toldTargets: ''});
+				this.#states.set(peer, {laggingSince: undefined, toldTargets: '', digest: undefined});
 				this.#options.peers.send(peer, this.#digest({sent: [], told: this.#options.context.kept.allTold(this.#options.followed())}, true, true));
 				return;
 			}
@@ -120,26 +137,33 @@
 				return;
 			}
 
+			case 'fresh': {
+				this.#hearFresh(peer, message);
+				return;
+			}
+
 			case 'configuration': {
-				this.#options.onConfiguration(message.configuration as unknown as FleetConfiguration, peer);
+				this.#options.knowledge.adopt(message.configuration as unknown as FleetConfiguration, 'peer', peer);
 				return;
 			}
 
 			case 'targets': {
-				if (!this.hasStore) {
-					this.#options.onTargets(message.targets.map(target => ({...target, role: target.role})), peer);
+				this.#options.knowledge.feed.list(peer);
+				if (!this.hasStore || peer === this.#options.knowledge.feed.reader) {
+					this.#options.knowledge.adoptTargets(message.targets.map(target => ({...target, role: target.role})), 'peer', peer);
 				}
 			}
 		}
 	}
 
 	lost(peer: string): void {
+		this.#options.knowledge.feed.lost(peer);
 		this.#states.delete(peer);
 		this.#options.context.book.forgetPeer(peer);
 	}
 
 	#digest({sent, told}: ReturnType<EntryContext['kept']['takeNews']>, isFull: boolean, isWhole: boolean): Digest {
-		const {context, peers, inForce} = this.#options;
+		const {context, peers, knowledge: {inForce}} = this.#options;
 		const own = context.book.own();
 		const followed = this.#options.followed();
 		const rows = new Map(followed.map((engine, row) => [engine, row]));
@@ -147,7 +171,9 @@
 		return {
 			kind: 'digest',
 			configurationVersion: inForce.version,
-			hasStore: this.hasStore,
+			storeAge: this.#storeAge,
+			reader: this.#options.knowledge.feed.reader,
+			isFed: this.#options.knowledge.feed.isFed(context.now()),
 			leaving: isFull ? [...context.beliefs.leaving()] : [],
 			peers: isFull ? [...peers.addresses] : [],
 			sent: {engines: sent.map(({engine}) => engine), parts: sent.map(({part}) => part), tokens: sent.map(({tokens}) => tokens)},
@@ -158,22 +184,39 @@
 		};
 	}
 
+	/** Tells those that rely on this gateway, and at its pace the others. */
+	#tick(): void {
+		this.#ticks++;
+		const {context, peers, knowledge: {inForce}} = this.#options;
+		for (const [peer, {digest}] of this.#states) {
+			if (digest !== undefined && this.#isReader(digest)) {
+				peers.send(peer, {kind: 'fresh', storeAge: this.#storeAge, configurationVersion: inForce.version});
+			}
+		}
+
+		if (this.#ticks % digestPace(context.gateways()).ticks === 0) {
+			this.#tell();
+		}
+	}
+
 	#tell(): void {
 		const now = this.#options.context.now();
 		const isFull = now - this.#fullAt >= fullMilliseconds;
 		this.#fullAt = isFull ? now : this.#fullAt;
 		const digest = this.#digest(this.#options.context.kept.takeNews(), isFull, false);
-		const text = JSON.stringify(digest);
+		const text = JSON.stringify({...digest, storeAge: 0});
 		this.#quiet = text === this.#lastDigest ? this.#quiet + 1 : 0;
-		if (this.#quiet % (quietDigests + 1) === 0) {
+		const mostQuiet = digestPace(this.#options.context.gateways()).ticks > 1 ? 0 : quietDigests;
+		if (this.#quiet % (mostQuiet + 1) === 0) {
 			this.#lastDigest = text;
 			this.#options.peers.broadcast(digest);
 		}
 	}
 
 	#hearDigest(peer: string, digest: Digest): void {
-		const {context, peers, inForce} = this.#options;
+		const {context, peers} = this.#options;
 		const now = context.now();
+		this.#hearFresh(peer, digest);
 		const {ids, attempts, readMilliseconds} = digest.outstanding;
 		context.book.hearPeer(peer, ids.map((id, index) => ({id, attempts: attempts[index] ?? 0, readMilliseconds: readMilliseconds[index] ?? 0})), now);
 		this.#hearSent(digest.sent, now);
@@ -188,7 +231,22 @@
 			}
 		}
 
-		this.#help(peer, digest, inForce, now);
+		const state = this.#states.get(peer);
+		if (state !== undefined) {
+			state.digest = digest;
+		}
+
+		if (!digest.isFed || this.#isReader(digest)) {
+			this.#help(peer, digest, now);
+		}
+	}
+
+	#hearFresh(peer: string, {storeAge, configurationVersion}: Pick<Digest, 'storeAge' | 'configurationVersion'>): void {
+		const {context, knowledge: {feed, inForce}} = this.#options;
+		feed.hear(peer, context.now() - storeAge);
+		if (peer === feed.reader && feed.isFed(context.now())) {
+			inForce.confirm(configurationVersion, feed.readAt);
+		}
 	}
 
 	#hearSent({engines, parts, tokens}: Digest['sent'], now: number): void {
@@ -217,28 +275,34 @@
 		}
 	}
 
+	/** True when the sender of a digest relies on this gateway. */
+	#isReader({reader}: Digest): boolean {
+		return reader === this.#options.context.settings().name;
+	}
+
 	#knownTargets(): ReadonlySet<string> {
 		return new Set(this.#options.context.beliefs.all().map(({incarnation}) => incarnation));
 	}
 
 	/** Sends a peer what it lacks. */
-	#help(peer: string, digest: Digest, inForce: ConfigurationInForce, now: number): void {
-		const {context, peers} = this.#options;
-		const state = this.#states.get(peer) ?? {laggingSince: undefined, toldTargets: ''};
+	#help(peer: string, digest: Digest, now: number): void {
+		const {context, peers, knowledge: {inForce}} = this.#options;
+		const lacksStore = digest.storeAge >= storeMilliseconds || this.#isReader(digest);
+		const state = this.#states.get(peer) ?? {laggingSince: undefined, toldTargets: '', digest};
 		this.#states.set(peer, state);
 		const isLagging = inForce.current !== undefined && digest.configurationVersion < inForce.version;
 		state.laggingSince = isLagging ? state.laggingSince ?? now : undefined;
-		if (isLagging && (!digest.hasStore || now - (state.laggingSince ?? now) > lagMilliseconds)) {
+		if (isLagging && (lacksStore || now - (state.laggingSince ?? now) > lagMilliseconds)) {
 			state.laggingSince = now;
 			peers.send(peer, {kind: 'configuration', configuration: inForce.current as unknown as Extract<PeerMessage, {kind: 'configuration'}>['configuration']});
 		}
 
 		const targets = context.beliefs.all();
 		const text = JSON.stringify(targets);
-		if (!digest.hasStore && this.hasStore && text !== state.toldTargets) {
+		if (lacksStore && this.hasStore && text !== state.toldTargets) {
 			state.toldTargets = text;
 			peers.send(peer, {kind: 'targets', targets: targets.map(target => ({...target}))});
-		} else if (digest.hasStore) {
+		} else if (!lacksStore) {
 			state.toldTargets = '';
 		}
 	}
--- a/source/entry/store-reader.ts
+++ b/source/entry/store-reader.ts
@@ -12,14 +12,17 @@
 import type {FleetStore} from '../ports/fleet-store.js';
 
 type ReaderHandlers = {
-	readonly onConfiguration: (configuration: FleetConfiguration) => void;
-	readonly onTargets: (targets: readonly TargetRecord[], unreadable: number) => void;
+	/** Undefined before the first configuration was written. `askedAt` is when the call began. */
+	readonly onConfiguration: (configuration: FleetConfiguration | undefined, askedAt: number) => void;
+	readonly onTargets: (targets: readonly TargetRecord[], unreadable: number, askedAt: number) => void;
 	/** Called on each failed call. */
 	readonly onFailure: (call: string, detail: string) => void;
-	readonly onSuccess: () => void;
 	/** Gateways that read, this one included. */
 	readonly gateways: () => number;
 	readonly random: () => number;
+	readonly now: () => number;
+	/** True while another gateway reads for this one. */
+	readonly isFed: () => boolean;
 };
 
 const leastPauseMilliseconds = 700;
@@ -28,6 +31,8 @@
 /** Calls of one round: the configuration, and a page or two of targets. */
 const callsEachRound = 3;
 const retryPauseMilliseconds = 200;
+/** Pause between two looks whether another gateway still reads for this one. */
+const fedPauseMilliseconds = 100;
 
 /**
 Runs two loops until stopped.
@@ -60,29 +65,36 @@
 	}
 
 	async #loop(read: () => Promise<boolean>): Promise<void> {
+		if (this.#handlers.isFed()) {
+			this.#later(read, fedPauseMilliseconds);
+			return;
+		}
+
 		const isRead = await read();
+
+		const pause = isRead ? Math.max(leastPauseMilliseconds, this.#handlers.gateways() * callsEachRound * 1000 / (this.#readsPerSecond * usedPart)) : retryPauseMilliseconds;
+		this.#later(read, pause * (0.9 + (this.#handlers.random() * 0.2)));
+	}
+
+	#later(read: () => Promise<boolean>, milliseconds: number): void {
 		if (this.#isStopped) {
 			return;
 		}
 
-		const pause = isRead ? Math.max(leastPauseMilliseconds, this.#handlers.gateways() * callsEachRound * 1000 / (this.#readsPerSecond * usedPart)) : retryPauseMilliseconds;
 		setTimeout(() => {
 			void this.#loop(read);
-		}, pause * (0.9 + (this.#handlers.random() * 0.2)));
+		}, milliseconds);
 	}
 
 	async #readConfiguration(): Promise<boolean> {
+		const askedAt = this.#handlers.now();
 		const read = await this.#store.readConfiguration();
 		if (this.#isStopped) {
 			return false;
 		}
 
 		return read.match(configuration => {
-			this.#handlers.onSuccess();
-			if (option.isSome(configuration)) {
-				this.#handlers.onConfiguration(configuration.value);
-			}
-
+			this.#handlers.onConfiguration(option.toUndefined(configuration), askedAt);
 			return true;
 		}, error => {
 			this.#handlers.onFailure('read configuration', error.detail);
@@ -91,13 +103,14 @@
 	}
 
 	async #readTargets(): Promise<boolean> {
+		const askedAt = this.#handlers.now();
 		const list = await this.#store.listTargets();
 		if (this.#isStopped) {
 			return false;
 		}
 
 		return list.match(({targets, unreadable}) => {
-			this.#handlers.onTargets(targets, unreadable);
+			this.#handlers.onTargets(targets, unreadable, askedAt);
 			return true;
 		}, error => {
 			this.#handlers.onFailure('list targets', error.detail);
--- a/test/decisions/entry/grant-read.test.ts
+++ b/test/decisions/entry/grant-read.test.ts
@@ -69,7 +69,9 @@
 });
 
 test('a choice holds while what is before the prompt is about what was assumed', t => {
-	const view = {role: 'prefill', slots: 64, attempts: 0, readMilliseconds: 120} as const;
+	const view = {
+		role: 'prefill', slots: 64, attempts: 0, readMilliseconds: 120,
+	} as const;
 	t.equal(grantRead(view, {lane: 'onTime', assumedMilliseconds: 100}), true);
 	t.equal(grantRead(view, {lane: 'onTime', assumedMilliseconds: 0}), false, 'its gateway may know a better engine');
 	t.equal(grantRead({...view, readMilliseconds: 200}, {lane: 'late', assumedMilliseconds: 200}), false, 'late work waits for room to spare');
--- /dev/null
+++ b/test/decisions/entry/store-feed.test.ts
@@ -0,0 +1,61 @@
+/**
+Who reads the store in a large fleet, and when a gateway that is told reads itself.
+*/
+import {test} from 'tap';
+import {StoreFeed} from '../../../source/decisions/entry/store-feed.js';
+
+const names = (count: number): readonly string[] => Array.from({length: count}, (_, index) => `gateway-${index}`);
+
+const feedOf = (own: string, gateways: readonly string[]): StoreFeed => {
+	const feed = new StoreFeed(own);
+	feed.update(gateways.filter(name => name !== own));
+	return feed;
+};
+
+test('in a small fleet all read', t => {
+	t.ok(names(6).every(own => feedOf(own, names(6)).reader === ''));
+	t.end();
+});
+
+test('in a large fleet three read, each of the others relies on one of them, and all agree who reads', t => {
+	const gateways = names(31);
+	const feeds = gateways.map(own => ({own, reader: feedOf(own, gateways).reader}));
+	const readers = new Set(feeds.filter(({reader}) => reader === '').map(({own}) => own));
+	t.equal(readers.size, 3);
+	t.ok(feeds.every(({reader}) => reader === '' || readers.has(reader)));
+	t.equal(new Set(feeds.map(({reader}) => reader)).size, 4, 'every reader is relied on');
+	t.end();
+});
+
+test('a gateway counts as told only after the whole list, and while its reader\'s reading is fresh', t => {
+	const gateways = names(31);
+	const own = gateways.find(name => feedOf(name, gateways).reader !== '')!;
+	const feed = feedOf(own, gateways);
+	const {reader} = feed;
+	feed.hear(reader, 900);
+	t.equal(feed.isFed(1000), false, 'no list yet');
+	feed.list('gateway-unknown');
+	t.equal(feed.isFed(1000), false, 'the list of another');
+	feed.list(reader);
+	t.equal(feed.isFed(1000), true);
+	feed.hear('gateway-unknown', 5000);
+	t.equal(feed.isFed(2200), false, 'older than a second and a quarter: it reads itself');
+	feed.hear(reader, 2300);
+	t.equal(feed.isFed(2400), true, 'and is told again');
+	feed.lost(reader);
+	t.equal(feed.isFed(2400), false, 'a list may have been missed');
+	t.end();
+});
+
+test('when a reader goes, those that relied on it choose another and want its list first', t => {
+	const gateways = names(31);
+	const own = gateways.find(name => feedOf(name, gateways).reader !== '')!;
+	const feed = feedOf(own, gateways);
+	const former = feed.reader;
+	feed.list(former);
+	feed.hear(former, 1000);
+	feed.update(gateways.filter(name => name !== own && name !== former));
+	t.not(feed.reader, former);
+	t.equal(feed.isFed(1000), false);
+	t.end();
+});
--- a/test/support/entry-fleet.ts
+++ b/test/support/entry-fleet.ts
@@ -102,7 +102,7 @@
 			...more,
 		};
 		const gateway = new EntryGateway({
-			settings, protocol: targetProtocol, createStore: ({store}) => new PlatformStore(store.address), metricsPort: undefined, log: logger,
+			settings, protocol: targetProtocol, createStore: ({store}) => new PlatformStore(store.address), metricsPort: undefined, log: logger.child({process: settings.name}),
 		});
 		this.#gateways.push(gateway);
 		await gateway.start();
