Bound what is remembered of an engine, and the size of its answers

Cause: read again as a newcomer: changes that an engine never tells of would leave parts remembered for good, and an answer of any size would be read whole.

Ruled out: forgetting by time, as a part that is not asked for stays kept.

Change: 2,000 parts an engine, the one that nothing was heard of for longest goes first; 4 MB for an answer.

--- a/source/decisions/entry/kept-parts.ts
+++ b/source/decisions/entry/kept-parts.ts
@@ -24,6 +24,8 @@
 const keptPart = 0.7;
 /** Parts below this are not worth remembering. */
 const leastTokens = 1000;
+/** Parts remembered of one engine; beyond it the one goes that nothing was heard of for longest. */
+const mostParts = 2000;
 /** News kept for peers between two digests at most. */
 const mostNews = 400;
 
@@ -46,6 +48,16 @@
 
 type Engine = {parts: Map<string, Part>; readTokens: number; toldAt: number};
 
+/** The order in which parts lie in the map is that in which they were last heard of. */
+const remember = ({parts}: Engine, id: string, part: Part): void => {
+	parts.delete(id);
+	parts.set(id, part);
+	const [oldest] = parts.keys();
+	if (parts.size > mostParts && oldest !== undefined) {
+		parts.delete(oldest);
+	}
+};
+
 /**
 Shared parts by engine incarnation. Times are in milliseconds.
 
@@ -101,7 +113,7 @@
 	hearSent({engine, part, tokens}: Sent, now: number): void {
 		const known = this.#engine(engine);
 		const former = known.parts.get(part);
-		known.parts.set(part, {
+		remember(known, part, {
 			told: former?.told ?? 0, expected: tokens, sentAt: now, readThen: known.readTokens,
 		});
 	}
@@ -167,7 +179,7 @@
 			return true;
 		}
 
-		known.parts.set(part, {
+		remember(known, part, {
 			told: tokens, expected: former?.expected ?? 0, sentAt: former?.sentAt ?? Number.NEGATIVE_INFINITY, readThen: former?.readThen ?? known.readTokens,
 		});
 		return true;
--- a/source/entry/engine-follower.ts
+++ b/source/entry/engine-follower.ts
@@ -14,6 +14,7 @@
 /** Pause after a question that brought no answer. */
 const retryMilliseconds = 1500;
 const callMilliseconds = 2500;
+const mostAnswerBytes = 4_194_304;
 
 /**
 Follows one incarnation until stopped. A restart of the engine or a gap has it ask
@@ -33,7 +34,10 @@
 	#epoch: string | undefined;
 	#next = 0;
 	#mustAskAll = false;
-	readonly #agent = new Agent({connections: 1, pipelining: 1, connect: {timeout: callMilliseconds}});
+	readonly #agent = new Agent({
+		connections: 1, pipelining: 1, connect: {timeout: callMilliseconds}, maxResponseSize: mostAnswerBytes,
+	});
+
 	readonly #context: EntryContext;
 	readonly #target: TargetRecord;
 
--- a/test/decisions/entry/kept-parts.test.ts
+++ b/test/decisions/entry/kept-parts.test.ts
@@ -74,6 +74,18 @@
 	t.end();
 });
 
+test('what is remembered of an engine is bounded, whatever it says', t => {
+	const kept = new KeptParts();
+	for (let index = 0; index < 5000; index++) {
+		kept.told('e1 1', [{part: `part-${index}`, tokens: 2000}], index);
+		kept.told('e1 1', [{part: 'lot', tokens: 13_300}], index);
+	}
+
+	t.ok(kept.allTold(['e1 1']).length <= 2000);
+	t.equal(kept.tokens('e1 1', lot, at(5000)), 13_300, 'what is heard of stays');
+	t.end();
+});
+
 test('a restart of the engine leaves nothing of its word', t => {
 	const kept = new KeptParts();
 	kept.told('e1 1', [{part: 'lot', tokens: 13_300}], 0);
