--- a/experiments/demo.ts
+++ b/experiments/demo.ts
@@ -130,6 +130,10 @@
 		});
 		const running = traffic.run(runMilliseconds);
 		const progress = setInterval(() => {
+			if (!process.stderr.isTTY) {
+				return;
+			}
+
 			process.stderr.write(`\r${deployment.name}: ${traffic.sent} sent, ${traffic.outcomes.length} ended   `);
 		}, 250);
 		await pause(runMilliseconds / 3);
--- a/experiments/virtual-fleet.ts
+++ b/experiments/virtual-fleet.ts
@@ -18,17 +18,11 @@
 } from '../source/generated/messages.js';
 import {resultCode} from '../source/generated/result-codes.js';
 import {EngineModel} from '../stand-ins/engine-model.js';
+import type {VirtualArrival} from './virtual-arrival.js';
+import type {VirtualEngine} from './virtual-engine.js';
+import type {VirtualRequest} from './virtual-request.js';
 
 type RoutingPolicy = 'ours' | 'round robin' | 'least loaded';
-type Arrival = {
-	readonly label: string;
-	readonly importance: Importance;
-	readonly prompt: string;
-	readonly promptTokens: number;
-	readonly outputTokens: number;
-	readonly deadlineMilliseconds: number;
-	readonly organisation: string;
-};
 type FleetOptions = {
 	readonly seed: number;
 	readonly gateways: number;
@@ -38,29 +32,6 @@
 	readonly reportMilliseconds: number;
 	readonly slowness?: readonly number[];
 };
-type RequestRecord = Arrival & {
-	readonly number: number;
-	readonly gateway: number;
-	readonly arrivedAt: number;
-	attempts: number;
-	readonly avoid: string[];
-	firstAt: number;
-	lastAt: number;
-	readonly gaps: number[];
-	ending: 'open' | 'answered' | 'not run' | 'lost';
-	target: string;
-};
-type Engine = {
-	readonly name: string;
-	readonly zone: string;
-	readonly model: EngineModel;
-	readonly table: AttemptTable;
-	dead: boolean;
-	changingUntil: number;
-	nextRole: EngineRole | undefined;
-	reportedAt: number;
-};
-
 const roleChangeMilliseconds = 3000;
 const slotMilliseconds = 5;
 const tickMilliseconds = 50;
@@ -88,13 +59,13 @@
 	now = 0;
 	roleChanges = 0;
 	attempts = 0;
-	readonly requests: RequestRecord[] = [];
-	readonly engines: readonly Engine[];
+	readonly requests: VirtualRequest[] = [];
+	readonly engines: readonly VirtualEngine[];
 	readonly #options: FleetOptions;
 	readonly #random: ReturnType<typeof xoroshiro128plus>;
 	readonly #directories: readonly TargetDirectory[];
 	readonly #budgets: readonly RetryBudget[];
-	readonly #open = new Map<string, RequestRecord>();
+	readonly #open = new Map<string, VirtualRequest>();
 	#deliveries: Array<{readonly at: number; readonly run: () => void}> = [];
 	#next = 0;
 
@@ -125,9 +96,9 @@
 		return uniformFloat64(this.#random);
 	}
 
-	arrive(arrival: Arrival): void {
+	arrive(arrival: VirtualArrival): void {
 		const gateway = Math.floor(this.random() * this.#directories.length);
-		const record: RequestRecord = {
+		const record: VirtualRequest = {
 			...arrival,
 			number: this.requests.length,
 			gateway,
@@ -184,7 +155,7 @@
 		}
 	}
 
-	#createEngine(role: EngineRole, index: number): Engine {
+	#createEngine(role: EngineRole, index: number): VirtualEngine {
 		const model = new EngineModel(role, {slowness: this.#options.slowness?.[index] ?? 1});
 		const table = new AttemptTable({kind: 'engine', ...model.capacity});
 		table.targetState = {
@@ -202,7 +173,7 @@
 		};
 	}
 
-	#choose(record: RequestRecord): TargetView | undefined {
+	#choose(record: VirtualRequest): TargetView | undefined {
 		const directory = this.#directories[record.gateway]!;
 		const views = directory.ofService('models').filter(view => !view.leaving && !record.avoid.includes(view.name));
 		switch (this.#options.routing) {
@@ -229,7 +200,7 @@
 		}
 	}
 
-	#try(record: RequestRecord): void {
+	#try(record: VirtualRequest): void {
 		const target = this.#choose(record);
 		if (target === undefined) {
 			record.ending = 'not run';
@@ -254,7 +225,7 @@
 		});
 	}
 
-	#message(attemptId: string, record: RequestRecord): AttemptMessage {
+	#message(attemptId: string, record: VirtualRequest): AttemptMessage {
 		return {
 			kind: 'attempt',
 			attemptId,
@@ -276,7 +247,7 @@
 		this.#deliveries.push({at: this.now + milliseconds, run});
 	}
 
-	#perform(engine: Engine, effects: readonly AttemptEffect[]): void {
+	#perform(engine: VirtualEngine, effects: readonly AttemptEffect[]): void {
 		for (const effect of effects) {
 			switch (effect.kind) {
 				case 'run': {
@@ -303,7 +274,7 @@
 		}
 	}
 
-	#receive(engine: Engine, message: Message): void {
+	#receive(engine: VirtualEngine, message: Message): void {
 		if (!('attemptId' in message)) {
 			return;
 		}
@@ -340,7 +311,7 @@
 		}
 	}
 
-	#refused(attemptId: string, record: RequestRecord, target: string, isFailure: boolean): void {
+	#refused(attemptId: string, record: VirtualRequest, target: string, isFailure: boolean): void {
 		this.#open.delete(attemptId);
 		const directory = this.#directories[record.gateway]!;
 		directory.ended(target);
@@ -359,14 +330,14 @@
 		record.ending = 'not run';
 	}
 
-	#lost(engine: Engine, attemptId: string): void {
+	#lost(engine: VirtualEngine, attemptId: string): void {
 		const record = this.#open.get(attemptId);
 		if (record !== undefined) {
 			this.#refused(attemptId, record, engine.name, true);
 		}
 	}
 
-	#runEngine(engine: Engine): void {
+	#runEngine(engine: VirtualEngine): void {
 		if (engine.dead) {
 			return;
 		}
@@ -396,7 +367,7 @@
 		}
 	}
 
-	#advanceChange(engine: Engine): void {
+	#advanceChange(engine: VirtualEngine): void {
 		if (engine.changingUntil === 0 && engine.table.isIdle) {
 			engine.changingUntil = this.now + roleChangeMilliseconds;
 			engine.model.clear();
@@ -414,7 +385,7 @@
 	}
 
 	/** Sends a load report, which arrives late. */
-	#report(engine: Engine, lag: number): void {
+	#report(engine: VirtualEngine, lag: number): void {
 		engine.reportedAt = this.now;
 		const load = engine.table.load(this.now);
 		this.#later(lag, () => {
