--- a/source/command/trace-command.ts
+++ b/source/command/trace-command.ts
@@ -1,22 +1,11 @@
 /**
 `cowsliprudder trace`: one request's story from the logs of several processes.
 */
-import {Buffer} from 'node:buffer';
-import fs from 'node:fs';
-import process from 'node:process';
 import {Command, Option} from 'clipanion';
 import {OperatorCommand} from './operator-command.js';
+import {readTexts} from './read-texts.js';
 import {traceLines} from './trace-lines.js';
 
-const readStandardInput = async (): Promise<string> => {
-	const chunks: Uint8Array[] = [];
-	for await (const chunk of process.stdin) {
-		chunks.push(chunk as Uint8Array);
-	}
-
-	return Buffer.concat(chunks).toString('utf8');
-};
-
 /**
 Reads JSON lines from files, or from standard input when none is named.
 */
@@ -31,13 +20,12 @@
 	files = Option.Rest();
 
 	async execute(): Promise<number> {
-		const missing = this.files.filter(file => !fs.existsSync(file));
-		if (missing.length > 0) {
-			return this.fail({code: 0, errors: missing.map(file => `${file}: no such file`)});
+		const texts = await readTexts(this.files);
+		if (texts.isErr()) {
+			return this.fail({code: 0, errors: texts.error});
 		}
 
-		const texts = this.files.length === 0 ? [await readStandardInput()] : this.files.map(file => fs.readFileSync(file, 'utf8'));
-		const lines = traceLines(texts.flatMap(text => text.split('\n')), this.requestId);
+		const lines = traceLines(texts.value.flatMap(text => text.split('\n')), this.requestId);
 		if (lines.length === 0) {
 			return this.fail({code: 0, errors: [`no line names request ${this.requestId}; requests that went well are logged in samples under load`]});
 		}
--- a/source/command/trace-lines.ts
+++ b/source/command/trace-lines.ts
@@ -1,10 +1,8 @@
 /**
 Finds one request's story in the log lines of several processes.
 */
-
-type Context = Readonly<Record<string, unknown>>;
-
-type LogLine = {readonly time: number; readonly message: string; readonly context: Context};
+import type {LogLine} from './log-line.js';
+import {parseLogLine} from './parse-log-line.js';
 
 /** Events of a process that may explain what it did with a request. */
 const beliefEvents: ReadonlySet<string> = new Set([
@@ -14,23 +12,6 @@
 /** How long before a request a change of belief may matter to it. */
 const beforeMilliseconds = 10_000;
 
-const parseLine = (line: string): LogLine | undefined => {
-	const start = line.indexOf('{');
-	if (start === -1) {
-		return undefined;
-	}
-
-	try {
-		const value = JSON.parse(line.slice(start)) as Partial<LogLine>;
-		return typeof value.time === 'number' && typeof value.context === 'object' && value.context !== null
-			? {time: value.time, message: value.message ?? '', context: value.context}
-			: undefined;
-	} catch {
-		// Other programs may write between our lines; what is no line of ours is passed over.
-		return undefined;
-	}
-};
-
 const hiddenFields: ReadonlySet<string> = new Set(['program', 'process', 'event', 'request', 'logLevel', 'settings']);
 
 const show = (value: unknown): string => typeof value === 'string' ? value : JSON.stringify(value) ?? '';
@@ -53,7 +34,7 @@
 ```
 */
 export const traceLines = (lines: readonly string[], requestId: string): readonly string[] => {
-	const parsed = lines.map(line => parseLine(line)).filter(line => line !== undefined);
+	const parsed = lines.map(line => parseLogLine(line)).filter(line => line !== undefined);
 	const own = parsed.filter(({context}) => context.request === requestId);
 	if (own.length === 0) {
 		return [];
