Share what the entry gateway wrote again, and do less at each digest

The same logic stood in several places: a socket that ends once (links between our processes, links between gateways), the order of a hash (four), leaving out avoided targets (three), the view of a target (two), the reading from which others are told (two constants that had to agree), the server of the platform's stand-ins, the answers of engines in two tests. At each digest that was heard the whole list of targets was written out as text, also where it was not going to be sent, and the set of known targets was built twice.

Ruled out: one copy for the views of choose-target, whose values are not names; for the two send plans of the relays, which differ in all that matters; another hash order for engine-keeper, as it would move engines between gateways.

Change: framed-socket, rendezvous-order, without-avoided, told-read-milliseconds, target-views for both kinds of services, loopback-server and answer-as-engine; the list of targets is written out only when it may be sent; the load book takes its callback when it is made; one flag for a stopping gateway instead of two that were always the same. Behaviour is meant to be as it was, and no assertion changed.

--- a/source/decisions/entry/kept-parts.ts
+++ b/source/decisions/entry/kept-parts.ts
@@ -31,11 +31,10 @@
 
 type SharedPart = {readonly id: string; readonly tokens: number};
 
-/** What was sent to an engine, which it will keep. */
-type Sent = {readonly engine: string; readonly part: string; readonly tokens: number};
+/** What was sent to an engine, which it will keep, or what it said that it keeps. */
+type News = {readonly engine: string; readonly part: string; readonly tokens: number};
 
-/** What an engine said of itself. */
-type Told = {readonly engine: string; readonly part: string; readonly tokens: number};
+type Change = Omit<News, 'engine'>;
 
 type Part = {
 	/** Tokens that the engine said it keeps. */
@@ -70,8 +69,8 @@
 */
 export class KeptParts {
 	readonly #byEngine = new Map<string, Engine>();
-	#sentNews: Sent[] = [];
-	#toldNews: Told[] = [];
+	#sentNews: News[] = [];
+	#toldNews: News[] = [];
 
 	/** Tokens at the beginning of a prompt that an engine is believed to keep. */
 	tokens(engine: string, parts: readonly SharedPart[], {cacheTokens, now}: {readonly cacheTokens: number; readonly now: number}): number {
@@ -110,7 +109,7 @@
 	}
 
 	/** Takes a peer's word of what it sent. */
-	hearSent({engine, part, tokens}: Sent, now: number): void {
+	hearSent({engine, part, tokens}: News, now: number): void {
 		const known = this.#engine(engine);
 		const former = known.parts.get(part);
 		remember(known, part, {
@@ -119,13 +118,13 @@
 	}
 
 	/** Takes an engine's own word that reached this gateway; it is passed on to peers. */
-	told(engine: string, changes: ReadonlyArray<Omit<Told, 'engine'>>, now: number): void {
+	told(engine: string, changes: readonly Change[], now: number): void {
 		const news = this.hearTold(engine, changes, now).map(change => ({engine, ...change}));
 		this.#toldNews.push(...news.slice(0, mostNews - this.#toldNews.length));
 	}
 
 	/** Takes an engine's own word that a peer passed on; gives the changes that are worth remembering. */
-	hearTold(engine: string, changes: ReadonlyArray<Omit<Told, 'engine'>>, now: number): ReadonlyArray<Omit<Told, 'engine'>> {
+	hearTold(engine: string, changes: readonly Change[], now: number): readonly Change[] {
 		const known = this.#engine(engine);
 		known.toldAt = now;
 		return changes.filter(({part, tokens}) => this.#hearChange(known, part, tokens, now));
@@ -144,7 +143,7 @@
 	}
 
 	/** What peers have not been told yet; told once. */
-	takeNews(): {readonly sent: readonly Sent[]; readonly told: readonly Told[]} {
+	takeNews(): {readonly sent: readonly News[]; readonly told: readonly News[]} {
 		const news = {sent: this.#sentNews, told: this.#toldNews};
 		this.#sentNews = [];
 		this.#toldNews = [];
@@ -152,7 +151,7 @@
 	}
 
 	/** All that engines said, for a peer that has just come. */
-	allTold(engines: readonly string[]): readonly Told[] {
+	allTold(engines: readonly string[]): readonly News[] {
 		return engines.flatMap(engine => [...this.#byEngine.get(engine)?.parts ?? []]
 			.filter(([, {told}]) => told > 0)
 			.map(([part, {told}]) => ({engine, part, tokens: told})));
--- a/source/decisions/entry/place-call.ts
+++ b/source/decisions/entry/place-call.ts
@@ -2,6 +2,7 @@
 Decides which target of a plain service takes a call.
 */
 import * as option from 'fp-ts/lib/Option.js';
+import {withoutAvoided} from './without-avoided.js';
 
 /** Calls that a crossing between availability zones is charged. */
 const otherZoneCalls = 3;
@@ -31,9 +32,7 @@
 */
 export const placeCall = ({targets, availabilityZone, avoid, random}: CallContext): option.Option<CallTarget> => {
 	const untried = targets.filter(target => !avoid.has(target.id));
-	const all = untried.length > 0 ? untried : targets;
-	const healthy = all.filter(target => !target.isAvoided);
-	const candidates = (healthy.length > 0 ? healthy : all).map(target => ({
+	const candidates = withoutAvoided(untried.length > 0 ? untried : targets).map(target => ({
 		target,
 		cost: (target.attempts + random() + (target.availabilityZone === availabilityZone ? 0 : otherZoneCalls) + (target.failureShare * failureCalls)) / target.slots,
 	}));
--- a/source/decisions/entry/place-prompt.ts
+++ b/source/decisions/entry/place-prompt.ts
@@ -9,10 +9,11 @@
 cheaper with the queues as they are.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import {rendezvousScore} from '../routing/rendezvous-score.js';
+import {rendezvousOrder} from '../routing/rendezvous-order.js';
 import {engineSpeed} from './engine-speed.js';
 import type {EngineView} from './engine-view.js';
 import type {PromptPlacement} from './prompt-placement.js';
+import {withoutAvoided} from './without-avoided.js';
 
 /** How much longer a decode engine takes, as it reads between the tokens of others. */
 const inPlaceFactor = 2.5;
@@ -52,11 +53,8 @@
 	readonly avoid: ReadonlySet<string>;
 };
 
-const candidatesOf = ({engines, avoid}: PlaceContext, role: EngineView['role']): readonly EngineView[] => {
-	const all = engines.filter(engine => engine.role === role && !avoid.has(engine.id));
-	const healthy = all.filter(engine => !engine.isAvoided);
-	return healthy.length > 0 ? healthy : all;
-};
+const candidatesOf = ({engines, avoid}: PlaceContext, role: EngineView['role']): readonly EngineView[] =>
+	withoutAvoided(engines.filter(engine => engine.role === role && !avoid.has(engine.id)));
 
 /** The engine to fetch shared parts from: the one that keeps most beyond what the reader keeps, of equal ones a near one. */
 const sourceOf = (engine: EngineView, prompt: Prompt, context: PlaceContext): EngineView | undefined => {
@@ -103,9 +101,7 @@
 };
 
 /** The engine that every gateway prefers for a part that none is known to keep. */
-const homeOf = (engines: readonly EngineView[], key: string): string | undefined => engines
-	.map(({id}) => ({id, score: rendezvousScore(key, id)}))
-	.toSorted((first, second) => second.score - first.score)[0]?.id;
+const homeOf = (engines: readonly EngineView[], key: string): string | undefined => rendezvousOrder(key, engines.map(({id}) => id))[0];
 
 /**
 Returns the cheapest way to have a prompt read, none when no engine may take it.
--- a/source/decisions/entry/place-tokens.ts
+++ b/source/decisions/entry/place-tokens.ts
@@ -6,6 +6,7 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import type {EngineView} from './engine-view.js';
+import {withoutAvoided} from './without-avoided.js';
 
 /** A step of a decode engine makes one token of each running request: its time alone, and what each request adds. */
 const step = {milliseconds: 4.55, millisecondsPerRequest: 0.181} as const;
@@ -45,9 +46,7 @@
 */
 export const placeTokens = (context: TokensContext): option.Option<EngineView> => {
 	const {engines, avoid} = context;
-	const all = engines.filter(engine => engine.role === 'decode' && !avoid.has(engine.id));
-	const healthy = all.filter(engine => !engine.isAvoided);
-	const candidates = healthy.length > 0 ? healthy : all;
+	const candidates = withoutAvoided(engines.filter(engine => engine.role === 'decode' && !avoid.has(engine.id)));
 	return candidates.length === 0
 		? option.none
 		: option.some(candidates.reduce((best, engine) => cost(engine, context) < cost(best, context) ? engine : best));
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -11,7 +11,7 @@
 at once, with the time when there will be room.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import {rendezvousScore} from '../routing/rendezvous-score.js';
+import {rendezvousOrder} from '../routing/rendezvous-order.js';
 import {hasRoom} from './engine-room.js';
 import {engineSpeed} from './engine-speed.js';
 import type {EngineView} from './engine-view.js';
@@ -77,11 +77,7 @@
 const readingMakers = (engines: ReadonlyArray<Pick<EngineView, 'id' | 'role'>>): ReadonlySet<string> => {
 	const makers = engines.filter(({role}) => role === 'decode').map(({id}) => id);
 	const count = makers.length === engines.length ? makers.length : Math.ceil(makers.length * readingPart);
-	return new Set(makers
-		.map(id => ({id, score: rendezvousScore('reads in place', id)}))
-		.toSorted((first, second) => second.score - first.score)
-		.slice(0, count)
-		.map(({id}) => id));
+	return new Set(rendezvousOrder('reads in place', makers).slice(0, count));
 };
 
 const roomOf = ({engines, reading}: QueueContext, lane: Lane): Room => {
--- a/source/decisions/entry/store-feed.ts
+++ b/source/decisions/entry/store-feed.ts
@@ -11,7 +11,7 @@
 reads, so that what it believes is never older than a little over a second while
 the store answers.
 */
-import {rendezvousScore} from '../routing/rendezvous-score.js';
+import {rendezvousOrder} from '../routing/rendezvous-order.js';
 
 /** Up to this many gateways all read. */
 const mostWithoutFeed = 6;
@@ -19,11 +19,6 @@
 /** Age of what was told from which on a gateway reads itself. */
 const oldestMilliseconds = 1250;
 
-const rank = (gateways: readonly string[], key: string): readonly string[] => gateways
-	.map(gateway => ({gateway, score: rendezvousScore(key, gateway)}))
-	.toSorted((first, second) => second.score - first.score)
-	.map(({gateway}) => gateway);
-
 /**
 What one gateway is told by the reader that it relies on.
 
@@ -60,8 +55,8 @@
 	/** Chooses anew as gateways come and go. */
 	update(peers: readonly string[]): void {
 		const gateways = [this.#own, ...peers];
-		const first = rank(gateways, 'reads the store').slice(0, readers);
-		const reader = gateways.length <= mostWithoutFeed || first.includes(this.#own) ? '' : rank(first, this.#own)[0] ?? '';
+		const first = rendezvousOrder('reads the store', gateways).slice(0, readers);
+		const reader = gateways.length <= mostWithoutFeed || first.includes(this.#own) ? '' : rendezvousOrder(this.#own, first)[0] ?? '';
 		if (reader !== this.#reader) {
 			this.#reader = reader;
 			this.#hasList = false;
--- a/source/decisions/entry/target-beliefs.ts
+++ b/source/decisions/entry/target-beliefs.ts
@@ -92,6 +92,10 @@
 		return [...this.#beliefs.values()].map(({record}) => record);
 	}
 
+	find(id: string): TargetRecord | undefined {
+		return this.#beliefs.get(id)?.record;
+	}
+
 	/** Targets of a service that may get work. */
 	usable(service: string): readonly TargetRecord[] {
 		const known = this.#usable.get(service) ?? this.all().filter(record => record.service === service && this.isUsable(record));
--- /dev/null
+++ b/source/decisions/entry/without-avoided.ts
@@ -0,0 +1,17 @@
+/**
+Leaves out targets whose recent outcomes speak against them, while there are others.
+*/
+
+/**
+Returns those that are not avoided, or all when every one is: a target that fails
+is better than none.
+
+@example
+```
+withoutAvoided([{id: 'i-1', isAvoided: true}, {id: 'i-2', isAvoided: false}]);
+```
+*/
+export const withoutAvoided = <Target extends {readonly isAvoided: boolean}>(targets: readonly Target[]): readonly Target[] => {
+	const healthy = targets.filter(({isAvoided}) => !isAvoided);
+	return healthy.length > 0 ? healthy : targets;
+};
--- a/source/decisions/links/warm-targets.ts
+++ b/source/decisions/links/warm-targets.ts
@@ -6,6 +6,7 @@
 that no sidecar falls to keeps links to its own first few all the same: without
 them it would hear of a configuration only when it next reads the store.
 */
+import {rendezvousOrder} from '../routing/rendezvous-order.js';
 import {rendezvousScore} from '../routing/rendezvous-score.js';
 
 const gatewaysPerTarget = 3;
@@ -28,8 +29,4 @@
 	return before.length < gatewaysPerTarget;
 });
 
-const firstTargets = (self: string, targets: readonly string[]): readonly string[] => targets
-	.map(target => ({target, score: rendezvousScore(self, target)}))
-	.sort((first, second) => second.score - first.score)
-	.slice(0, targetsPerGateway)
-	.map(({target}) => target);
+const firstTargets = (self: string, targets: readonly string[]): readonly string[] => rendezvousOrder(self, targets).slice(0, targetsPerGateway);
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -64,7 +64,6 @@
 export class EntryGateway {
 	#settings: EntrySettings;
 	#isStopping = false;
-	#isClosing = false;
 	#wasReady = false;
 	#sweep: NodeJS.Timeout | undefined;
 	readonly #incarnation = newIdentifier();
@@ -109,10 +108,6 @@
 				this.#peers?.send(peer, message);
 			},
 		});
-		this.#context.book.onLongRead = (target, readMilliseconds) => {
-			this.#grants.read(target, readMilliseconds);
-		};
-
 		this.#queues = new PromptQueues(this.#context, this.#grants, () => {
 			this.#exchange?.tellSoon();
 		});
@@ -166,7 +161,6 @@
 		const stopAt = clock();
 		const {graceMilliseconds} = this.#settings.bounds;
 		this.#isStopping = true;
-		this.#isClosing = true;
 		this.#log.info({event: 'stop', open: this.#door.open}, 'entry gateway stops');
 		await pause(Math.min(balancerLagMilliseconds, graceMilliseconds / 2));
 		this.#door.close();
@@ -198,7 +192,9 @@
 			settings: () => this.#settings,
 			protocol,
 			beliefs: new TargetBeliefs(),
-			book: new LoadBook(),
+			book: new LoadBook((target, readMilliseconds) => {
+				this.#grants.read(target, readMilliseconds);
+			}),
 			kept: new KeptParts(),
 			health: new TargetHealth(),
 			connections: new TargetConnections(),
@@ -222,7 +218,7 @@
 	#createDoor(): CallerDoor {
 		return new CallerDoor({
 			limits: () => this.#knowledge.inForce.current?.limits,
-			isClosing: () => this.#isClosing,
+			isClosing: () => this.#isStopping,
 			onRequest: (request, body, answer, startedAt) => {
 				this.#router.route(request, body, answer, startedAt);
 			},
--- a/source/entry/load-book.ts
+++ b/source/entry/load-book.ts
@@ -1,15 +1,13 @@
 /**
 Work that is under way at targets: this gateway's own, and what peers told of.
 */
-
+import {toldReadMilliseconds} from '../decisions/entry/told-read-milliseconds.js';
 import type {LoadEntry} from './load-entry.js';
 
 /** A peer's word older than this is no longer counted. */
 const peerWordMilliseconds = 1500;
 /** How long the word of an engine's keeper on its queue goes before the own sum. */
 const keeperWordMilliseconds = 40;
-/** Reading whose end is told at once. */
-const longReadMilliseconds = 20;
 
 type Share = {readonly attempts: number; readonly readMilliseconds: number};
 
@@ -30,8 +28,12 @@
 	readonly #sums = new Map<string, {attempts: number; readMilliseconds: number}>();
 	readonly #peers = new Map<string, {readonly at: number; readonly shares: Map<string, Share>}>();
 	readonly #keepers = new Map<string, {readonly at: number; readonly readMilliseconds: number}>();
-	/** Called when a target has read a long prompt, or will not. */
-	onLongRead: (target: string, readMilliseconds: number) => void = () => undefined;
+	readonly #onLongRead: (target: string, readMilliseconds: number) => void;
+
+	/** `onLongRead` is called when a target has read a long prompt, or will not. */
+	constructor(onLongRead: (target: string, readMilliseconds: number) => void = () => undefined) {
+		this.#onLongRead = onLongRead;
+	}
 
 	add(target: string, readMilliseconds: number): LoadEntry {
 		const entry: LoadEntry = {target, readMilliseconds};
@@ -43,14 +45,9 @@
 
 	/** Records that the target has read the prompt of an entry. */
 	promptRead(entry: LoadEntry): void {
-		const sum = this.#sums.get(entry.target);
-		if (sum !== undefined && this.#own.has(entry)) {
-			const {readMilliseconds} = entry;
-			sum.readMilliseconds -= readMilliseconds;
-			entry.readMilliseconds = 0;
-			if (readMilliseconds >= longReadMilliseconds) {
-				this.onLongRead(entry.target, readMilliseconds);
-			}
+		const readMilliseconds = this.#clearRead(entry);
+		if (readMilliseconds >= toldReadMilliseconds) {
+			this.#onLongRead(entry.target, readMilliseconds);
 		}
 	}
 
@@ -69,12 +66,7 @@
 
 	/** Removes an entry whose attempt was never sent, without a word to anyone. */
 	cancel(entry: LoadEntry): void {
-		const sum = this.#sums.get(entry.target);
-		if (sum !== undefined && this.#own.has(entry)) {
-			sum.readMilliseconds -= entry.readMilliseconds;
-			entry.readMilliseconds = 0;
-		}
-
+		this.#clearRead(entry);
 		this.remove(entry);
 	}
 
@@ -117,4 +109,17 @@
 			readMilliseconds: Math.max(told, heard.reduce((sum, share) => sum + share.readMilliseconds, own?.readMilliseconds ?? 0)),
 		};
 	}
+
+	/** Takes an entry's reading out of the sum; gives what it was, 0 when it is out already. */
+	#clearRead(entry: LoadEntry): number {
+		const sum = this.#sums.get(entry.target);
+		if (sum === undefined || !this.#own.has(entry)) {
+			return 0;
+		}
+
+		const {readMilliseconds} = entry;
+		sum.readMilliseconds -= readMilliseconds;
+		entry.readMilliseconds = 0;
+		return readMilliseconds;
+	}
 }
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -219,8 +219,9 @@
 		this.#hearFresh(peer, digest);
 		const {ids, attempts, readMilliseconds} = digest.outstanding;
 		context.book.hearPeer(peer, ids.map((id, index) => ({id, attempts: attempts[index] ?? 0, readMilliseconds: readMilliseconds[index] ?? 0})), now);
-		this.#hearSent(digest.sent, now);
-		this.#hearTold(digest.told, now);
+		const known = this.#knownTargets();
+		this.#hearSent(digest.sent, known, now);
+		this.#hearTold(digest.told, known, now);
 		peers.hear(digest.peers);
 		for (const incarnation of digest.leaving) {
 			if (context.beliefs.markLeaving(incarnation, now)) {
@@ -249,9 +250,8 @@
 		}
 	}
 
-	#hearSent({engines, parts, tokens}: Digest['sent'], now: number): void {
+	#hearSent({engines, parts, tokens}: Digest['sent'], known: ReadonlySet<string>, now: number): void {
 		const {kept} = this.#options.context;
-		const known = this.#knownTargets();
 		for (const [index, engine] of engines.entries()) {
 			if (known.has(engine)) {
 				kept.hearSent({engine, part: parts[index] ?? '', tokens: tokens[index] ?? 0}, now);
@@ -259,9 +259,8 @@
 		}
 	}
 
-	#hearTold({engines, rows, parts, tokens, isWhole}: Digest['told'], now: number): void {
+	#hearTold({engines, rows, parts, tokens, isWhole}: Digest['told'], known: ReadonlySet<string>, now: number): void {
 		const {kept} = this.#options.context;
-		const known = this.#knownTargets();
 		for (const [row, engine] of engines.entries()) {
 			if (!known.has(engine)) {
 				continue;
@@ -280,13 +279,22 @@
 		return reader === this.#options.context.settings().name;
 	}
 
+	#tellTargets(peer: string, state: PeerState): void {
+		const targets = this.#options.context.beliefs.all();
+		const text = JSON.stringify(targets);
+		if (text !== state.toldTargets) {
+			state.toldTargets = text;
+			this.#options.peers.send(peer, {kind: 'targets', targets: targets.map(target => ({...target}))});
+		}
+	}
+
 	#knownTargets(): ReadonlySet<string> {
 		return new Set(this.#options.context.beliefs.all().map(({incarnation}) => incarnation));
 	}
 
 	/** Sends a peer what it lacks. */
 	#help(peer: string, digest: Digest, now: number): void {
-		const {context, peers, knowledge: {inForce}} = this.#options;
+		const {peers, knowledge: {inForce}} = this.#options;
 		const lacksStore = digest.storeAge >= storeMilliseconds || this.#isReader(digest);
 		const state = this.#states.get(peer) ?? {laggingSince: undefined, toldTargets: '', digest};
 		this.#states.set(peer, state);
@@ -297,13 +305,13 @@
 			peers.send(peer, {kind: 'configuration', configuration: inForce.current as unknown as Extract<PeerMessage, {kind: 'configuration'}>['configuration']});
 		}
 
-		const targets = context.beliefs.all();
-		const text = JSON.stringify(targets);
-		if (lacksStore && this.hasStore && text !== state.toldTargets) {
-			state.toldTargets = text;
-			peers.send(peer, {kind: 'targets', targets: targets.map(target => ({...target}))});
-		} else if (!lacksStore) {
+		if (!lacksStore) {
 			state.toldTargets = '';
+			return;
+		}
+
+		if (this.hasStore) {
+			this.#tellTargets(peer, state);
 		}
 	}
 }
--- a/source/entry/peer-link.ts
+++ b/source/entry/peer-link.ts
@@ -5,6 +5,7 @@
 import type {WebSocket} from 'ws';
 import type {PeerMessage} from '../generated/peer-messages.js';
 import {validatePeerMessages} from '../generated/validators.js';
+import {FramedSocket} from '../links/framed-socket.js';
 
 const packr = new Packr({useRecords: false, variableMapSize: true});
 const unpackr = new Unpackr({useRecords: false, mapsAsObjects: true});
@@ -37,42 +38,37 @@
 ```
 */
 export class PeerLink {
-	#isClosed = false;
 	#heardAt: number;
-	readonly #socket: WebSocket;
+	readonly #socket: FramedSocket;
 	readonly #handlers: LinkHandlers;
-	readonly #timer: NodeJS.Timeout;
 
 	constructor(socket: WebSocket, readonly isDialled: boolean, handlers: LinkHandlers) {
-		this.#socket = socket;
 		this.#handlers = handlers;
 		this.#heardAt = handlers.now();
-		this.#timer = setInterval(() => {
-			if (handlers.now() - this.#heardAt > silentMilliseconds) {
-				this.close('silent');
-			}
-		}, checkMilliseconds);
-		socket.on('message', (data: Uint8Array) => {
-			this.#receive(data);
-		});
-		socket.on('close', () => {
-			this.close('closed by the peer');
-		});
-		socket.on('error', error => {
-			this.close(error.message);
+		this.#socket = new FramedSocket(socket, {
+			onFrame: frame => {
+				this.#receive(frame);
+			},
+			onClosed: handlers.onClosed,
+			check: () => {
+				if (handlers.now() - this.#heardAt > silentMilliseconds) {
+					this.close('silent');
+				}
+			},
+			checkMilliseconds,
 		});
 	}
 
 	get isClosed(): boolean {
-		return this.#isClosed;
+		return this.#socket.isClosed;
 	}
 
 	send(message: PeerMessage): void {
-		if (this.#isClosed || this.#socket.readyState !== this.#socket.OPEN) {
+		if (!this.#socket.canSend) {
 			return;
 		}
 
-		if (this.#socket.bufferedAmount > mostWaitingBytes) {
+		if (this.#socket.waitingBytes > mostWaitingBytes) {
 			this.close('does not read');
 			return;
 		}
@@ -81,14 +77,7 @@
 	}
 
 	close(reason: string): void {
-		if (this.#isClosed) {
-			return;
-		}
-
-		this.#isClosed = true;
-		clearInterval(this.#timer);
-		this.#socket.terminate();
-		this.#handlers.onClosed(reason);
+		this.#socket.close(reason);
 	}
 
 	#receive(data: Uint8Array): void {
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -9,6 +9,7 @@
 import type {CallerRequest} from './caller-request.js';
 import type {EntryContext} from './entry-context.js';
 import {RequestCourse} from './request-course.js';
+import {targetViews} from './target-views.js';
 
 /**
 Chooses a target, sends, and passes the whole answer on.
@@ -56,20 +57,12 @@
 	}
 
 	#choose(): option.Option<TargetRecord> {
-		const {beliefs, book, health, now, random, settings} = this.#context;
-		const records = beliefs.usable(this.#request.service);
+		const {random, settings} = this.#context;
+		const {views, record} = targetViews(this.#context, this.#request.service);
 		const chosen = placeCall({
-			targets: records.map(record => ({
-				...record,
-				attempts: book.total(record.id, now()).attempts,
-				isAvoided: health.isAvoided(record.incarnation, now()),
-				failureShare: health.failureShare(record.incarnation),
-			})),
-			availabilityZone: settings().availabilityZone,
-			avoid: this.#course.avoid,
-			random,
+			targets: views, availabilityZone: settings().availabilityZone, avoid: this.#course.avoid, random,
 		});
-		return option.isNone(chosen) ? option.none : option.fromNullable(records.find(({id}) => id === chosen.value.id));
+		return option.isNone(chosen) ? option.none : option.some(record(chosen.value.id));
 	}
 
 	/** Sends once; true when the request is to be sent again. */
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -5,9 +5,10 @@
 import type {PromptPlacement} from '../decisions/entry/prompt-placement.js';
 import type {EngineView} from '../decisions/entry/engine-view.js';
 import {promptQueue} from '../decisions/entry/prompt-queue.js';
+import {toldReadMilliseconds} from '../decisions/entry/told-read-milliseconds.js';
 import type {WaitingPrompt} from '../decisions/entry/waiting-prompt.js';
 import type {TargetRecord} from '../fleet/target-record.js';
-import {engineViews} from './engine-views.js';
+import {targetViews} from './target-views.js';
 import type {EntryContext} from './entry-context.js';
 import type {LoadEntry} from './load-entry.js';
 import type {ReadGrants} from './read-grants.js';
@@ -37,12 +38,10 @@
 
 type GrantVerdict = Parameters<Parameters<ReadGrants['ask']>[2]>[0];
 
-type Entry = {readonly prompt: WaitingPrompt; readonly decide: (verdict: Verdict) => void; denials: number};
+type Entry = {readonly prompt: WaitingPrompt; readonly decide: (verdict: Verdict) => void; readonly denials: number};
 
 /** Pause between two looks at a queue, as a look costs as much for one prompt as for many. */
 const lookMilliseconds = 8;
-/** Reading from which peers are told at once. */
-const longReadMilliseconds = 20;
 
 /**
 One queue a service. A prompt leaves it by one verdict, or when it is withdrawn.
@@ -106,7 +105,7 @@
 	}
 
 	#look(service: string, queue: Map<WaitingPrompt, Entry>): void {
-		const {views, record} = engineViews(this.#context, service);
+		const {views, record} = targetViews(this.#context, service);
 		if (views.some(({role}) => role === 'decode')) {
 			this.#placeAll(service, queue, views, record);
 		} else {
@@ -148,12 +147,12 @@
 			waiting.decide({
 				kind: 'placed', placement, lane, target, fetchFrom: fetchFrom === undefined ? undefined : record(fetchFrom.id), entry, grant, denials: waiting.denials,
 			});
-			if (readMilliseconds >= longReadMilliseconds) {
+			if (readMilliseconds >= toldReadMilliseconds) {
 				this.#onPlaced();
 			}
 		};
 
-		const keeper = readMilliseconds < longReadMilliseconds ? undefined : this.#grants.keeperOf(target);
+		const keeper = readMilliseconds < toldReadMilliseconds ? undefined : this.#grants.keeperOf(target);
 		if (keeper === undefined) {
 			go('own');
 			return;
--- a/source/entry/read-grants.ts
+++ b/source/entry/read-grants.ts
@@ -72,7 +72,7 @@
 
 	/** Tells the keeper that one of this gateway's prompts has been read. */
 	read(targetId: string, readMilliseconds: number): void {
-		const target = this.#options.context.beliefs.all().find(({id}) => id === targetId);
+		const target = this.#options.context.beliefs.find(targetId);
 		const keeper = target?.role === undefined ? undefined : this.keeperOf(target);
 		if (keeper !== undefined) {
 			this.#options.send(keeper, {kind: 'read', target: targetId, readMilliseconds: Math.round(readMilliseconds)});
@@ -81,7 +81,7 @@
 
 	hearAsk(peer: string, ask: Ask): void {
 		const {context, send} = this.#options;
-		const target = context.beliefs.all().find(({id}) => id === ask.target);
+		const target = context.beliefs.find(ask.target);
 		const load = context.book.total(ask.target, context.now());
 		const view: Pick<EngineView, 'role' | 'slots' | 'attempts' | 'readMilliseconds'> = {role: target?.role ?? 'decode', slots: target?.slots ?? 0, ...load};
 		// Of an engine that is not known here nothing can be said against it.
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -10,7 +10,7 @@
 import type {SendInstructions} from '../fleet/send-instructions.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
-import {engineViews} from './engine-views.js';
+import {targetViews} from './target-views.js';
 import type {LoadEntry} from './load-entry.js';
 import type {PromptQueues} from './prompt-queues.js';
 import type {AttemptSender} from './attempt-sender.js';
@@ -233,7 +233,7 @@
 
 	/** Has a decode engine fetch what was read, chosen at this moment. */
 	async #sendWithHandle(handle: Handle): Promise<boolean> {
-		const {views, record} = engineViews(this.#context, this.#request.service);
+		const {views, record} = targetViews(this.#context, this.#request.service);
 		const chosen = placeTokens({
 			engines: views, availabilityZone: this.#context.settings().availabilityZone, readerZone: handle.engine.availabilityZone, bodyBytes: this.#request.body?.byteLength ?? 0, avoid: this.#course.avoid,
 		});
--- a/source/links/link.ts
+++ b/source/links/link.ts
@@ -10,6 +10,7 @@
 import {clock} from '../shared/clock.js';
 import {decodeMessage} from './decode-message.js';
 import {encodeMessage} from './encode-message.js';
+import {FramedSocket} from './framed-socket.js';
 
 const checkMilliseconds = 250;
 
@@ -36,35 +37,30 @@
 	#lastReceivedAt = clock();
 	#lastUsedAt = clock();
 	#busySince: number | undefined;
-	#closed = false;
-	readonly #socket: WebSocket;
+	readonly #socket: FramedSocket;
 	readonly #handlers: LinkHandlers;
-	readonly #timer: NodeJS.Timeout;
 
 	constructor(socket: WebSocket, handlers: LinkHandlers) {
-		this.#socket = socket;
 		this.#handlers = handlers;
-		this.#timer = setInterval(() => {
-			this.#check();
-		}, checkMilliseconds);
-		socket.on('message', (data: Uint8Array) => {
-			this.#receive(data);
-		});
-		socket.on('close', () => {
-			this.close('closed by the peer');
-		});
-		socket.on('error', error => {
-			this.close(error.message);
+		this.#socket = new FramedSocket(socket, {
+			onFrame: frame => {
+				this.#receive(frame);
+			},
+			onClosed: handlers.onClosed,
+			check: () => {
+				this.#check();
+			},
+			checkMilliseconds,
 		});
 	}
 
 	get isOpen(): boolean {
-		return !this.#closed;
+		return !this.#socket.isClosed;
 	}
 
 	/** Hands a message to the connection; false when it is already closed and nothing was sent. */
 	send(message: Message): boolean {
-		if (this.#closed || this.#socket.readyState !== this.#socket.OPEN) {
+		if (!this.#socket.canSend) {
 			return false;
 		}
 
@@ -78,18 +74,11 @@
 
 	/** Ends the connection at once; what was in flight is resumed on another. */
 	close(reason: string): void {
-		if (this.#closed) {
-			return;
-		}
-
-		this.#closed = true;
-		clearInterval(this.#timer);
-		this.#socket.terminate();
-		this.#handlers.onClosed(reason);
+		this.#socket.close(reason);
 	}
 
 	#receive(data: Uint8Array): void {
-		if (this.#closed) {
+		if (this.#socket.isClosed) {
 			return;
 		}
 
--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -3,8 +3,8 @@
 makes, with faults that can be switched on for all callers or for one.
 */
 import {Buffer} from 'node:buffer';
-import http from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type http from 'node:http';
+import {LoopbackServer} from './loopback-server.js';
 
 type Fault = 'none' | 'busy' | 'reset' | 'silent';
 
@@ -24,23 +24,20 @@
 	calls = 0;
 	#revision = 1;
 	readonly #items = new Map<string, {readonly value: string; readonly revision: number; readonly created: number}>();
-	readonly #server = http.createServer((request, response) => {
+	readonly #server = new LoopbackServer((request, response) => {
 		this.#answer(request, response);
 	});
 
 	get address(): string {
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		return this.#server.address;
 	}
 
 	async start(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
-		});
+		await this.#server.start();
 	}
 
 	stop(): void {
-		this.#server.closeAllConnections();
-		this.#server.close();
+		this.#server.stop();
 	}
 
 	put(key: string, value: string): void {
--- a/stand-ins/platform-target-stand-in.ts
+++ b/stand-ins/platform-target-stand-in.ts
@@ -2,8 +2,8 @@
 Stand-in of a target on the users' platform, whose answer to each request the
 test writes. It keeps what arrived and what it ran.
 */
-import http from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type http from 'node:http';
+import {LoopbackServer} from './loopback-server.js';
 
 type Arrival = {readonly requestId: string; readonly method: string; readonly path: string; readonly headers: http.IncomingHttpHeaders; readonly body: string; isClosed: boolean};
 
@@ -29,25 +29,22 @@
 	/** What the target says of its cache, by the path of the question; without it, nothing new after the wait. */
 	tellKept: ((path: string) => unknown) | undefined;
 	readonly arrivals: Arrival[] = [];
-	readonly #server = http.createServer((request, response) => {
+	readonly #server = new LoopbackServer((request, response) => {
 		this.#receive(request, response);
 	});
 
 	constructor(readonly id: string) {}
 
 	get address(): string {
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		return this.#server.address;
 	}
 
 	async start(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
-		});
+		await this.#server.start();
 	}
 
 	stop(): void {
-		this.#server.closeAllConnections();
-		this.#server.close();
+		this.#server.stop();
 	}
 
 	/** The entry of this target in the platform's list. */
--- a/test/entry/engine-follower.test.ts
+++ b/test/entry/engine-follower.test.ts
@@ -2,7 +2,7 @@
 What engines say of themselves reaches all gateways, and prompts go by it.
 */
 import {test, type Test} from 'tap';
-import type {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
+import {answerAsEngine} from '../support/answer-as-engine.js';
 import {EntryFleet} from '../support/entry-fleet.js';
 
 const prompt = {'x-model': 'm', 'x-token-count': '17000,50', 'x-prompt-prefix': 'aa:13300,bb:3700'};
@@ -10,17 +10,6 @@
 	slots: 8, kvCapacityTokens: 400_000, kvBytes: 1000, linkMbps: 100_000, handleTtlS: 5, roleSwitchS: 3,
 };
 
-const answer: PlatformTargetStandIn['answer'] = (response, {requestId, headers}) => {
-	if (headers['x-inference-phase'] === 'prefill') {
-		response.writeHead(200, {'content-type': 'application/json', 'x-request-id': requestId});
-		response.end(JSON.stringify({kvHandle: `h-${requestId}`, tokens: 17_000, version: 1}));
-		return;
-	}
-
-	response.writeHead(200, {'x-request-id': requestId, 'x-response-signature': 'proof', 'content-type': 'text/event-stream'});
-	response.end('id: 1\ndata: piece\n\n');
-};
-
 /** Answers questions on the cache like an engine whose changes the test writes. */
 class Cache {
 	readonly asked: string[] = [];
@@ -65,8 +54,8 @@
 	const reader = await fleet.addTarget('i-1', 'models', {phase: 'prefill'});
 	const maker = await fleet.addTarget('i-2', 'models', {phase: 'decode'});
 	const cache = new Cache();
-	reader.answer = answer;
-	maker.answer = answer;
+	reader.answer = answerAsEngine;
+	maker.answer = answerAsEngine;
 	reader.tellKept = cache.tell;
 	return {
 		fleet, reader, maker, cache,
--- a/test/entry/read-grants.test.ts
+++ b/test/entry/read-grants.test.ts
@@ -3,6 +3,7 @@
 */
 import {test, type Test} from 'tap';
 import type {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
+import {answerAsEngine} from '../support/answer-as-engine.js';
 import {EntryFleet} from '../support/entry-fleet.js';
 
 const prompt = {'x-model': 'm', 'x-token-count': '17000,50', 'x-prompt-prefix': 'aa:13300,bb:3700'};
@@ -14,16 +15,9 @@
 const holding = (target: PlatformTargetStandIn): (() => void) => {
 	const held: Array<() => void> = [];
 	let isHolding = true;
-	target.answer = (response, {requestId, headers}) => {
+	target.answer = (response, arrival, count) => {
 		const answer = (): void => {
-			if (headers['x-inference-phase'] === 'prefill') {
-				response.writeHead(200, {'content-type': 'application/json', 'x-request-id': requestId});
-				response.end(JSON.stringify({kvHandle: `h-${requestId}`, tokens: 17_000, version: 1}));
-				return;
-			}
-
-			response.writeHead(200, {'x-request-id': requestId, 'x-response-signature': 'proof', 'content-type': 'text/event-stream'});
-			response.end('id: 1\ndata: piece\n\n');
+			answerAsEngine(response, arrival, count);
 		};
 
 		if (isHolding) {
