Let a test run the timers of what a gateway knows and tells

The store reader and the exchange between gateways took timers from the process, so a search over many cases needed real time. Behaviour is the same.

--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -8,6 +8,7 @@
 import type {TargetHealth} from '../decisions/entry/target-health.js';
 import type {ServiceDescription} from '../fleet/service-description.js';
 import type {TargetProtocol} from '../ports/target-protocol.js';
+import type {Timers} from '../shared/timers.js';
 import type {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
 import type {LoadBook} from './load-book.js';
@@ -29,6 +30,7 @@
 	/** Which of the requests that went well are logged. */
 	readonly sampling: {readonly mayWrite: (now: number) => boolean; readonly onLeftOut: () => void};
 	readonly now: () => number;
+	readonly timers: Timers;
 	readonly random: () => number;
 	/** Gateways that are alive, this one included. */
 	readonly gateways: () => number;
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -15,6 +15,7 @@
 import {clock} from '../shared/clock.js';
 import {newIdentifier} from '../shared/new-identifier.js';
 import {pause} from '../shared/pause.js';
+import {systemTimers} from '../shared/system-timers.js';
 import {AttemptSender} from './attempt-sender.js';
 import {CallerDoor} from './caller-door.js';
 import {EngineFollowers} from './engine-followers.js';
@@ -201,6 +202,7 @@
 			metrics,
 			log,
 			now: clock,
+			timers: systemTimers,
 			random: Math.random,
 			gateways: () => (this.#peers?.names.length ?? 0) + 1,
 			service: name => this.#knowledge.service(name),
--- a/source/entry/fleet-knowledge.ts
+++ b/source/entry/fleet-knowledge.ts
@@ -88,6 +88,7 @@
 			gateways: context.gateways,
 			random: context.random,
 			now: context.now,
+			timers: context.timers,
 			isFed: () => this.feed.isFed(context.now()),
 		});
 		this.#reader.start();
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -27,7 +27,7 @@
 
 type ExchangeOptions = {
 	readonly context: EntryContext;
-	readonly peers: Peers;
+	readonly peers: Pick<Peers, 'addresses' | 'hear' | 'send' | 'broadcast'>;
 	readonly knowledge: FleetKnowledge;
 	/** Engines that this gateway follows. */
 	readonly followed: () => readonly string[];
@@ -50,12 +50,12 @@
 export class PeerExchange {
 	readonly #options: ExchangeOptions;
 	readonly #states = new Map<string, PeerState>();
-	#timer: NodeJS.Timeout | undefined;
+	#stopTicks: (() => void) | undefined;
 	#lastDigest = '';
 	#quiet = 0;
 	#ticks = 0;
 	#fullAt = Number.NEGATIVE_INFINITY;
-	#soon: NodeJS.Timeout | undefined;
+	#cancelSoon: (() => void) | undefined;
 
 	constructor(options: ExchangeOptions) {
 		this.#options = options;
@@ -71,14 +71,14 @@
 	}
 
 	start(): void {
-		this.#timer = setInterval(() => {
+		this.#stopTicks = this.#options.context.timers.every(digestMilliseconds, () => {
 			this.#tick();
-		}, digestMilliseconds);
+		});
 	}
 
 	stop(): void {
-		clearInterval(this.#timer);
-		clearTimeout(this.#soon);
+		this.#stopTicks?.();
+		this.#cancelSoon?.();
 	}
 
 	/** Tells peers at once, as a leaving target or a new configuration must not wait. */
@@ -103,10 +103,10 @@
 			return;
 		}
 
-		this.#soon ??= setTimeout(() => {
-			this.#soon = undefined;
+		this.#cancelSoon ??= this.#options.context.timers.after(soonMilliseconds, () => {
+			this.#cancelSoon = undefined;
 			this.#tell();
-		}, soonMilliseconds);
+		});
 	}
 
 	receive(peer: string, message: PeerMessage): void {
--- a/source/entry/store-reader.ts
+++ b/source/entry/store-reader.ts
@@ -10,6 +10,7 @@
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {FleetStore} from '../ports/fleet-store.js';
+import type {Timers} from '../shared/timers.js';
 
 type ReaderHandlers = {
 	/** Undefined before the first configuration was written. `askedAt` is when the call began. */
@@ -21,6 +22,7 @@
 	readonly gateways: () => number;
 	readonly random: () => number;
 	readonly now: () => number;
+	readonly timers: Timers;
 	/** True while another gateway reads for this one. */
 	readonly isFed: () => boolean;
 };
@@ -81,9 +83,9 @@
 			return;
 		}
 
-		setTimeout(() => {
+		this.#handlers.timers.after(milliseconds, () => {
 			void this.#loop(read);
-		}, milliseconds);
+		});
 	}
 
 	async #readConfiguration(): Promise<boolean> {
