--- /dev/null
+++ b/test/entry/leaving-targets.test.ts
@@ -0,0 +1,17 @@
+/**
+Leaving targets in a fleet in which few gateways read the store.
+*/
+import process from 'node:process';
+import {test} from 'tap';
+import {VirtualDay} from '../support/virtual-day.js';
+
+const firstSeed = Number(process.env.SEED ?? 1);
+const days = Number(process.env.DAYS ?? 40);
+
+test('DRAIN: no gateway in touch sends work to a target that left over three seconds ago', async t => {
+	for (const seed of Array.from({length: days}, (_, index) => firstSeed + index)) {
+		const day = new VirtualDay({seed, gateways: 10, targets: 12});
+		await day.run(); // eslint-disable-line no-await-in-loop
+		t.strictSame(day.violations, [], `day ${seed}`);
+	}
+});
--- /dev/null
+++ b/test/support/virtual-day.ts
@@ -0,0 +1,367 @@
+/**
+One seeded day of a large fleet in virtual time: gateways, the store, and targets
+that come, leave, and end, under faults that overlap.
+
+It asks at every moment whether a target whose leaving the store acknowledged
+could still be sent work, and whether living targets can.
+*/
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import type {TargetRecord} from '../../source/fleet/target-record.js';
+import {VirtualGateway} from './virtual-gateway.js';
+import {VirtualLinks} from './virtual-links.js';
+import {VirtualStore} from './virtual-store.js';
+import {VirtualTime} from './virtual-time.js';
+
+type Violation = {
+	readonly kind: 'used after leaving' | 'living and not used';
+	readonly at: number;
+	readonly gateway: string;
+	readonly reader: string;
+	readonly target: string;
+	/** Since when the target leaves, or is listed. */
+	readonly since: number;
+};
+
+type Member = {
+	gateway: VirtualGateway;
+	/** Until when a fault of its own lasts, and the time after it that rules allow. */
+	disturbedUntil: number;
+	incarnation: number;
+	isRemoved: boolean;
+};
+
+type Target = {record: TargetRecord; leftAt: number; listedSince: number; isStable: boolean};
+
+type DayOptions = {readonly seed: number; readonly gateways: number; readonly targets: number};
+
+/** From the store's word on, by the rule of the users. */
+const drainMilliseconds = 3000;
+/** Time after a disturbance for which the rules allow a gateway more. */
+const contactMilliseconds = 4000;
+/** Time within which a listed target has to be used. */
+const appearMilliseconds = 4000;
+const dayMilliseconds = 32_000;
+const quietMilliseconds = 4500;
+const lookMilliseconds = 50;
+const beatMilliseconds = 1200;
+const heartbeatsToLapse = 3;
+
+/**
+Plays one day; `violations` holds what broke, each pair of gateway and target once.
+
+@example
+```
+const day = new VirtualDay({seed: 7, gateways: 10, targets: 12});
+await day.run();
+```
+*/
+export class VirtualDay {
+	readonly violations: Violation[] = [];
+	/** What was done to the fleet, in order. */
+	readonly deeds: string[] = [];
+	readonly #random: () => number;
+	readonly #time = new VirtualTime();
+	readonly #store = new VirtualStore(this.#time);
+	readonly #links = new VirtualLinks(this.#time);
+	readonly #members: Member[];
+	readonly #targets = new Map<string, Target>();
+	readonly #seen = new Set<string>();
+	#storeDisturbedUntil = 0;
+	#number = 0;
+
+	constructor({seed, gateways, targets}: DayOptions) {
+		const generator = xoroshiro128plus(seed);
+		this.#random = () => uniformInt(generator, 0, 1_000_000) / 1_000_001;
+		for (let index = 0; index < targets; index++) {
+			this.#addTarget();
+		}
+
+		this.#members = Array.from({length: gateways}, (_, index) => ({
+			gateway: this.#startGateway(`gateway-${index}`, 1), disturbedUntil: quietMilliseconds, incarnation: 1, isRemoved: false,
+		}));
+	}
+
+	/** What the gateways wrote. */
+	get lines(): readonly string[] {
+		return this.#members.flatMap(({gateway}) => gateway.lines);
+	}
+
+	async run(): Promise<void> {
+		const troubles = 3 + this.#whole(4);
+		for (let index = 0; index < troubles; index++) {
+			this.#time.after(this.#between(quietMilliseconds, dayMilliseconds - 12_000), () => {
+				this.#trouble();
+			});
+		}
+
+		for (let index = 0; index < 6; index++) {
+			this.#time.after(this.#between(quietMilliseconds, dayMilliseconds - 6000), () => {
+				this.#changeTarget();
+			});
+		}
+
+		this.#time.every(lookMilliseconds, () => {
+			this.#look();
+		});
+		await this.#time.run(dayMilliseconds);
+		for (const {gateway} of this.#members) {
+			gateway.kill();
+		}
+	}
+
+	#startGateway(name: string, incarnation: number): VirtualGateway {
+		return new VirtualGateway({
+			name, incarnation, time: this.#time, store: this.#store, links: this.#links, random: this.#random,
+		});
+	}
+
+	#between(least: number, most: number): number {
+		return least + (this.#random() * (most - least));
+	}
+
+	#whole(count: number): number {
+		return Math.floor(this.#random() * count);
+	}
+
+	#pick<Item>(items: readonly Item[]): Item | undefined {
+		return items[this.#whole(items.length)];
+	}
+
+	#some(share: number): readonly Member[] {
+		const present = this.#members.filter(({isRemoved}) => !isRemoved);
+		const count = Math.max(1, Math.round(present.length * share));
+		return present.map(member => ({member, order: this.#random()})).toSorted((first, second) => first.order - second.order).slice(0, count).map(({member}) => member);
+	}
+
+	#note(deed: string): void {
+		this.deeds.push(`${Math.round(this.#time.now)} ${deed}`);
+	}
+
+	/** Sets a fault of some gateways and clears it again; targets may leave as it ends. */
+	#disturb(members: readonly Member[], milliseconds: number, set: (member: Member) => void, clear: (member: Member) => void): void {
+		for (const member of members) {
+			set(member);
+			member.disturbedUntil = Math.max(member.disturbedUntil, this.#time.now + milliseconds + contactMilliseconds);
+		}
+
+		this.#time.after(milliseconds, () => {
+			for (const member of members) {
+				clear(member);
+			}
+		});
+		if (this.#random() < 0.7) {
+			this.#time.after(milliseconds + this.#between(-1200, 900), () => {
+				this.#changeTarget();
+			});
+		}
+	}
+
+	#trouble(): void {
+		const kind = this.#pick(['turned away', 'turned away', 'frozen', 'frozen', 'slow link', 'slow link', 'cut', 'cut from store', 'kill', 'roll', 'store slow', 'store away', 'busy'] as const)!;
+		const members = this.#some(this.#pick([0.05, 0.1, 0.35])!);
+		const milliseconds = this.#between(500, 7000);
+		this.#note(`${kind} ${members.map(({gateway}) => gateway.name).join(',')} for ${Math.round(milliseconds)}`);
+		switch (kind) {
+			case 'turned away':
+			case 'cut from store': {
+				const fault = kind === 'turned away' ? this.#pick(['busy', 'silent'] as const)! : 'silent';
+				this.#disturb(members, milliseconds, ({gateway}) => {
+					gateway.storeFault = fault;
+				}, ({gateway}) => {
+					gateway.storeFault = 'none';
+				});
+				return;
+			}
+
+			case 'frozen': {
+				const length = this.#between(300, 4000);
+				this.#disturb(members, length, ({gateway}) => {
+					gateway.frozenUntil = this.#time.now + length;
+				}, () => undefined);
+				return;
+			}
+
+			case 'busy': {
+				// A loop that is busy for a moment is no fault that the rules know.
+				for (const {gateway} of members) {
+					gateway.frozenUntil = this.#time.now + this.#between(50, 400);
+				}
+
+				return;
+			}
+
+			case 'slow link': {
+				const delay = this.#between(300, 2500);
+				this.#disturb(members, milliseconds, ({gateway}) => {
+					gateway.delayMilliseconds = delay;
+				}, ({gateway}) => {
+					gateway.delayMilliseconds = 0;
+				});
+				return;
+			}
+
+			case 'cut': {
+				this.#disturb(members, milliseconds, ({gateway}) => {
+					gateway.cutUntil = this.#time.now + milliseconds;
+				}, () => undefined);
+				return;
+			}
+
+			case 'kill': {
+				for (const member of members) {
+					this.#restart(member, this.#between(200, 1500));
+				}
+
+				return;
+			}
+
+			case 'roll': {
+				for (const [index, member] of this.#some(0.4).entries()) {
+					this.#time.after(index * 1000, () => {
+						this.#restart(member, this.#between(200, 600));
+					});
+				}
+
+				return;
+			}
+
+			case 'store slow': {
+				this.#disturbStore(milliseconds, () => {
+					this.#store.slowMilliseconds = this.#between(100, 900);
+				}, () => {
+					this.#store.slowMilliseconds = 0;
+				});
+				return;
+			}
+
+			case 'store away': {
+				this.#storeAway(milliseconds);
+			}
+		}
+	}
+
+	#disturbStore(milliseconds: number, set: () => void, clear: () => void): void {
+		this.#storeDisturbedUntil = Math.max(this.#storeDisturbedUntil, this.#time.now + milliseconds + contactMilliseconds);
+		set();
+		this.#time.after(milliseconds, clear);
+	}
+
+	/** The store answers nobody, and entries that are not renewed meanwhile lapse. */
+	#storeAway(milliseconds: number): void {
+		const members = this.#some(1);
+		this.#disturbStore(milliseconds, () => {
+			for (const {gateway} of members) {
+				gateway.storeFault = 'busy';
+			}
+		}, () => {
+			for (const {gateway} of members) {
+				gateway.storeFault = 'none';
+			}
+
+			if (milliseconds > beatMilliseconds * heartbeatsToLapse) {
+				this.#lapse();
+			}
+		});
+	}
+
+	#lapse(): void {
+		const lapsed = [...this.#targets.values()].filter(({leftAt}) => leftAt === Number.POSITIVE_INFINITY && this.#random() < 0.7);
+		for (const target of lapsed) {
+			this.#store.remove(target.record.id);
+			target.isStable = false;
+			this.#time.after(this.#between(0, 1900), () => {
+				if (target.leftAt === Number.POSITIVE_INFINITY) {
+					this.#store.put(target.record);
+					target.listedSince = this.#time.now;
+					target.isStable = true;
+				}
+			});
+		}
+	}
+
+	#restart(member: Member, milliseconds: number): void {
+		if (member.isRemoved) {
+			return;
+		}
+
+		const {gateway} = member;
+		gateway.kill();
+		member.disturbedUntil = Math.max(member.disturbedUntil, this.#time.now + milliseconds + contactMilliseconds);
+		member.isRemoved = true;
+		this.#time.after(milliseconds, () => {
+			member.incarnation++;
+			member.isRemoved = false;
+			const former = member.gateway;
+			member.gateway = this.#startGateway(former.name, member.incarnation);
+			member.gateway.lines.push(...former.lines, JSON.stringify({at: Math.round(this.#time.now), process: former.name, event: 'restarted'}));
+			member.gateway.storeFault = former.storeFault;
+		});
+	}
+
+	#addTarget(): void {
+		this.#number++;
+		const id = `target-${this.#number}`;
+		const record: TargetRecord = {
+			id, incarnation: `${id} 1`, bornAt: 1, service: 's', address: `10.1.0.${this.#number}:80`, availabilityZone: 'a', isDraining: false, slots: 8, role: 'decode',
+		};
+		this.#store.put(record);
+		this.#targets.set(id, {
+			record, leftAt: Number.POSITIVE_INFINITY, listedSince: this.#time.now, isStable: true,
+		});
+	}
+
+	#changeTarget(): void {
+		const living = [...this.#targets.values()].filter(({leftAt}) => leftAt === Number.POSITIVE_INFINITY);
+		const target = this.#pick(living);
+		const kind = this.#pick(['removed', 'removed', 'drains', 'appears'] as const)!;
+		if (kind === 'appears' || target === undefined || living.length < 4) {
+			this.#addTarget();
+			this.#note('target appears');
+			return;
+		}
+
+		this.#note(`${kind} ${target.record.id}`);
+		target.leftAt = this.#time.now;
+		if (kind === 'removed') {
+			this.#store.remove(target.record.id);
+			return;
+		}
+
+		this.#store.put({...target.record, isDraining: true});
+		this.#time.after(this.#between(1000, 6000), () => {
+			this.#store.remove(target.record.id);
+		});
+	}
+
+	#look(): void {
+		const {now} = this.#time;
+		const isStoreCalm = this.#storeDisturbedUntil <= now;
+		for (const {gateway, disturbedUntil, isRemoved} of this.#members) {
+			if (isRemoved || disturbedUntil > now || gateway.frozenUntil > now || !isStoreCalm) {
+				continue;
+			}
+
+			const usable = new Set(gateway.beliefs.usable('s').map(({id}) => id));
+			for (const {record, leftAt, listedSince, isStable} of this.#targets.values()) {
+				if (usable.has(record.id) && now - leftAt > drainMilliseconds) {
+					this.#record('used after leaving', gateway, record.id, leftAt);
+				}
+
+				if (!usable.has(record.id) && leftAt === Number.POSITIVE_INFINITY && isStable && now - listedSince > appearMilliseconds) {
+					this.#record('living and not used', gateway, record.id, listedSince);
+				}
+			}
+		}
+	}
+
+	#record(kind: Violation['kind'], gateway: VirtualGateway, target: string, since: number): void {
+		const key = `${kind} ${gateway.name} ${target}`;
+		if (!this.#seen.has(key)) {
+			this.#seen.add(key);
+			this.violations.push({
+				kind, at: Math.round(this.#time.now), gateway: gateway.name, reader: gateway.reader, target, since: Math.round(since),
+			});
+		}
+	}
+}
--- /dev/null
+++ b/test/support/virtual-gateway.ts
@@ -0,0 +1,191 @@
+/**
+What an entry gateway knows and tells, in virtual time, without the way of requests.
+*/
+import type {Logger} from 'roarr';
+import {KeptParts} from '../../source/decisions/entry/kept-parts.js';
+import {TargetBeliefs} from '../../source/decisions/entry/target-beliefs.js';
+import type {EntryContext} from '../../source/entry/entry-context.js';
+import {EntryMetrics} from '../../source/entry/entry-metrics.js';
+import type {EntrySettings} from '../../source/entry/entry-settings.js';
+import {FleetKnowledge} from '../../source/entry/fleet-knowledge.js';
+import {LoadBook} from '../../source/entry/load-book.js';
+import {PeerExchange} from '../../source/entry/peer-exchange.js';
+import type {ReadGrants} from '../../source/entry/read-grants.js';
+import type {Timers} from '../../source/shared/timers.js';
+import type {StoreFault} from './store-fault.js';
+import type {VirtualLinks} from './virtual-links.js';
+import type {VirtualStore} from './virtual-store.js';
+import type {VirtualTime} from './virtual-time.js';
+
+type GatewayOptions = {
+	readonly name: string;
+	readonly incarnation: number;
+	readonly time: VirtualTime;
+	readonly store: VirtualStore;
+	readonly links: VirtualLinks;
+	readonly random: () => number;
+};
+
+const sweepMilliseconds = 1000;
+const storeWayMilliseconds = 1;
+
+/**
+One process. Its faults are fields that a case sets.
+
+@example
+```
+const gateway = new VirtualGateway({name: 'gateway-1', incarnation: 1, time, store, links, random});
+gateway.frozenUntil = time.now + 2000;
+```
+*/
+export class VirtualGateway {
+	storeFault: StoreFault = 'none';
+	frozenUntil = 0;
+	/** What the link of this machine adds to each message. */
+	delayMilliseconds = 0;
+	cutUntil = 0;
+	readonly lines: string[] = [];
+	readonly beliefs = new TargetBeliefs();
+	readonly name: string;
+	#isAlive = true;
+	readonly #options: GatewayOptions;
+	readonly #knowledge: FleetKnowledge;
+	readonly #exchange: PeerExchange;
+	readonly #stopSweep: () => void;
+
+	constructor(options: GatewayOptions) {
+		this.#options = options;
+		const {name, incarnation, time, store, links, random} = options;
+		this.name = name;
+		const context = this.#createContext();
+		this.#knowledge = new FleetKnowledge({
+			context,
+			createStore: () => store.port({fault: () => this.cutUntil > time.now ? 'silent' : this.storeFault, way: () => storeWayMilliseconds + this.delayMilliseconds}),
+			onConfiguration: () => {
+				this.#exchange.feedPeers();
+				this.#exchange.tellNow();
+			},
+			onTargets: changes => {
+				if (changes.length > 0) {
+					this.#exchange.feedPeers();
+				}
+
+				if (changes.some(({kind}) => kind === 'leaving')) {
+					this.#exchange.tellNow();
+				}
+			},
+		});
+		this.#exchange = new PeerExchange({
+			context,
+			knowledge: this.#knowledge,
+			followed: () => [],
+			grants: {} as unknown as ReadGrants,
+			peers: {
+				addresses: [],
+				hear: () => undefined,
+				send(peer, message) {
+					links.send(name, peer, message);
+				},
+				broadcast(message) {
+					for (const peer of links.peersOf(name)) {
+						links.send(name, peer, message);
+					}
+				},
+			},
+		});
+		links.add({
+			name,
+			incarnation: `${name} ${incarnation}`,
+			receive: (peer, message) => {
+				this.#exchange.receive(peer, message);
+			},
+			lost: peer => {
+				this.#exchange.lost(peer);
+			},
+			run: act => {
+				this.#run(act);
+			},
+			isAway: () => this.frozenUntil > time.now,
+			delay: () => this.delayMilliseconds,
+			cutUntil: () => this.cutUntil,
+		}, random() * 100);
+		this.#knowledge.start();
+		this.#exchange.start();
+		this.#stopSweep = context.timers.every(sweepMilliseconds, () => {
+			this.#knowledge.updateFeed(links.peersOf(name));
+		});
+	}
+
+	/** The gateway that reads the store for this one, empty while it reads itself. */
+	get reader(): string {
+		return this.#knowledge.feed.reader;
+	}
+
+	/** Ends the process without a word. */
+	kill(): void {
+		this.#isAlive = false;
+		this.#stopSweep();
+		this.#exchange.stop();
+		void this.#knowledge.stop();
+		this.#options.links.remove(this.name);
+	}
+
+	/** Runs what is due now, once the process runs. */
+	#run(act: () => void): void {
+		if (!this.#isAlive) {
+			return;
+		}
+
+		const {time} = this.#options;
+		if (this.frozenUntil > time.now) {
+			time.after(this.frozenUntil - time.now, () => {
+				this.#run(act);
+			});
+		} else {
+			act();
+		}
+	}
+
+	#createContext(): EntryContext {
+		const {name, time, links, random} = this.#options;
+		const timers: Timers = {
+			after: (milliseconds, act) => time.after(milliseconds, () => {
+				this.#run(act);
+			}),
+			every: (milliseconds, act) => time.every(milliseconds, () => {
+				if (this.frozenUntil <= time.now) {
+					this.#run(act);
+				}
+			}),
+		};
+		const write = (context: unknown): void => {
+			this.lines.push(JSON.stringify({at: Math.round(time.now), process: name, ...context as Record<string, unknown>}));
+		};
+
+		const settings: EntrySettings = {
+			name,
+			availabilityZone: 'a',
+			listen: {callers: {host: '', port: 0}, readiness: {host: '', port: 0}, peers: undefined},
+			peerSeeds: [],
+			store: {address: '', readsPerSecond: 6000},
+			bounds: {
+				graceMilliseconds: 8000, retryShare: 0.2, retryWindowMilliseconds: 10_000, retryExtra: 50,
+			},
+		};
+		const parts: Partial<EntryContext> = {
+			settings: () => settings,
+			beliefs: this.beliefs,
+			book: new LoadBook(),
+			kept: new KeptParts(),
+			metrics: new EntryMetrics(name),
+			log: {
+				info: write, warn: write, error: write, debug: () => undefined,
+			} as unknown as Logger,
+			now: () => time.now,
+			timers,
+			random,
+			gateways: () => links.peersOf(name).length + 1,
+		};
+		return parts as EntryContext;
+	}
+}
