Adopt lists of targets in the order in which the store made them

What callers saw: requests to a target whose leaving the store had acknowledged over three seconds ago.

Cause: a gateway took every list that arrived, whoever sent it and whenever it had been read. Lists now come from several places at once: the reader that a gateway relies on, the other peers while it is not told for a moment, and its own late calls. An older one that came last brought a target back whose entry had gone, and the reader, for which nothing changed, never sent the newer one again.

Change: a list carries the store's revision, as its first page gives it, and a list of a lower one changes nothing. What is passed on is the list as the store made it. A reader's word that it has read names the list that it found (revision and a hash of the content); only a gateway that holds the same list counts that word, another one asks for the list, and reads itself if it does not get it. So nothing that is lost, overtaken or overwritten on the way lasts longer than a second and a quarter.

Lines on targets now say the revision and the age of the list.

--- a/source/decisions/entry/store-feed.ts
+++ b/source/decisions/entry/store-feed.ts
@@ -6,10 +6,10 @@
 with some hundred the store would turn them away. So in a large fleet a few read,
 each of the others is told by one of them, and reads itself only while it is not.
 
-What is told is as good as what is read: the reader sends each change before its
-next digest, and a digest says when it last read. Without such a word a gateway
-reads, so that what it believes is never older than a little over a second while
-the store answers.
+What is told is as good as what is read: the reader sends each change at once, and
+says five times a second when it last read and which list it holds. Only a gateway
+that holds the same list counts that word; without it a gateway reads, so that what
+it believes is never older than a little over a second while the store answers.
 */
 import {rendezvousOrder} from '../routing/rendezvous-order.js';
 
@@ -22,8 +22,8 @@
 /**
 What one gateway is told by the reader that it relies on.
 
-Invariant: `isFed` is true only while a reader has sent its whole list since it
-was chosen, and its last reading is fresh.
+Invariant: `isFed` is true only while the reader has said, since it was chosen, that
+it read the list in force here a short while ago.
 
 @example
 ```
@@ -34,7 +34,6 @@
 */
 export class StoreFeed {
 	#reader = '';
-	#hasList = false;
 	#readAt = Number.NEGATIVE_INFINITY;
 	readonly #own: string;
 
@@ -49,7 +48,7 @@
 
 	/** When what was told was read. */
 	get readAt(): number {
-		return this.#hasList ? this.#readAt : Number.NEGATIVE_INFINITY;
+		return this.#readAt;
 	}
 
 	/** Chooses anew as gateways come and go. */
@@ -59,17 +58,11 @@
 		const reader = gateways.length <= mostWithoutFeed || first.includes(this.#own) ? '' : rendezvousOrder(this.#own, first)[0] ?? '';
 		if (reader !== this.#reader) {
 			this.#reader = reader;
-			this.#hasList = false;
 			this.#readAt = Number.NEGATIVE_INFINITY;
 		}
 	}
 
-	/** Records a whole list from a gateway. */
-	list(peer: string): void {
-		this.#hasList ||= peer === this.#reader;
-	}
-
-	/** Records when a gateway last read the store. */
+	/** Records when a gateway last found in the store what is in force here. */
 	hear(peer: string, readAt: number): void {
 		if (peer === this.#reader) {
 			this.#readAt = readAt;
@@ -79,7 +72,7 @@
 	/** Forgets a gateway that cannot be reached. */
 	lost(peer: string): void {
 		if (peer === this.#reader) {
-			this.#hasList = false;
+			this.#readAt = Number.NEGATIVE_INFINITY;
 		}
 	}
 
--- a/source/decisions/entry/target-beliefs.ts
+++ b/source/decisions/entry/target-beliefs.ts
@@ -2,45 +2,64 @@
 What a gateway believes of the targets of the fleet, and from which source.
 
 A leaving target must get no new work a few seconds after the store took its
-word, so every word of leaving counts at once, from whichever source it comes,
-and stays true for that incarnation. Entries that lapse because the store was
-away say nothing of their targets: these are kept until the store has been back
-long enough for living targets to be listed again.
+word. Its word comes in two ways: its entry says that it drains, or its entry
+goes. The first stays true for that incarnation, from whichever source it comes.
+The second is told by a list that leaves the target out, so lists count in the
+order in which the store made them, not in that in which they arrive: an older
+one, from a slower peer or a late answer, says nothing.
+
+Entries that lapse because the store was away say nothing of their targets: these
+are kept until the store has been back long enough for living targets to be
+listed again.
 */
+import type {TargetList} from '../../fleet/target-list.js';
 import type {TargetRecord} from '../../fleet/target-record.js';
+import {nameList} from './name-list.js';
 
 /** Time after the store's return within which a living target is listed again. */
 const relistMilliseconds = 2000;
 /** How long the leaving of an incarnation is remembered after it was last heard of. */
 const leavingMemoryMilliseconds = 60_000;
 
-type Belief = {readonly record: TargetRecord; readonly heardAt: number};
-
-type Change = {readonly kind: 'appeared' | 'leaving' | 'gone' | 'changed'; readonly record: TargetRecord; readonly source: string};
+type Change = {readonly kind: 'appeared' | 'leaving' | 'gone' | 'changed'; readonly record: TargetRecord};
 
 /**
 The targets that may get work. Times are on the gateway's monotonic clock.
 
-Invariant: an incarnation that was ever said to leave is never usable again.
+Invariants: an incarnation that was ever said to leave is never usable again; a
+list that is older than the one in force changes nothing.
 
 @example
 ```
-beliefs.adoptList(records, 'store', clock());
+beliefs.adopt({revision: 41, targets}, askedAt, clock());
 const candidates = beliefs.usable('appraiser-models');
 ```
 */
 export class TargetBeliefs {
-	#beliefs: ReadonlyMap<string, Belief> = new Map();
+	#list: TargetList = {revision: 0, targets: []};
+	#listName = nameList([]);
+	#readAt = Number.NEGATIVE_INFINITY;
+	/** Listed targets, and those that are kept although they are not. */
+	#records: ReadonlyMap<string, TargetRecord> = new Map();
 	readonly #leaving = new Map<string, number>();
 	/** Usable targets by service, until the next change. */
 	readonly #usable = new Map<string, readonly TargetRecord[]>();
 	#storeLostAt: number | undefined;
 	#storeReturnedAt = Number.NEGATIVE_INFINITY;
-	#listedAt = Number.NEGATIVE_INFINITY;
 
-	/** When the last whole list was adopted. */
-	get listedAt(): number {
-		return this.#listedAt;
+	/** The newest list, as the store made it. */
+	get list(): TargetList {
+		return this.#list;
+	}
+
+	/** Names the content of the newest list. */
+	get listName(): number {
+		return this.#listName;
+	}
+
+	/** When it was known last that the newest list still held. */
+	get readAt(): number {
+		return this.#readAt;
 	}
 
 	/** Records that a call to the store failed. */
@@ -48,28 +67,21 @@
 		this.#storeLostAt ??= now;
 	}
 
-	/** Takes a whole list; gives what changed. */
-	adoptList(records: readonly TargetRecord[], source: 'store' | 'peer', now: number): readonly Change[] {
-		if (source === 'store' && this.#storeLostAt !== undefined) {
-			this.#storeLostAt = undefined;
-			this.#storeReturnedAt = now;
+	/** Takes a list that was asked for at `readAt`; gives what it changed. */
+	adopt(list: TargetList, readAt: number, now: number): readonly Change[] {
+		if (list.revision < this.#list.revision) {
+			return [];
 		}
 
-		this.#listedAt = now;
-		const former = this.#beliefs;
-		const listed = new Map(records
-			.map(record => {
-				const known = former.get(record.id)?.record;
-				return known !== undefined && known.bornAt > record.bornAt ? known : record;
-			})
-			.map(record => [record.id, {record, heardAt: now}]));
-		const kept = [...former].filter(([id, belief]) => !listed.has(id) && this.#mayBeRelisted(belief, now));
-		const changes = [...listed.values()].flatMap(({record}) => this.#compare(former.get(record.id)?.record, record, source, now));
-		const gone = [...former].filter(([id]) => !listed.has(id) && !kept.some(([keptId]) => keptId === id));
-		this.#beliefs = new Map([...listed, ...kept]);
-		this.#usable.clear();
-		this.#forgetOldLeaving(now);
-		return [...changes, ...gone.map(([, {record}]) => ({kind: 'gone' as const, record, source}))];
+		this.#list = list;
+		this.#listName = nameList(list.targets);
+		return this.#settle(readAt, now);
+	}
+
+	/** Takes the word that the newest list still held at `readAt`, at that revision; gives what is no longer kept. */
+	confirm(revision: number, readAt: number, now: number): readonly Change[] {
+		this.#list = {...this.#list, revision: Math.max(revision, this.#list.revision)};
+		return this.#settle(readAt, now);
 	}
 
 	/** Takes the word of a peer or of the target's address that an incarnation leaves; true when it is news. */
@@ -89,11 +101,11 @@
 	}
 
 	all(): readonly TargetRecord[] {
-		return [...this.#beliefs.values()].map(({record}) => record);
+		return [...this.#records.values()];
 	}
 
 	find(id: string): TargetRecord | undefined {
-		return this.#beliefs.get(id)?.record;
+		return this.#records.get(id);
 	}
 
 	/** Targets of a service that may get work. */
@@ -105,26 +117,50 @@
 
 	/** True while work may be sent to this incarnation. */
 	isUsable(record: TargetRecord): boolean {
-		const current = this.#beliefs.get(record.id)?.record;
+		const current = this.#records.get(record.id);
 		return current?.bornAt === record.bornAt && current.address === record.address
 			&& !current.isDraining && !this.#leaving.has(current.incarnation);
 	}
 
-	#mayBeRelisted(belief: Belief, now: number): boolean {
-		return !belief.record.isDraining && now - this.#storeReturnedAt < relistMilliseconds;
+	/** Brings the records in line with the newest list. */
+	#settle(readAt: number, now: number): readonly Change[] {
+		if (this.#storeLostAt !== undefined && readAt > this.#storeLostAt) {
+			this.#storeLostAt = undefined;
+			this.#storeReturnedAt = now;
+		}
+
+		this.#readAt = Math.max(this.#readAt, readAt);
+		const former = this.#records;
+		const listed = new Map(this.#list.targets
+			.map(record => {
+				const known = former.get(record.id);
+				return known !== undefined && known.bornAt > record.bornAt ? known : record;
+			})
+			.map(record => [record.id, record]));
+		const missing = [...former.values()].filter(({id}) => !listed.has(id));
+		const kept = missing.filter(record => this.#mayBeRelisted(record, now));
+		this.#records = new Map([...listed, ...kept.map(record => [record.id, record] as const)]);
+		this.#usable.clear();
+		this.#forgetOldLeaving(now);
+		const gone = missing.filter(({id}) => !this.#records.has(id)).map(record => ({kind: 'gone' as const, record}));
+		return [...[...listed.values()].flatMap(record => this.#compare(former.get(record.id), record, now)), ...gone];
+	}
+
+	#mayBeRelisted(record: TargetRecord, now: number): boolean {
+		return !record.isDraining && now - this.#storeReturnedAt < relistMilliseconds;
 	}
 
-	#compare(former: TargetRecord | undefined, record: TargetRecord, source: string, now: number): readonly Change[] {
+	#compare(former: TargetRecord | undefined, record: TargetRecord, now: number): readonly Change[] {
 		if (record.isDraining) {
-			return this.markLeaving(record.incarnation, now) ? [{kind: 'leaving', record, source}] : [];
+			return this.markLeaving(record.incarnation, now) ? [{kind: 'leaving', record}] : [];
 		}
 
 		if (former === undefined) {
-			return [{kind: 'appeared', record, source}];
+			return [{kind: 'appeared', record}];
 		}
 
 		const isSame = former.bornAt === record.bornAt && former.address === record.address && former.role === record.role;
-		return isSame ? [] : [{kind: 'changed', record, source}];
+		return isSame ? [] : [{kind: 'changed', record}];
 	}
 
 	#forgetOldLeaving(now: number): void {
--- a/source/entry/fleet-knowledge.ts
+++ b/source/entry/fleet-knowledge.ts
@@ -6,13 +6,13 @@
 import type {TargetBeliefs} from '../decisions/entry/target-beliefs.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import type {ServiceDescription} from '../fleet/service-description.js';
-import type {TargetRecord} from '../fleet/target-record.js';
+import type {TargetList} from '../fleet/target-list.js';
 import type {FleetStore} from '../ports/fleet-store.js';
 import type {EntryContext} from './entry-context.js';
 import type {EntrySettings} from './entry-settings.js';
 import {StoreReader} from './store-reader.js';
 
-type Changes = ReturnType<TargetBeliefs['adoptList']>;
+type Changes = ReturnType<TargetBeliefs['adopt']>;
 
 type KnowledgeOptions = {
 	readonly context: EntryContext;
@@ -33,7 +33,7 @@
 @example
 ```
 knowledge.start();
-knowledge.adoptTargets(targets, 'peer', 'gateway-2');
+knowledge.adoptTargets({revision, targets}, readAt, 'peer', 'gateway-2');
 ```
 */
 export class FleetKnowledge {
@@ -77,10 +77,10 @@
 					this.adopt(configuration, 'store', 'store');
 				}
 			},
-			onTargets: (targets, unreadable, askedAt) => {
+			onTargets: (list, unreadable, askedAt) => {
 				this.#targetsReadAt = askedAt;
 				context.metrics.gauge('targets.unreadable', unreadable);
-				this.adoptTargets(targets, 'store', 'store');
+				this.adoptTargets(list, askedAt, 'store', 'store');
 			},
 			onFailure: (call, detail) => {
 				this.#storeFailed(call, detail);
@@ -117,17 +117,20 @@
 		onConfiguration(configuration);
 	}
 
-	adoptTargets(targets: readonly TargetRecord[], source: 'store' | 'peer', from: string): void {
-		const {context, onTargets} = this.#options;
-		const changes = context.beliefs.adoptList(targets, source, context.now());
-		for (const {kind, record} of changes) {
-			context.metrics.count(`target.${kind}`);
-			context.log.info({
-				event: `target ${kind}`, target: record.id, bornAt: record.bornAt, address: record.address, service: record.service, role: record.role, source, from,
-			}, `target ${kind}`);
+	/** Takes a list that was asked for at `readAt`, unless a newer one is in force. */
+	adoptTargets(list: TargetList, readAt: number, source: 'store' | 'peer', from: string): void {
+		const {beliefs, metrics, now} = this.#options.context;
+		if (list.revision < beliefs.list.revision) {
+			metrics.count('targets.list.older');
 		}
 
-		onTargets(changes);
+		this.#learn(beliefs.adopt(list, readAt, now()), source, from);
+	}
+
+	/** Takes a peer's word that the list in force still held at `readAt`. */
+	confirmTargets(revision: number, readAt: number, from: string): void {
+		const {beliefs, now} = this.#options.context;
+		this.#learn(beliefs.confirm(revision, readAt, now()), 'peer', from);
 	}
 
 	/** Chooses the gateway that reads the store for this one, as gateways come and go. */
@@ -149,6 +152,19 @@
 		}
 	}
 
+	#learn(changes: Changes, source: 'store' | 'peer', from: string): void {
+		const {context: {beliefs, metrics, log, now}, onTargets} = this.#options;
+		const {list: {revision}, readAt} = beliefs;
+		for (const {kind, record} of changes) {
+			metrics.count(`target.${kind}`);
+			log.info({
+				event: `target ${kind}`, target: record.id, bornAt: record.bornAt, address: record.address, service: record.service, role: record.role, source, from, revision, listAge: Math.round(now() - readAt),
+			}, `target ${kind}`);
+		}
+
+		onTargets(changes);
+	}
+
 	#storeAnswered(): void {
 		if (!this.#hasStore) {
 			this.#hasStore = true;
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -35,8 +35,9 @@
 };
 
 type Digest = Extract<PeerMessage, {kind: 'digest'}>;
+type Fresh = Extract<PeerMessage, {kind: 'fresh'}>;
 
-type PeerState = {laggingSince: number | undefined; toldTargets: string; digest: Digest | undefined};
+type PeerState = {laggingSince: number | undefined; toldList: number | undefined; digest: Digest | undefined};
 
 /**
 Sends digests on a timer and answers those of peers.
@@ -112,7 +113,7 @@
 	receive(peer: string, message: PeerMessage): void {
 		switch (message.kind) {
 			case 'hello': {
-				this.#states.set(peer, {laggingSince: undefined, toldTargets: '', digest: undefined});
+				this.#states.set(peer, {laggingSince: undefined, toldList: undefined, digest: undefined});
 				this.#options.peers.send(peer, this.#digest({sent: [], told: this.#options.context.kept.allTold(this.#options.followed())}, true, true));
 				return;
 			}
@@ -148,10 +149,13 @@
 			}
 
 			case 'targets': {
-				this.#options.knowledge.feed.list(peer);
-				if (!this.hasStore || peer === this.#options.knowledge.feed.reader) {
-					this.#options.knowledge.adoptTargets(message.targets.map(target => ({...target, role: target.role})), 'peer', peer);
-				}
+				const targets = message.targets.map(target => ({...target, role: target.role}));
+				this.#options.knowledge.adoptTargets({revision: message.revision, targets}, this.#options.context.now() - message.age, 'peer', peer);
+				return;
+			}
+
+			case 'want': {
+				this.#tellTargets(peer, undefined);
 			}
 		}
 	}
@@ -190,7 +194,9 @@
 		const {context, peers, knowledge: {inForce}} = this.#options;
 		for (const [peer, {digest}] of this.#states) {
 			if (digest !== undefined && this.#isReader(digest)) {
-				peers.send(peer, {kind: 'fresh', storeAge: this.#storeAge, configurationVersion: inForce.version});
+				peers.send(peer, {
+					kind: 'fresh', storeAge: this.#storeAge, configurationVersion: inForce.version, revision: context.beliefs.list.revision, listName: context.beliefs.listName,
+				});
 			}
 		}
 
@@ -216,7 +222,6 @@
 	#hearDigest(peer: string, digest: Digest): void {
 		const {context, peers} = this.#options;
 		const now = context.now();
-		this.#hearFresh(peer, digest);
 		const {ids, attempts, readMilliseconds} = digest.outstanding;
 		context.book.hearPeer(peer, ids.map((id, index) => ({id, attempts: attempts[index] ?? 0, readMilliseconds: readMilliseconds[index] ?? 0})), now);
 		const known = this.#knownTargets();
@@ -242,11 +247,26 @@
 		}
 	}
 
-	#hearFresh(peer: string, {storeAge, configurationVersion}: Pick<Digest, 'storeAge' | 'configurationVersion'>): void {
-		const {context, knowledge: {feed, inForce}} = this.#options;
-		feed.hear(peer, context.now() - storeAge);
-		if (peer === feed.reader && feed.isFed(context.now())) {
-			inForce.confirm(configurationVersion, feed.readAt);
+	/** Takes the word of the gateway that this one relies on, if it holds for what is in force here. */
+	#hearFresh(peer: string, {storeAge, configurationVersion, revision, listName}: Fresh): void {
+		const {context: {beliefs, now}, peers, knowledge} = this.#options;
+		if (peer !== knowledge.feed.reader) {
+			return;
+		}
+
+		if (listName !== beliefs.listName) {
+			if (revision >= beliefs.list.revision) {
+				peers.send(peer, {kind: 'want'});
+			}
+
+			return;
+		}
+
+		const readAt = now() - storeAge;
+		knowledge.feed.hear(peer, readAt);
+		knowledge.confirmTargets(revision, readAt, peer);
+		if (knowledge.feed.isFed(now())) {
+			knowledge.inForce.confirm(configurationVersion, readAt);
 		}
 	}
 
@@ -279,12 +299,14 @@
 		return reader === this.#options.context.settings().name;
 	}
 
-	#tellTargets(peer: string, state: PeerState): void {
-		const targets = this.#options.context.beliefs.all();
-		const text = JSON.stringify(targets);
-		if (text !== state.toldTargets) {
-			state.toldTargets = text;
-			this.#options.peers.send(peer, {kind: 'targets', targets: targets.map(target => ({...target}))});
+	/** Sends a peer the newest list, unless that is what it was told last. */
+	#tellTargets(peer: string, toldList: number | undefined): void {
+		const {beliefs, now} = this.#options.context;
+		const {list: {revision, targets}, listName, readAt} = beliefs;
+		if (listName !== toldList && revision > 0) {
+			this.#options.peers.send(peer, {
+				kind: 'targets', revision, age: Math.round(Math.min(mostStoreAge, now() - readAt)), targets: targets.map(target => ({...target})),
+			});
 		}
 	}
 
@@ -296,7 +318,7 @@
 	#help(peer: string, digest: Digest, now: number): void {
 		const {peers, knowledge: {inForce}} = this.#options;
 		const lacksStore = digest.storeAge >= storeMilliseconds || this.#isReader(digest);
-		const state = this.#states.get(peer) ?? {laggingSince: undefined, toldTargets: '', digest};
+		const state = this.#states.get(peer) ?? {laggingSince: undefined, toldList: undefined, digest};
 		this.#states.set(peer, state);
 		const isLagging = inForce.current !== undefined && digest.configurationVersion < inForce.version;
 		state.laggingSince = isLagging ? state.laggingSince ?? now : undefined;
@@ -306,12 +328,13 @@
 		}
 
 		if (!lacksStore) {
-			state.toldTargets = '';
+			state.toldList = undefined;
 			return;
 		}
 
 		if (this.hasStore) {
-			this.#tellTargets(peer, state);
+			this.#tellTargets(peer, state.toldList);
+			state.toldList = this.#options.context.beliefs.listName;
 		}
 	}
 }
--- a/source/entry/store-reader.ts
+++ b/source/entry/store-reader.ts
@@ -8,14 +8,14 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
-import type {TargetRecord} from '../fleet/target-record.js';
+import type {TargetList} from '../fleet/target-list.js';
 import type {FleetStore} from '../ports/fleet-store.js';
 import type {Timers} from '../shared/timers.js';
 
 type ReaderHandlers = {
 	/** Undefined before the first configuration was written. `askedAt` is when the call began. */
 	readonly onConfiguration: (configuration: FleetConfiguration | undefined, askedAt: number) => void;
-	readonly onTargets: (targets: readonly TargetRecord[], unreadable: number, askedAt: number) => void;
+	readonly onTargets: (list: TargetList, unreadable: number, askedAt: number) => void;
 	/** Called on each failed call. */
 	readonly onFailure: (call: string, detail: string) => void;
 	/** Gateways that read, this one included. */
@@ -106,13 +106,13 @@
 
 	async #readTargets(): Promise<boolean> {
 		const askedAt = this.#handlers.now();
-		const list = await this.#store.listTargets();
+		const read = await this.#store.listTargets();
 		if (this.#isStopped) {
 			return false;
 		}
 
-		return list.match(({targets, unreadable}) => {
-			this.#handlers.onTargets(targets, unreadable, askedAt);
+		return read.match(({list, unreadable}) => {
+			this.#handlers.onTargets(list, unreadable, askedAt);
 			return true;
 		}, error => {
 			this.#handlers.onFailure('list targets', error.detail);
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -165,7 +165,7 @@
 			grant,
 			denials,
 			attempts: engine.attempts,
-			listAge: Math.round(this.#context.now() - this.#context.beliefs.listedAt),
+			listAge: Math.round(this.#context.now() - this.#context.beliefs.readAt),
 		}, this.#context.now());
 		return way === 'prefill first' ? this.#readPrompt(target, entry, latency, fetchFrom?.address) : this.#sendStream(target, entry, {fetchFrom: fetchFrom?.address});
 	}
--- a/source/ports/fleet-store.ts
+++ b/source/ports/fleet-store.ts
@@ -4,7 +4,7 @@
 import type {Option} from 'fp-ts/lib/Option.js';
 import type {Result} from 'neverthrow';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
-import type {TargetRecord} from '../fleet/target-record.js';
+import type {TargetList} from '../fleet/target-list.js';
 import type {StoreError} from './store-error.js';
 
 /**
@@ -14,6 +14,6 @@
 	/** The newest configuration, none before the first was written. */
 	readConfiguration(): Promise<Result<Option<FleetConfiguration>, StoreError>>;
 	/** All targets; entries that cannot be read are left out and counted. */
-	listTargets(): Promise<Result<{readonly targets: readonly TargetRecord[]; readonly unreadable: number}, StoreError>>;
+	listTargets(): Promise<Result<{readonly list: TargetList; readonly unreadable: number}, StoreError>>;
 	close(): Promise<void>;
 };
