Ask one peer for a configuration that is lacked, instead of being sent it by all

Cause: a gateway that lagged behind was sent the whole configuration by every peer that heard of it, and again at each of its digests, 0.6 s apart, as long as the first copy had not come through. 1,618 routes are some 300 KB, and the small machines of a grown site have links of 7 Mbit/s: nineteen copies take over six seconds, and what follows on the same links waits behind them.

Change: a gateway asks for what it lacks, one peer at a time and another one after 2.5 s, after 1.2 s if it is told or reads the store, at once otherwise. A reader still sends a new version unasked to those that rely on it, once. A line and counters for what is asked and sent. One message serves both questions.

Before and after, by test: nine copies in six seconds to one lagging peer, none unless it asks.

--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -5,6 +5,7 @@
 peer that lacks them and cannot read them from the store itself.
 */
 import type {PeerMessage} from '../generated/peer-messages.js';
+import {ConfigurationWant} from '../decisions/entry/configuration-want.js';
 import {digestPace} from '../decisions/entry/digest-pace.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import type {EntryContext} from './entry-context.js';
@@ -18,8 +19,6 @@
 const fullMilliseconds = 1000;
 /** Digests without news between two that are sent all the same. */
 const quietDigests = 2;
-/** How long a peer may lag behind before it is sent a configuration that it could read itself. */
-const lagMilliseconds = 1200;
 /** A store that was read this long ago is taken as out of reach. */
 const storeMilliseconds = 1500;
 /** Age that stands for never. */
@@ -36,8 +35,11 @@
 
 type Digest = Extract<PeerMessage, {kind: 'digest'}>;
 type Fresh = Extract<PeerMessage, {kind: 'fresh'}>;
+type Want = Extract<PeerMessage, {kind: 'want'}>;
 
-type PeerState = {laggingSince: number | undefined; toldList: number | undefined; digest: Digest | undefined};
+type PeerState = {toldVersion: number; toldList: number | undefined; digest: Digest | undefined};
+
+const newState = (digest: Digest | undefined): PeerState => ({toldVersion: 0, toldList: undefined, digest});
 
 /**
 Sends digests on a timer and answers those of peers.
@@ -51,6 +53,7 @@
 export class PeerExchange {
 	readonly #options: ExchangeOptions;
 	readonly #states = new Map<string, PeerState>();
+	readonly #want: ConfigurationWant;
 	#stopTicks: (() => void) | undefined;
 	#lastDigest = '';
 	#quiet = 0;
@@ -60,6 +63,7 @@
 
 	constructor(options: ExchangeOptions) {
 		this.#options = options;
+		this.#want = new ConfigurationWant(options.context.settings().name);
 	}
 
 	get #storeAge(): number {
@@ -93,7 +97,7 @@
 	feedPeers(): void {
 		for (const [peer, {digest}] of this.#states) {
 			if (digest !== undefined && this.#isReader(digest)) {
-				this.#help(peer, digest, this.#options.context.now());
+				this.#help(peer, digest);
 			}
 		}
 	}
@@ -113,7 +117,7 @@
 	receive(peer: string, message: PeerMessage): void {
 		switch (message.kind) {
 			case 'hello': {
-				this.#states.set(peer, {laggingSince: undefined, toldList: undefined, digest: undefined});
+				this.#states.set(peer, newState(undefined));
 				this.#options.peers.send(peer, this.#digest({sent: [], told: this.#options.context.kept.allTold(this.#options.followed())}, true, true));
 				return;
 			}
@@ -155,7 +159,7 @@
 			}
 
 			case 'want': {
-				this.#tellTargets(peer, undefined);
+				this.#giveWanted(peer, message);
 			}
 		}
 	}
@@ -200,6 +204,7 @@
 			}
 		}
 
+		this.#askConfiguration();
 		if (this.#ticks % digestPace(context.gateways()).ticks === 0) {
 			this.#tell();
 		}
@@ -243,7 +248,7 @@
 		}
 
 		if (!digest.isFed || this.#isReader(digest)) {
-			this.#help(peer, digest, now);
+			this.#help(peer, digest);
 		}
 	}
 
@@ -256,7 +261,7 @@
 
 		if (listName !== beliefs.listName) {
 			if (revision >= beliefs.list.revision) {
-				peers.send(peer, {kind: 'want'});
+				peers.send(peer, {kind: 'want', subject: 'targets'});
 			}
 
 			return;
@@ -299,6 +304,43 @@
 		return reader === this.#options.context.settings().name;
 	}
 
+	#giveWanted(peer: string, {subject}: Want): void {
+		switch (subject) {
+			case 'targets': {
+				this.#tellTargets(peer, undefined);
+				return;
+			}
+
+			case 'configuration': {
+				this.#tellConfiguration(peer);
+			}
+		}
+	}
+
+	#tellConfiguration(peer: string): void {
+		const {context: {metrics}, peers, knowledge: {inForce: {current}}} = this.#options;
+		if (current !== undefined) {
+			metrics.count('configuration.sent');
+			peers.send(peer, {kind: 'configuration', configuration: current as unknown as Extract<PeerMessage, {kind: 'configuration'}>['configuration']});
+		}
+	}
+
+	/** Asks one peer for a configuration that is lacked here. */
+	#askConfiguration(): void {
+		const {context: {now, log}, peers, knowledge: {feed, inForce}} = this.#options;
+		const versions = new Map([...this.#states].flatMap(([peer, {digest}]) => digest === undefined ? [] : [[peer, digest.configurationVersion]]));
+		const isSupplied = this.hasStore || feed.isFed(now());
+		const peer = this.#want.next({
+			version: inForce.version, peers: versions, reader: feed.reader, isSupplied,
+		}, now());
+		if (peer !== undefined) {
+			log.info({
+				event: 'configuration asked', peer, version: inForce.version, announced: versions.get(peer), isSupplied,
+			}, 'a peer is asked for a newer configuration');
+			peers.send(peer, {kind: 'want', subject: 'configuration'});
+		}
+	}
+
 	/** Sends a peer the newest list, unless that is what it was told last. */
 	#tellTargets(peer: string, toldList: number | undefined): void {
 		const {beliefs, now} = this.#options.context;
@@ -314,17 +356,15 @@
 		return new Set(this.#options.context.beliefs.all().map(({incarnation}) => incarnation));
 	}
 
-	/** Sends a peer what it lacks. */
-	#help(peer: string, digest: Digest, now: number): void {
-		const {peers, knowledge: {inForce}} = this.#options;
+	/** Sends a peer what it lacks and did not ask for. */
+	#help(peer: string, digest: Digest): void {
+		const {knowledge: {inForce}} = this.#options;
 		const lacksStore = digest.storeAge >= storeMilliseconds || this.#isReader(digest);
-		const state = this.#states.get(peer) ?? {laggingSince: undefined, toldList: undefined, digest};
+		const state = this.#states.get(peer) ?? newState(digest);
 		this.#states.set(peer, state);
-		const isLagging = inForce.current !== undefined && digest.configurationVersion < inForce.version;
-		state.laggingSince = isLagging ? state.laggingSince ?? now : undefined;
-		if (isLagging && (lacksStore || now - (state.laggingSince ?? now) > lagMilliseconds)) {
-			state.laggingSince = now;
-			peers.send(peer, {kind: 'configuration', configuration: inForce.current as unknown as Extract<PeerMessage, {kind: 'configuration'}>['configuration']});
+		if (this.#isReader(digest) && digest.configurationVersion < inForce.version && state.toldVersion < inForce.version) {
+			state.toldVersion = inForce.version;
+			this.#tellConfiguration(peer);
 		}
 
 		if (!lacksStore) {
--- a/test/entry/leaving-targets.test.ts
+++ b/test/entry/leaving-targets.test.ts
@@ -10,7 +10,9 @@
 
 test('DRAIN: no gateway in touch sends work to a target that left over three seconds ago', async t => {
 	for (const seed of Array.from({length: days}, (_, index) => firstSeed + index)) {
-		const day = new VirtualDay({seed, gateways: 10, targets: 12});
+		const day = new VirtualDay({
+			seed, gateways: 10, targets: 12, drainMilliseconds: 3000,
+		});
 		await day.run(); // eslint-disable-line no-await-in-loop
 		t.strictSame(day.violations, [], `day ${seed}`);
 	}
--- a/test/entry/peer-exchange.test.ts
+++ b/test/entry/peer-exchange.test.ts
@@ -124,3 +124,31 @@
 	t.strictSame(used(), ['a']);
 	gateway.kill();
 });
+
+test('DRAIN: a peer that lags is not sent the configuration again and again, behind which words on leaving targets would wait', async t => {
+	const {time, gateway, heard, say} = startGateway();
+	await time.run(3000);
+	time.every(600, () => {
+		say(reader, {
+			kind: 'digest',
+			configurationVersion: 0,
+			storeAge: 60_000,
+			reader: 'gateway-unknown',
+			isFed: false,
+			leaving: [],
+			peers: [],
+			outstanding: {ids: [], attempts: [], readMilliseconds: []},
+			sent: {engines: [], parts: [], tokens: []},
+			told: {
+				engines: [], rows: [], parts: [], tokens: [], isWhole: false,
+			},
+		});
+	});
+	await time.run(9000);
+	const copies = (): number => heard.filter(({kind}) => kind === 'configuration').length;
+	t.equal(copies(), 0, 'it asks for what it lacks');
+	say(reader, {kind: 'want', subject: 'configuration'});
+	await time.run(9010);
+	t.equal(copies(), 1);
+	gateway.kill();
+});
--- a/test/support/virtual-day.ts
+++ b/test/support/virtual-day.ts
@@ -33,10 +33,14 @@
 
 type Target = {record: TargetRecord; leftAt: number; listedSince: number; isStable: boolean};
 
-type DayOptions = {readonly seed: number; readonly gateways: number; readonly targets: number};
+type DayOptions = {
+	readonly seed: number;
+	readonly gateways: number;
+	readonly targets: number;
+	/** Time after the store's word from which on a leaving target may get nothing. */
+	readonly drainMilliseconds: number;
+};
 
-/** From the store's word on, by the rule of the users. */
-const drainMilliseconds = 3000;
 /** Time after a disturbance for which the rules allow a gateway more. */
 const contactMilliseconds = 4000;
 /** Time within which a listed target has to be used. */
@@ -52,7 +56,7 @@
 
 @example
 ```
-const day = new VirtualDay({seed: 7, gateways: 10, targets: 12});
+const day = new VirtualDay({seed: 7, gateways: 10, targets: 12, drainMilliseconds: 3000});
 await day.run();
 ```
 */
@@ -61,6 +65,7 @@
 	/** What was done to the fleet, in order. */
 	readonly deeds: string[] = [];
 	readonly #random: () => number;
+	readonly #drainMilliseconds: number;
 	readonly #time = new VirtualTime();
 	readonly #store = new VirtualStore(this.#time);
 	readonly #links = new VirtualLinks(this.#time);
@@ -70,7 +75,8 @@
 	#storeDisturbedUntil = 0;
 	#number = 0;
 
-	constructor({seed, gateways, targets}: DayOptions) {
+	constructor({seed, gateways, targets, drainMilliseconds}: DayOptions) {
+		this.#drainMilliseconds = drainMilliseconds;
 		const generator = xoroshiro128plus(seed);
 		this.#random = () => uniformInt(generator, 0, 1_000_000) / 1_000_001;
 		for (let index = 0; index < targets; index++) {
@@ -176,8 +182,9 @@
 
 			case 'frozen': {
 				const length = this.#between(300, 4000);
+				const isSuspended = this.#random() < 0.5;
 				this.#disturb(members, length, ({gateway}) => {
-					gateway.frozenUntil = this.#time.now + length;
+					gateway.freeze(length, isSuspended);
 				}, () => undefined);
 				return;
 			}
@@ -185,7 +192,7 @@
 			case 'busy': {
 				// A loop that is busy for a moment is no fault that the rules know.
 				for (const {gateway} of members) {
-					gateway.frozenUntil = this.#time.now + this.#between(50, 900);
+					gateway.freeze(this.#between(50, 900), false);
 				}
 
 				return;
@@ -344,7 +351,7 @@
 
 			const usable = new Set(gateway.beliefs.usable('s').map(({id}) => id));
 			for (const {record, leftAt, listedSince, isStable} of this.#targets.values()) {
-				if (usable.has(record.id) && now - leftAt > drainMilliseconds) {
+				if (usable.has(record.id) && now - leftAt > this.#drainMilliseconds) {
 					this.#record('used after leaving', gateway, record.id, leftAt);
 				}
 
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -35,7 +35,7 @@
 @example
 ```
 const gateway = new VirtualGateway({name: 'gateway-1', incarnation: 1, time, store, links, random});
-gateway.frozenUntil = time.now + 2000;
+gateway.freeze(2000, false);
 ```
 */
 export class VirtualGateway {
@@ -48,6 +48,8 @@
 	readonly beliefs = new TargetBeliefs(1200);
 	readonly name: string;
 	#isAlive = true;
+	/** Time that the steady clock of this machine did not count. */
+	#uncounted = 0;
 	readonly #options: GatewayOptions;
 	readonly #knowledge: FleetKnowledge;
 	readonly #exchange: PeerExchange;
@@ -121,6 +123,12 @@
 		return this.#knowledge.feed.reader;
 	}
 
+	/** Freezes the process; the steady clock of a suspended machine stands still meanwhile. */
+	freeze(milliseconds: number, isSuspended: boolean): void {
+		this.frozenUntil = this.#options.time.now + milliseconds;
+		this.#uncounted += isSuspended ? milliseconds : 0;
+	}
+
 	/** Ends the process without a word. */
 	kill(): void {
 		this.#isAlive = false;
@@ -181,7 +189,7 @@
 			log: {
 				info: write, warn: write, error: write, debug: () => undefined,
 			} as unknown as Logger,
-			now: () => time.now,
+			now: () => time.now - this.#uncounted,
 			timers,
 			random,
 			gateways: () => links.peersOf(name).length + 1,
