Let the gateways with the widest links read the store for the others

Cause: the three readers of a large fleet were chosen by hash alone, so a machine with a link of 7 Mbit/s could read for a third of the fleet. A new version of 300 KB to four gateways takes it over a second, and its words on targets, five a second, wait behind that, as do the requests that it sends.

Change: gateways say in their greeting what their links carry, and those with the widest read, by hash among equals. The rest of the choice is as it was. A test of the choice fails on the former code.

--- a/source/decisions/entry/store-feed.ts
+++ b/source/decisions/entry/store-feed.ts
@@ -5,6 +5,8 @@
 long as there are five. With thirty their calls cost more than all machines, and
 with some hundred the store would turn them away. So in a large fleet a few read,
 each of the others is told by one of them, and reads itself only while it is not.
+Those whose links carry most read, as a reader sends all that is new to a third of
+the fleet: on a slow link its words would wait behind whole configurations.
 
 What is told is as good as what is read: the reader sends each change at once, and
 says five times a second when it last read and which list it holds. Only a gateway
@@ -19,6 +21,8 @@
 /** Age of what was told from which on a gateway reads itself. */
 const oldestMilliseconds = 1250;
 
+type Gateway = {readonly name: string; readonly linkMegabits: number};
+
 /**
 What one gateway is told by the reader that it relies on.
 
@@ -27,17 +31,17 @@
 
 @example
 ```
-const feed = new StoreFeed('gateway-9');
-feed.update(peers.names);
+const feed = new StoreFeed({name: 'gateway-9', linkMegabits: 1000});
+feed.update(peers.members);
 if (!feed.isFed(clock())) { await reader.read(); }
 ```
 */
 export class StoreFeed {
 	#reader = '';
 	#readAt = Number.NEGATIVE_INFINITY;
-	readonly #own: string;
+	readonly #own: Gateway;
 
-	constructor(own: string) {
+	constructor(own: Gateway) {
 		this.#own = own;
 	}
 
@@ -52,10 +56,13 @@
 	}
 
 	/** Chooses anew as gateways come and go. */
-	update(peers: readonly string[]): void {
-		const gateways = [this.#own, ...peers];
-		const first = rendezvousOrder('reads the store', gateways).slice(0, readers);
-		const reader = gateways.length <= mostWithoutFeed || first.includes(this.#own) ? '' : rendezvousOrder(this.#own, first)[0] ?? '';
+	update(peers: readonly Gateway[]): void {
+		const links = new Map([this.#own, ...peers].map(({name, linkMegabits}) => [name, linkMegabits]));
+		const first = rendezvousOrder('reads the store', [...links.keys()])
+			.toSorted((one, other) => links.get(other)! - links.get(one)!)
+			.slice(0, readers);
+		const {name} = this.#own;
+		const reader = links.size <= mostWithoutFeed || first.includes(name) ? '' : rendezvousOrder(name, first)[0] ?? '';
 		if (reader !== this.#reader) {
 			this.#reader = reader;
 			this.#readAt = Number.NEGATIVE_INFINITY;
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -238,6 +238,7 @@
 		return new Peers({
 			name: this.#settings.name,
 			incarnation: this.#incarnation,
+			linkMegabits: this.#settings.linkMegabits,
 			address,
 			seeds: () => this.#settings.peerSeeds,
 			onMessage: (peer, message) => {
@@ -309,7 +310,7 @@
 			this.#log.warn({event: 'target avoided', target, reason: 'silent'}, 'target avoided while it says nothing');
 		}
 
-		this.#knowledge.updateFeed(this.#peers?.names ?? []);
+		this.#knowledge.updateFeed(this.#peers?.members ?? []);
 		this.#followers.update(records, this.#settings.name, this.#peers?.names ?? []);
 		kept.keepOnly(incarnations);
 		health.keepOnly(incarnations);
--- a/source/entry/entry-settings.ts
+++ b/source/entry/entry-settings.ts
@@ -11,6 +11,8 @@
 	readonly name: string;
 	readonly availabilityZone: string;
 	readonly listen: {readonly callers: Address; readonly readiness: Address; readonly peers: Address | undefined};
+	/** What the link of the VM carries a second. */
+	readonly linkMegabits: number;
 	readonly peerSeeds: readonly string[];
 	readonly store: {readonly address: string; readonly readsPerSecond: number};
 	readonly bounds: {
--- a/source/entry/fleet-knowledge.ts
+++ b/source/entry/fleet-knowledge.ts
@@ -51,7 +51,8 @@
 
 	constructor(options: KnowledgeOptions) {
 		this.#options = options;
-		this.feed = new StoreFeed(options.context.settings().name);
+		const {name, linkMegabits} = options.context.settings();
+		this.feed = new StoreFeed({name, linkMegabits});
 	}
 
 	/** When both configuration and targets were last read from the store by this gateway. */
@@ -135,7 +136,7 @@
 	}
 
 	/** Chooses the gateway that reads the store for this one, as gateways come and go. */
-	updateFeed(peers: readonly string[]): void {
+	updateFeed(peers: Parameters<StoreFeed['update']>[0]): void {
 		const {metrics, log, now} = this.#options.context;
 		const former = this.feed.reader;
 		this.feed.update(peers);
--- a/source/entry/peers.ts
+++ b/source/entry/peers.ts
@@ -7,11 +7,12 @@
 import type {PeerMessage} from '../generated/peer-messages.js';
 import {PeerLink} from './peer-link.js';
 
-type Peer = {readonly name: string; readonly incarnation: string; readonly address: string; readonly link: PeerLink};
+type Peer = {readonly name: string; readonly incarnation: string; readonly address: string; readonly linkMegabits: number; readonly link: PeerLink};
 
 type PeersOptions = {
 	readonly name: string;
 	readonly incarnation: string;
+	readonly linkMegabits: number;
 	readonly address: {readonly host: string; readonly port: number};
 	readonly seeds: () => readonly string[];
 	readonly onMessage: (peer: string, message: PeerMessage) => void;
@@ -59,6 +60,11 @@
 		return [...this.#peers.keys()];
 	}
 
+	/** The gateways that can be reached, with what their links carry. */
+	get members(): ReadonlyArray<{readonly name: string; readonly linkMegabits: number}> {
+		return [...this.#peers.values()].map(({name, linkMegabits}) => ({name, linkMegabits}));
+	}
+
 	/** Addresses of the gateways that can be reached, this one included. */
 	get addresses(): readonly string[] {
 		return [this.#ownAddress, ...[...this.#peers.values()].map(({address}) => address)];
@@ -144,7 +150,7 @@
 			now: this.#options.now,
 		});
 		link.send({
-			kind: 'hello', name: this.#options.name, incarnation: this.#options.incarnation, address: this.#ownAddress,
+			kind: 'hello', name: this.#options.name, incarnation: this.#options.incarnation, address: this.#ownAddress, linkMegabits: this.#options.linkMegabits,
 		});
 	}
 
--- a/test/decisions/entry/store-feed.test.ts
+++ b/test/decisions/entry/store-feed.test.ts
@@ -6,12 +6,18 @@
 
 const names = (count: number): readonly string[] => Array.from({length: count}, (_, index) => `gateway-${index}`);
 
-const feedOf = (own: string, gateways: readonly string[]): StoreFeed => {
-	const feed = new StoreFeed(own);
-	feed.update(gateways.filter(name => name !== own));
+type Gateway = Parameters<StoreFeed['update']>[0][number];
+
+const linked = (name: string, linkMegabits = 200): Gateway => ({name, linkMegabits});
+
+const feedAmong = (own: string, gateways: readonly Gateway[]): StoreFeed => {
+	const feed = new StoreFeed(gateways.find(({name}) => name === own)!);
+	feed.update(gateways.filter(({name}) => name !== own));
 	return feed;
 };
 
+const feedOf = (own: string, gateways: readonly string[]): StoreFeed => feedAmong(own, gateways.map(name => linked(name)));
+
 test('in a small fleet all read', t => {
 	t.ok(names(6).every(own => feedOf(own, names(6)).reader === ''));
 	t.end();
@@ -27,6 +33,15 @@
 	t.end();
 });
 
+test('DRAIN: those read whose links carry most, as words on leaving targets wait behind all else that a reader sends', t => {
+	const gateways = names(20).map((name, index) => linked(name, index % 5 === 0 ? 200 : 10));
+	const strong = new Set(gateways.filter(({linkMegabits}) => linkMegabits === 200).map(({name}) => name));
+	const readers = new Set(gateways.map(({name}) => feedAmong(name, gateways).reader).filter(reader => reader !== ''));
+	t.equal(readers.size, 3);
+	t.ok([...readers].every(reader => strong.has(reader)));
+	t.end();
+});
+
 test('a gateway counts as told only by its reader\'s word, and while that one\'s reading is fresh', t => {
 	const gateways = names(31);
 	const own = gateways.find(name => feedOf(name, gateways).reader !== '')!;
@@ -52,7 +67,7 @@
 	const feed = feedOf(own, gateways);
 	const former = feed.reader;
 	feed.hear(former, 1000);
-	feed.update(gateways.filter(name => name !== own && name !== former));
+	feed.update(gateways.filter(name => name !== own && name !== former).map(name => linked(name)));
 	t.not(feed.reader, former);
 	t.equal(feed.isFed(1000), false);
 	t.end();
--- a/test/entry/peer-exchange.test.ts
+++ b/test/entry/peer-exchange.test.ts
@@ -18,8 +18,8 @@
 const names = Array.from({length: 9}, (_, index) => `gateway-${index}`);
 
 const readerOf = (name: string): string => {
-	const feed = new StoreFeed(name);
-	feed.update(names.filter(other => other !== name));
+	const feed = new StoreFeed({name, linkMegabits: 1000});
+	feed.update(names.filter(other => other !== name).map(other => ({name: other, linkMegabits: 1000})));
 	return feed.reader;
 };
 
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -24,6 +24,8 @@
 retryBudgetRatio = 0.2
 budgetWindowS = 10
 retryBudgetExtra = 58
+[limits]
+linkMbps = 1000.0
 [platform]
 address = "10.200.1.7:8142"
 readsPerS = 2000
@@ -31,7 +33,7 @@
 
 test('settings are translated, and fields that are not known are passed over', t => {
 	t.match(decodeSettings(settings)._unsafeUnwrap(), {
-		name: 'edge-1', availabilityZone: 'zone-a', peerSeeds: ['10.1.0.35:8146'], listen: {callers: {host: '10.1.0.35', port: 8144}}, bounds: {heartbeatMilliseconds: 900, graceMilliseconds: 8000, retryExtra: 58}, store: {address: '10.200.1.7:8142'},
+		name: 'edge-1', availabilityZone: 'zone-a', peerSeeds: ['10.1.0.35:8146'], linkMegabits: 1000, listen: {callers: {host: '10.1.0.35', port: 8144}}, bounds: {heartbeatMilliseconds: 900, graceMilliseconds: 8000, retryExtra: 58}, store: {address: '10.200.1.7:8142'},
 	});
 	t.end();
 });
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -114,7 +114,7 @@
 		this.#knowledge.start();
 		this.#exchange.start();
 		this.#stopSweep = context.timers.every(sweepMilliseconds, () => {
-			this.#knowledge.updateFeed(links.peersOf(name));
+			this.#knowledge.updateFeed(links.peersOf(name).map(peer => ({name: peer, linkMegabits: 1000})));
 		});
 	}
 
@@ -174,6 +174,7 @@
 			name,
 			availabilityZone: 'a',
 			listen: {callers: {host: '', port: 0}, readiness: {host: '', port: 0}, peers: undefined},
+			linkMegabits: 1000,
 			peerSeeds: [],
 			store: {address: '', readsPerSecond: 6000},
 			bounds: {
