Count the store's word on the configuration from when it was asked

That a route does not exist is said only within 1.5 s of a reading that confirmed the configuration; for the gateway's own readings that time began with the answer, which may come 0.7 s after the store made it. With a slow store a gateway was sure all the time, though what it knew was up to 2.1 s old, against 2 s for new routes on the small sites. It now begins with the call, as it did for what peers say. The test fails on the former code.

--- a/source/decisions/entry/configuration-in-force.ts
+++ b/source/decisions/entry/configuration-in-force.ts
@@ -39,10 +39,10 @@
 		return this.#routes;
 	}
 
-	/** Takes a configuration that was read; true when it is newer than the one in force. */
-	adopt(configuration: FleetConfiguration, source: Source, now: number): boolean {
+	/** Takes a configuration that was asked for at `readAt`; true when it is newer than the one in force. */
+	adopt(configuration: FleetConfiguration, source: Source, readAt: number): boolean {
 		if (source === 'store') {
-			this.#confirmedAt = now;
+			this.#confirmedAt = Math.max(this.#confirmedAt, readAt);
 		}
 
 		if (this.#current !== undefined && configuration.version <= this.#current.version) {
--- a/source/entry/fleet-knowledge.ts
+++ b/source/entry/fleet-knowledge.ts
@@ -76,7 +76,7 @@
 				this.#configurationReadAt = askedAt;
 				this.#storeAnswered();
 				if (configuration !== undefined) {
-					this.adopt(configuration, 'store', 'store');
+					this.adopt(configuration, askedAt, 'store', 'store');
 				}
 			},
 			onTargets: (list, unreadable, askedAt) => {
@@ -101,9 +101,10 @@
 		await this.#store?.close();
 	}
 
-	adopt(configuration: FleetConfiguration, source: 'store' | 'peer', from: string): void {
+	/** Takes a configuration that was asked for at `readAt`. */
+	adopt(configuration: FleetConfiguration, readAt: number, source: 'store' | 'peer', from: string): void {
 		const {context, onConfiguration} = this.#options;
-		if (!this.inForce.adopt(configuration, source, context.now())) {
+		if (!this.inForce.adopt(configuration, source, readAt)) {
 			return;
 		}
 
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -148,7 +148,7 @@
 			}
 
 			case 'configuration': {
-				this.#options.knowledge.adopt(message.configuration as unknown as FleetConfiguration, 'peer', peer);
+				this.#options.knowledge.adopt(message.configuration as unknown as FleetConfiguration, this.#options.context.now(), 'peer', peer);
 				return;
 			}
 
--- a/test/entry/peer-exchange.test.ts
+++ b/test/entry/peer-exchange.test.ts
@@ -152,3 +152,17 @@
 	t.equal(copies(), 1);
 	gateway.kill();
 });
+
+test('a late answer of the store counts from when it was asked: routes are not said to be absent on its word', async t => {
+	const {time, store, gateway} = startGateway();
+	await time.run(3000);
+	t.ok(gateway.isSure);
+	store.slowMilliseconds = 650;
+	const samples: boolean[] = [];
+	time.every(50, () => {
+		samples.push(gateway.isSure);
+	});
+	await time.run(9000);
+	t.ok(samples.includes(false), 'each answer is 0.7 s old, and the next comes 1.4 s later');
+	gateway.kill();
+});
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -118,6 +118,11 @@
 		});
 	}
 
+	/** True when this gateway would say that a route does not exist. */
+	get isSure(): boolean {
+		return this.#knowledge.inForce.isSure(this.#options.time.now - this.#uncounted);
+	}
+
 	/** The gateway that reads the store for this one, empty while it reads itself. */
 	get reader(): string {
 		return this.#knowledge.feed.reader;
