--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -22,6 +22,8 @@
 	fault: Fault = 'none';
 	pageSize = 50;
 	calls = 0;
+	/** Time until an answer is sent. */
+	delayMilliseconds = 0;
 	#revision = 1;
 	readonly #items = new Map<string, {readonly value: string; readonly revision: number; readonly created: number}>();
 	readonly #server = new LoopbackServer((request, response) => {
@@ -70,7 +72,9 @@
 			}
 
 			case 'none': {
-				this.#read(new URL(request.url ?? '/', 'http://store'), response);
+				setTimeout(() => {
+					this.#read(new URL(request.url ?? '/', 'http://store'), response);
+				}, this.delayMilliseconds);
 			}
 		}
 	}
