--- a/source/decisions/entry/target-beliefs.ts
+++ b/source/decisions/entry/target-beliefs.ts
@@ -95,6 +95,11 @@
 		return this.#settle(readAt, now);
 	}
 
+	/** Takes the next list whatever its revision, as another store counts anew. */
+	storeChanged(): void {
+		this.#list = {...this.#list, revision: 0};
+	}
+
 	/** Takes the word of a peer or of the target's address that an incarnation leaves; true when it is news. */
 	markLeaving(incarnation: string, now: number): boolean {
 		const isNews = !this.#leaving.has(incarnation);
--- a/test/decisions/entry/target-beliefs.test.ts
+++ b/test/decisions/entry/target-beliefs.test.ts
@@ -95,6 +95,18 @@
 	t.end();
 });
 
+test('lists of another store count from its first on', t => {
+	const beliefs = new TargetBeliefs(heartbeatMilliseconds);
+	adopt(beliefs, [record('a')], 900, 0);
+	beliefs.storeChanged();
+	t.strictSame(ids(beliefs), ['a'], 'until then the former list holds');
+	adopt(beliefs, [record('b')], 3, 500);
+	t.strictSame(ids(beliefs), ['b']);
+	adopt(beliefs, [record('a')], 2, 600);
+	t.strictSame(ids(beliefs), ['b']);
+	t.end();
+});
+
 test('a restart under the same id is a new target, and an old entry of the former start changes nothing', t => {
 	const beliefs = new TargetBeliefs(heartbeatMilliseconds);
 	adopt(beliefs, [record('a', {bornAt: 1})], 7, 0);
