Tell on which list of targets each send was decided

The placing of prompts said how old the list was; that of tokens and of plain calls said nothing, and an attempt that was stopped as its target had left went unmentioned. Tests that an attempt which waits for its connection is not sent once its target has left, by whichever source: the fourth place to look, ruled out.

--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -10,6 +10,7 @@
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {EntryContext} from './entry-context.js';
+import {listFacts} from './list-facts.js';
 import type {LoadEntry} from './load-entry.js';
 
 type Flow = {readonly pause: () => void; readonly resume: () => void};
@@ -134,13 +135,20 @@
 			}, {
 				mayStart() {
 					const isUsable = context.beliefs.isUsable(target);
+					const {listAge, revision} = listFacts(context);
 					if (isUsable) {
+						context.metrics.record('list-age', listAge);
 						plan.onSent?.();
 						context.health.sent(target.incarnation, plan.expectedMilliseconds ?? 0, context.now());
 						isSent = true;
 						watch = watchOver(plan, startedAt, reason => {
 							breakOff(reason);
 						});
+					} else {
+						context.metrics.count('attempt.stopped');
+						context.log.info({
+							event: 'attempt stopped', request: plan.facts.requestId, target: target.id, listAge, revision,
+						}, 'attempt not sent, as its target leaves or has gone');
 					}
 
 					return isUsable;
--- a/source/entry/fleet-knowledge.ts
+++ b/source/entry/fleet-knowledge.ts
@@ -10,6 +10,7 @@
 import type {FleetStore} from '../ports/fleet-store.js';
 import type {EntryContext} from './entry-context.js';
 import type {EntrySettings} from './entry-settings.js';
+import {listFacts} from './list-facts.js';
 import {StoreReader} from './store-reader.js';
 
 type Changes = ReturnType<TargetBeliefs['adopt']>;
@@ -156,12 +157,13 @@
 	}
 
 	#learn(changes: Changes, source: 'store' | 'peer', from: string): void {
-		const {context: {beliefs, metrics, log, now}, onTargets} = this.#options;
-		const {list: {revision}, readAt} = beliefs;
+		const {context, onTargets} = this.#options;
+		const {beliefs, metrics, log} = context;
+		const facts = listFacts(context);
 		for (const {kind, record} of changes) {
 			metrics.count(`target.${kind}`);
 			log.info({
-				event: `target ${kind}`, target: record.id, bornAt: record.bornAt, address: record.address, service: record.service, role: record.role, source, from, revision, listAge: Math.round(now() - readAt),
+				event: `target ${kind}`, target: record.id, bornAt: record.bornAt, address: record.address, service: record.service, role: record.role, source, from, ...facts,
 			}, `target ${kind}`);
 		}
 
@@ -169,7 +171,7 @@
 		if (beliefs.kept !== this.#kept) {
 			this.#kept = beliefs.kept;
 			log.info({
-				event: 'targets kept', count: beliefs.kept, revision, listAge: Math.round(now() - readAt),
+				event: 'targets kept', count: beliefs.kept, ...facts,
 			}, 'targets that are not listed are kept after the store was away');
 		}
 
--- /dev/null
+++ b/test/entry/attempt-sender.test.ts
@@ -0,0 +1,92 @@
+/**
+Attempts under way when their target leaves.
+*/
+import * as option from 'fp-ts/lib/Option.js';
+import {test} from 'tap';
+import type {Logger} from 'roarr';
+import {TargetBeliefs} from '../../source/decisions/entry/target-beliefs.js';
+import {TargetHealth} from '../../source/decisions/entry/target-health.js';
+import {AttemptSender} from '../../source/entry/attempt-sender.js';
+import type {EntryContext} from '../../source/entry/entry-context.js';
+import {EntryMetrics} from '../../source/entry/entry-metrics.js';
+import {LoadBook} from '../../source/entry/load-book.js';
+import type {TargetConnection} from '../../source/entry/target-connection.js';
+import type {TargetConnections} from '../../source/entry/target-connections.js';
+import type {TargetRecord} from '../../source/fleet/target-record.js';
+import {targetProtocol} from '../../platform/target-protocol.js';
+
+type Handlers = Parameters<TargetConnection['send']>[1];
+
+const target: TargetRecord = {
+	id: 'i-1', incarnation: 'i-1 1', bornAt: 1, service: 's', address: '10.1.0.1:80', availabilityZone: 'a', isDraining: false, slots: 8, role: undefined,
+};
+
+/** A sender whose one connection opens when the test says so. */
+const startSender = (): {readonly sender: AttemptSender; readonly beliefs: TargetBeliefs; readonly opened: () => Handlers; readonly events: unknown[]} => {
+	const beliefs = new TargetBeliefs(1200);
+	beliefs.adopt({revision: 10, targets: [target]}, 0, 0);
+	let handlers: Handlers | undefined;
+	const events: unknown[] = [];
+	const write = (context: unknown): void => {
+		events.push((context as {readonly event?: unknown}).event);
+	};
+
+	const connection: Pick<TargetConnection, 'send'> = {
+		send(_, given) {
+			handlers = given;
+			return () => undefined;
+		},
+	};
+	const connections: Pick<TargetConnections, 'take'> = {take: () => option.some(connection as TargetConnection)};
+	const parts: Partial<EntryContext> = {
+		beliefs, protocol: targetProtocol, book: new LoadBook(), health: new TargetHealth(), metrics: new EntryMetrics('gateway'), connections: connections as TargetConnections,
+		log: {info: write, warn: write, debug: () => undefined} as unknown as Logger, now: () => 100, gateways: () => 20, service: () => undefined,
+	};
+	return {
+		sender: new AttemptSender(parts as EntryContext, () => undefined), beliefs, opened: () => handlers!, events,
+	};
+};
+
+const send = (sender: AttemptSender): ReturnType<AttemptSender['send']> => sender.send({
+	target,
+	facts: {
+		requestId: 'r1', patienceMilliseconds: 1000, prompt: undefined, lastEventId: undefined, headers: [],
+	},
+	method: 'POST',
+	path: '/x',
+	body: undefined,
+	instructions: {
+		targetId: target.id, remainingMilliseconds: 900, rank: undefined, isPrefillOnly: false, handle: undefined, fetchFrom: undefined, lastEventId: undefined,
+	},
+	readMilliseconds: 0,
+});
+
+test('DRAIN: an attempt that waits for its connection is not sent once the target\'s entry has gone', t => {
+	const {sender, beliefs, opened, events} = startSender();
+	send(sender);
+	beliefs.adopt({revision: 11, targets: []}, 50, 50);
+	t.equal(opened().mayStart(), false);
+	t.strictSame(events, ['attempt stopped']);
+	t.end();
+});
+
+test('DRAIN: nor once any source said that it leaves, nor when it has been born anew', t => {
+	const first = startSender();
+	send(first.sender);
+	first.beliefs.markLeaving(target.incarnation, 50);
+	t.equal(first.opened().mayStart(), false);
+	const second = startSender();
+	send(second.sender);
+	second.beliefs.adopt({revision: 11, targets: [{...target, bornAt: 2, incarnation: 'i-1 2'}]}, 50, 50);
+	t.equal(second.opened().mayStart(), false);
+	t.end();
+});
+
+test('an attempt whose target stays is sent', t => {
+	const {sender, beliefs, opened, events} = startSender();
+	send(sender);
+	beliefs.adopt({revision: 11, targets: [target]}, 50, 50);
+	t.equal(opened().mayStart(), true);
+	t.strictSame(events, []);
+	t.end();
+});
