--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -1,17 +1,16 @@
 /**
 What entry gateways tell each other, and what they make of it.
 
-Digests are short and go out often; whole configurations and lists go only to a
-peer that lacks them and cannot read them from the store itself.
+Digests are short and go out often. What the store says goes its own way
+(`store-supply`).
 */
 import type {PeerMessage} from '../generated/peer-messages.js';
-import {ConfigurationWant} from '../decisions/entry/configuration-want.js';
 import {digestPace} from '../decisions/entry/digest-pace.js';
-import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import type {EntryContext} from './entry-context.js';
 import type {FleetKnowledge} from './fleet-knowledge.js';
 import type {Peers} from './peers.js';
 import type {ReadGrants} from './read-grants.js';
+import {StoreSupply} from './store-supply.js';
 
 const digestMilliseconds = 200;
 const soonMilliseconds = 25;
@@ -19,10 +18,6 @@
 const fullMilliseconds = 1000;
 /** Digests without news between two that are sent all the same. */
 const quietDigests = 2;
-/** A store that was read this long ago is taken as out of reach. */
-const storeMilliseconds = 1500;
-/** Age that stands for never. */
-const mostStoreAge = 3_600_000;
 
 type ExchangeOptions = {
 	readonly context: EntryContext;
@@ -34,12 +29,6 @@
 };
 
 type Digest = Extract<PeerMessage, {kind: 'digest'}>;
-type Fresh = Extract<PeerMessage, {kind: 'fresh'}>;
-type Want = Extract<PeerMessage, {kind: 'want'}>;
-
-type PeerState = {toldVersion: number; toldList: number | undefined; digest: Digest | undefined};
-
-const newState = (digest: Digest | undefined): PeerState => ({toldVersion: 0, toldList: undefined, digest});
 
 /**
 Sends digests on a timer and answers those of peers.
@@ -52,8 +41,7 @@
 */
 export class PeerExchange {
 	readonly #options: ExchangeOptions;
-	readonly #states = new Map<string, PeerState>();
-	readonly #want: ConfigurationWant;
+	readonly #supply: StoreSupply;
 	#stopTicks: (() => void) | undefined;
 	#lastDigest = '';
 	#quiet = 0;
@@ -63,16 +51,13 @@
 
 	constructor(options: ExchangeOptions) {
 		this.#options = options;
-		this.#want = new ConfigurationWant(options.context.settings().name);
-	}
-
-	get #storeAge(): number {
-		const {context, knowledge} = this.#options;
-		return Math.round(Math.min(mostStoreAge, context.now() - knowledge.storeReadAt));
-	}
-
-	get hasStore(): boolean {
-		return this.#options.context.now() - this.#options.knowledge.storeReadAt < storeMilliseconds;
+		this.#supply = new StoreSupply({
+			context: options.context,
+			knowledge: options.knowledge,
+			send(peer, message) {
+				options.peers.send(peer, message);
+			},
+		});
 	}
 
 	start(): void {
@@ -95,11 +80,7 @@
 
 	/** Sends those that rely on this gateway what they lack, at once. */
 	feedPeers(): void {
-		for (const [peer, {digest}] of this.#states) {
-			if (digest !== undefined && this.#isReader(digest)) {
-				this.#help(peer, digest);
-			}
-		}
+		this.#supply.feed();
 	}
 
 	/** Tells peers within a few milliseconds, many news at once. */
@@ -117,7 +98,7 @@
 	receive(peer: string, message: PeerMessage): void {
 		switch (message.kind) {
 			case 'hello': {
-				this.#states.set(peer, newState(undefined));
+				this.#supply.forget(peer);
 				this.#options.peers.send(peer, this.#digest({sent: [], told: this.#options.context.kept.allTold(this.#options.followed())}, true, true));
 				return;
 			}
@@ -143,30 +124,29 @@
 			}
 
 			case 'fresh': {
-				this.#hearFresh(peer, message);
+				this.#supply.hearFresh(peer, message);
 				return;
 			}
 
 			case 'configuration': {
-				this.#options.knowledge.adopt(message.configuration as unknown as FleetConfiguration, this.#options.context.now(), 'peer', peer);
+				this.#supply.hearConfiguration(peer, message);
 				return;
 			}
 
 			case 'targets': {
-				const targets = message.targets.map(target => ({...target, role: target.role}));
-				this.#options.knowledge.adoptTargets({revision: message.revision, targets}, this.#options.context.now() - message.age, 'peer', peer);
+				this.#supply.hearTargets(peer, message);
 				return;
 			}
 
 			case 'want': {
-				this.#giveWanted(peer, message);
+				this.#supply.give(peer, message);
 			}
 		}
 	}
 
 	lost(peer: string): void {
 		this.#options.knowledge.feed.lost(peer);
-		this.#states.delete(peer);
+		this.#supply.forget(peer);
 		this.#options.context.book.forgetPeer(peer);
 	}
 
@@ -179,7 +159,7 @@
 		return {
 			kind: 'digest',
 			configurationVersion: inForce.version,
-			storeAge: this.#storeAge,
+			storeAge: this.#supply.storeAge,
 			reader: this.#options.knowledge.feed.reader,
 			isFed: this.#options.knowledge.feed.isFed(context.now()),
 			leaving: isFull ? [...context.beliefs.leaving()] : [],
@@ -195,17 +175,8 @@
 	/** Tells those that rely on this gateway, and at its pace the others. */
 	#tick(): void {
 		this.#ticks++;
-		const {context, peers, knowledge: {inForce}} = this.#options;
-		for (const [peer, {digest}] of this.#states) {
-			if (digest !== undefined && this.#isReader(digest)) {
-				peers.send(peer, {
-					kind: 'fresh', storeAge: this.#storeAge, configurationVersion: inForce.version, revision: context.beliefs.list.revision, listName: context.beliefs.listName,
-				});
-			}
-		}
-
-		this.#askConfiguration();
-		if (this.#ticks % digestPace(context.gateways()).ticks === 0) {
+		this.#supply.tick();
+		if (this.#ticks % digestPace(this.#options.context.gateways()).ticks === 0) {
 			this.#tell();
 		}
 	}
@@ -242,37 +213,7 @@
 			}
 		}
 
-		const state = this.#states.get(peer);
-		if (state !== undefined) {
-			state.digest = digest;
-		}
-
-		if (!digest.isFed || this.#isReader(digest)) {
-			this.#help(peer, digest);
-		}
-	}
-
-	/** Takes the word of the gateway that this one relies on, if it holds for what is in force here. */
-	#hearFresh(peer: string, {storeAge, configurationVersion, revision, listName}: Fresh): void {
-		const {context: {beliefs, now}, peers, knowledge} = this.#options;
-		if (peer !== knowledge.feed.reader) {
-			return;
-		}
-
-		if (listName !== beliefs.listName) {
-			if (revision >= beliefs.list.revision) {
-				peers.send(peer, {kind: 'want', subject: 'targets'});
-			}
-
-			return;
-		}
-
-		const readAt = now() - storeAge;
-		knowledge.feed.hear(peer, readAt);
-		knowledge.confirmTargets(revision, readAt, peer);
-		if (knowledge.feed.isFed(now())) {
-			knowledge.inForce.confirm(configurationVersion, readAt);
-		}
+		this.#supply.hearDigest(peer, digest);
 	}
 
 	#hearSent({engines, parts, tokens}: Digest['sent'], known: ReadonlySet<string>, now: number): void {
@@ -299,82 +240,7 @@
 		}
 	}
 
-	/** True when the sender of a digest relies on this gateway. */
-	#isReader({reader}: Digest): boolean {
-		return reader === this.#options.context.settings().name;
-	}
-
-	#giveWanted(peer: string, {subject}: Want): void {
-		switch (subject) {
-			case 'targets': {
-				this.#tellTargets(peer, undefined);
-				return;
-			}
-
-			case 'configuration': {
-				this.#tellConfiguration(peer);
-			}
-		}
-	}
-
-	#tellConfiguration(peer: string): void {
-		const {context: {metrics}, peers, knowledge: {inForce: {current}}} = this.#options;
-		if (current !== undefined) {
-			metrics.count('configuration.sent');
-			peers.send(peer, {kind: 'configuration', configuration: current as unknown as Extract<PeerMessage, {kind: 'configuration'}>['configuration']});
-		}
-	}
-
-	/** Asks one peer for a configuration that is lacked here. */
-	#askConfiguration(): void {
-		const {context: {now, log}, peers, knowledge: {feed, inForce}} = this.#options;
-		const versions = new Map([...this.#states].flatMap(([peer, {digest}]) => digest === undefined ? [] : [[peer, digest.configurationVersion]]));
-		const isSupplied = this.hasStore || feed.isFed(now());
-		const peer = this.#want.next({
-			version: inForce.version, peers: versions, reader: feed.reader, isSupplied,
-		}, now());
-		if (peer !== undefined) {
-			log.info({
-				event: 'configuration asked', peer, version: inForce.version, announced: versions.get(peer), isSupplied,
-			}, 'a peer is asked for a newer configuration');
-			peers.send(peer, {kind: 'want', subject: 'configuration'});
-		}
-	}
-
-	/** Sends a peer the newest list, unless that is what it was told last. */
-	#tellTargets(peer: string, toldList: number | undefined): void {
-		const {beliefs, now} = this.#options.context;
-		const {list: {revision, targets}, listName, readAt} = beliefs;
-		if (listName !== toldList && revision > 0) {
-			this.#options.peers.send(peer, {
-				kind: 'targets', revision, age: Math.round(Math.min(mostStoreAge, now() - readAt)), targets: targets.map(target => ({...target})),
-			});
-		}
-	}
-
 	#knownTargets(): ReadonlySet<string> {
 		return new Set(this.#options.context.beliefs.all().map(({incarnation}) => incarnation));
 	}
-
-	/** Sends a peer what it lacks and did not ask for. */
-	#help(peer: string, digest: Digest): void {
-		const {knowledge: {inForce}} = this.#options;
-		const lacksStore = digest.storeAge >= storeMilliseconds || this.#isReader(digest);
-		const state = this.#states.get(peer) ?? newState(digest);
-		this.#states.set(peer, state);
-		if (this.#isReader(digest) && digest.configurationVersion < inForce.version && state.toldVersion < inForce.version) {
-			state.toldVersion = inForce.version;
-			this.#tellConfiguration(peer);
-		}
-
-		if (!lacksStore) {
-			state.toldList = undefined;
-			return;
-		}
-
-		if (this.hasStore) {
-			this.#tellTargets(peer, state.toldList);
-			state.toldList = this.#options.context.beliefs.listName;
-		}
-	}
 }
--- /dev/null
+++ b/source/entry/store-supply.ts
@@ -0,0 +1,206 @@
+/**
+How gateways pass on to each other what the store says: lists of targets, and
+configurations.
+
+Both are large, so they are sent to those that rely on this gateway's readings
+when they change, and otherwise only to a peer that asks. What goes out all the
+time is a short word on what was read last, and when.
+*/
+import {ConfigurationWant} from '../decisions/entry/configuration-want.js';
+import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
+import type {PeerMessage} from '../generated/peer-messages.js';
+import type {EntryContext} from './entry-context.js';
+import type {FleetKnowledge} from './fleet-knowledge.js';
+import {listFacts} from './list-facts.js';
+
+type Digest = Extract<PeerMessage, {kind: 'digest'}>;
+type Fresh = Extract<PeerMessage, {kind: 'fresh'}>;
+type Want = Extract<PeerMessage, {kind: 'want'}>;
+type Configuration = Extract<PeerMessage, {kind: 'configuration'}>;
+type Targets = Extract<PeerMessage, {kind: 'targets'}>;
+
+type SupplyOptions = {
+	readonly context: EntryContext;
+	readonly knowledge: FleetKnowledge;
+	readonly send: (peer: string, message: PeerMessage) => void;
+};
+
+/** What a peer last said, and what it was told unasked: a version, and the name of a list. */
+type PeerState = {readonly digest: Digest; toldVersion: number; toldList: number | undefined};
+
+/** A store that was read this long ago is taken as out of reach. */
+const storeMilliseconds = 1500;
+/** Age that stands for never. */
+const mostStoreAge = 3_600_000;
+
+/**
+Invariant: a peer is sent each configuration once unasked at most.
+
+@example
+```
+supply.hearDigest('gateway-2', digest);
+supply.tick();
+```
+*/
+export class StoreSupply {
+	readonly #options: SupplyOptions;
+	readonly #states = new Map<string, PeerState>();
+	readonly #want: ConfigurationWant;
+
+	constructor(options: SupplyOptions) {
+		this.#options = options;
+		this.#want = new ConfigurationWant(options.context.settings().name);
+	}
+
+	/** How many milliseconds ago this gateway read the store itself. */
+	get storeAge(): number {
+		const {context, knowledge} = this.#options;
+		return Math.round(Math.min(mostStoreAge, context.now() - knowledge.storeReadAt));
+	}
+
+	get #hasStore(): boolean {
+		return this.storeAge < storeMilliseconds;
+	}
+
+	/** Forgets what a peer was told, as it has gone or has started anew. */
+	forget(peer: string): void {
+		this.#states.delete(peer);
+	}
+
+	/** Takes what a peer lacks from its digest, and sends what should not wait until it asks. */
+	hearDigest(peer: string, digest: Digest): void {
+		const {toldVersion = 0, toldList} = this.#states.get(peer) ?? {};
+		const state = {digest, toldVersion, toldList};
+		this.#states.set(peer, state);
+		if (!digest.isFed || this.#isReader(digest)) {
+			this.#help(peer, state);
+		}
+	}
+
+	/** Sends those that rely on this gateway what they lack, at once. */
+	feed(): void {
+		for (const [peer, state] of this.#states) {
+			if (this.#isReader(state.digest)) {
+				this.#help(peer, state);
+			}
+		}
+	}
+
+	/** Gives those that rely on this gateway its word, and asks for a configuration that is lacked here. */
+	tick(): void {
+		const {context: {beliefs}, knowledge: {inForce}, send} = this.#options;
+		for (const [peer, {digest}] of this.#states) {
+			if (this.#isReader(digest)) {
+				send(peer, {
+					kind: 'fresh', storeAge: this.storeAge, configurationVersion: inForce.version, revision: beliefs.list.revision, listName: beliefs.listName,
+				});
+			}
+		}
+
+		this.#askConfiguration();
+	}
+
+	/** Sends what a peer asks for. */
+	give(peer: string, {subject}: Want): void {
+		switch (subject) {
+			case 'targets': {
+				this.#tellTargets(peer);
+				return;
+			}
+
+			case 'configuration': {
+				this.#tellConfiguration(peer);
+			}
+		}
+	}
+
+	/** Takes the word of the gateway that this one relies on, if it holds for what is in force here. */
+	hearFresh(peer: string, {storeAge, configurationVersion, revision, listName}: Fresh): void {
+		const {context: {beliefs, now}, knowledge, send} = this.#options;
+		if (peer !== knowledge.feed.reader) {
+			return;
+		}
+
+		if (listName !== beliefs.listName) {
+			if (revision >= beliefs.list.revision) {
+				send(peer, {kind: 'want', subject: 'targets'});
+			}
+
+			return;
+		}
+
+		const readAt = now() - storeAge;
+		knowledge.feed.hear(peer, readAt);
+		knowledge.confirmTargets(revision, readAt, peer);
+		if (knowledge.feed.isFed(now())) {
+			knowledge.inForce.confirm(configurationVersion, readAt);
+		}
+	}
+
+	hearTargets(peer: string, {revision, age, targets}: Targets): void {
+		const {context, knowledge} = this.#options;
+		knowledge.adoptTargets({revision, targets: targets.map(target => ({...target, role: target.role}))}, context.now() - age, 'peer', peer);
+	}
+
+	hearConfiguration(peer: string, {configuration}: Configuration): void {
+		const {context, knowledge} = this.#options;
+		knowledge.adopt(configuration as unknown as FleetConfiguration, context.now(), 'peer', peer);
+	}
+
+	/** True when the sender of a digest relies on this gateway. */
+	#isReader({reader}: Digest): boolean {
+		return reader === this.#options.context.settings().name;
+	}
+
+	#help(peer: string, state: PeerState): void {
+		const {context: {beliefs}, knowledge: {inForce}} = this.#options;
+		const {digest} = state;
+		const isRelying = this.#isReader(digest);
+		if (isRelying && Math.max(digest.configurationVersion, state.toldVersion) < inForce.version) {
+			state.toldVersion = inForce.version;
+			this.#tellConfiguration(peer);
+		}
+
+		if (!isRelying && digest.storeAge < storeMilliseconds) {
+			state.toldList = undefined;
+		} else if (this.#hasStore && state.toldList !== beliefs.listName) {
+			state.toldList = beliefs.listName;
+			this.#tellTargets(peer);
+		}
+	}
+
+	/** Sends a peer the newest list, as the store made it. */
+	#tellTargets(peer: string): void {
+		const {context, send} = this.#options;
+		const {revision, listAge} = listFacts(context);
+		if (revision > 0) {
+			send(peer, {
+				kind: 'targets', revision, age: listAge, targets: context.beliefs.list.targets.map(target => ({...target})),
+			});
+		}
+	}
+
+	#tellConfiguration(peer: string): void {
+		const {context: {metrics}, knowledge: {inForce: {current}}, send} = this.#options;
+		if (current !== undefined) {
+			metrics.count('configuration.sent');
+			send(peer, {kind: 'configuration', configuration: current as unknown as Configuration['configuration']});
+		}
+	}
+
+	/** Asks one peer for a configuration that is lacked here. */
+	#askConfiguration(): void {
+		const {context: {now, log}, knowledge: {feed, inForce}, send} = this.#options;
+		const versions = new Map([...this.#states].map(([peer, {digest}]) => [peer, digest.configurationVersion]));
+		const isSupplied = this.#hasStore || feed.isFed(now());
+		const peer = this.#want.next({
+			version: inForce.version, peers: versions, reader: feed.reader, isSupplied,
+		}, now());
+		if (peer !== undefined) {
+			log.info({
+				event: 'configuration asked', peer, version: inForce.version, announced: versions.get(peer), isSupplied,
+			}, 'a peer is asked for a newer configuration');
+			send(peer, {kind: 'want', subject: 'configuration'});
+		}
+	}
+}
