--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -130,8 +130,11 @@
 
 	/** Freezes the process; the steady clock of a suspended machine stands still meanwhile. */
 	freeze(milliseconds: number, isSuspended: boolean): void {
-		this.frozenUntil = this.#options.time.now + milliseconds;
-		this.#uncounted += isSuspended ? milliseconds : 0;
+		const {now} = this.#options.time;
+		const until = Math.max(this.frozenUntil, now + milliseconds);
+		// A steady clock never steps back, so time that two faults share counts once.
+		this.#uncounted += isSuspended ? until - Math.max(this.frozenUntil, now) : 0;
+		this.frozenUntil = until;
 	}
 
 	/** Ends the process without a word. */
