--- a/test/support/virtual-day.ts
+++ b/test/support/virtual-day.ts
@@ -3,26 +3,19 @@
 that come, leave, and end, under faults that overlap.
 
 It asks at every moment whether a target whose leaving the store acknowledged
-could still be sent work, and whether living targets can.
+could still be sent work, and whether living targets can, also while their entries
+have lapsed as the store was away.
 */
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import type {TargetRecord} from '../../source/fleet/target-record.js';
+import type {JudgedTarget} from './judged-target.js';
 import {VirtualGateway} from './virtual-gateway.js';
+import {VirtualJudge} from './virtual-judge.js';
 import {VirtualLinks} from './virtual-links.js';
 import {VirtualStore} from './virtual-store.js';
 import {VirtualTime} from './virtual-time.js';
 
-type Violation = {
-	readonly kind: 'used after leaving' | 'living and not used';
-	readonly at: number;
-	readonly gateway: string;
-	readonly reader: string;
-	readonly target: string;
-	/** Since when the target leaves, or is listed. */
-	readonly since: number;
-};
-
 type Member = {
 	gateway: VirtualGateway;
 	/** Until when a fault of its own lasts, and the time after it that rules allow. */
@@ -31,8 +24,6 @@
 	isRemoved: boolean;
 };
 
-type Target = {record: TargetRecord; leftAt: number; listedSince: number; isStable: boolean};
-
 type DayOptions = {
 	readonly seed: number;
 	readonly gateways: number;
@@ -43,8 +34,6 @@
 
 /** Time after a disturbance for which the rules allow a gateway more. */
 const contactMilliseconds = 4000;
-/** Time within which a listed target has to be used. */
-const appearMilliseconds = 4000;
 const dayMilliseconds = 32_000;
 const quietMilliseconds = 4500;
 const lookMilliseconds = 50;
@@ -61,22 +50,19 @@
 ```
 */
 export class VirtualDay {
-	readonly violations: Violation[] = [];
 	/** What was done to the fleet, in order. */
 	readonly deeds: string[] = [];
 	readonly #random: () => number;
-	readonly #drainMilliseconds: number;
 	readonly #time = new VirtualTime();
 	readonly #store = new VirtualStore(this.#time);
 	readonly #links = new VirtualLinks(this.#time);
 	readonly #members: Member[];
-	readonly #targets = new Map<string, Target>();
-	readonly #seen = new Set<string>();
-	#storeDisturbedUntil = 0;
+	readonly #targets = new Map<string, JudgedTarget>();
+	readonly #judge: VirtualJudge;
 	#number = 0;
 
 	constructor({seed, gateways, targets, drainMilliseconds}: DayOptions) {
-		this.#drainMilliseconds = drainMilliseconds;
+		this.#judge = new VirtualJudge({time: this.#time, targets: this.#targets, drainMilliseconds});
 		const generator = xoroshiro128plus(seed);
 		this.#random = () => uniformInt(generator, 0, 1_000_000) / 1_000_001;
 		for (let index = 0; index < targets; index++) {
@@ -88,6 +74,11 @@
 		}));
 	}
 
+	/** What broke, each pair of gateway and target once. */
+	get violations(): VirtualJudge['violations'] {
+		return this.#judge.violations;
+	}
+
 	/** What the gateways wrote. */
 	get lines(): readonly string[] {
 		return this.#members.flatMap(({gateway}) => gateway.lines);
@@ -108,7 +99,11 @@
 		}
 
 		this.#time.every(lookMilliseconds, () => {
-			this.#look();
+			for (const {gateway, disturbedUntil, isRemoved} of this.#members) {
+				if (!isRemoved && disturbedUntil <= this.#time.now && gateway.frozenUntil <= this.#time.now) {
+					this.#judge.look(gateway);
+				}
+			}
 		});
 		await this.#time.run(dayMilliseconds);
 		for (const {gateway} of this.#members) {
@@ -249,24 +244,21 @@
 	}
 
 	#disturbStore(milliseconds: number, set: () => void, clear: () => void): void {
-		this.#storeDisturbedUntil = Math.max(this.#storeDisturbedUntil, this.#time.now + milliseconds + contactMilliseconds);
+		this.#judge.storeDisturbed(milliseconds + contactMilliseconds);
 		set();
 		this.#time.after(milliseconds, clear);
 	}
 
 	/** The store answers nobody, and entries that are not renewed meanwhile lapse. */
 	#storeAway(milliseconds: number): void {
-		const members = this.#some(1);
-		this.#disturbStore(milliseconds, () => {
-			for (const {gateway} of members) {
-				gateway.storeFault = 'busy';
-			}
-		}, () => {
-			for (const {gateway} of members) {
-				gateway.storeFault = 'none';
-			}
+		const hasLapses = milliseconds > beatMilliseconds * heartbeatsToLapse;
+		if (hasLapses) {
+			this.#judge.storeAway(milliseconds);
+		}
 
-			if (milliseconds > beatMilliseconds * heartbeatsToLapse) {
+		this.#store.awayUntil = Math.max(this.#store.awayUntil, this.#time.now + milliseconds);
+		this.#disturbStore(milliseconds, () => undefined, () => {
+			if (hasLapses) {
 				this.#lapse();
 			}
 		});
@@ -276,12 +268,12 @@
 		const lapsed = [...this.#targets.values()].filter(({leftAt}) => leftAt === Number.POSITIVE_INFINITY && this.#random() < 0.7);
 		for (const target of lapsed) {
 			this.#store.remove(target.record.id);
-			target.isStable = false;
+			target.isListed = false;
 			this.#time.after(this.#between(0, 1900), () => {
 				if (target.leftAt === Number.POSITIVE_INFINITY) {
 					this.#store.put(target.record);
 					target.listedSince = this.#time.now;
-					target.isStable = true;
+					target.isListed = true;
 				}
 			});
 		}
@@ -314,7 +306,7 @@
 		};
 		this.#store.put(record);
 		this.#targets.set(id, {
-			record, leftAt: Number.POSITIVE_INFINITY, listedSince: this.#time.now, isStable: true,
+			record, firstListedAt: this.#time.now, leftAt: Number.POSITIVE_INFINITY, listedSince: this.#time.now, isListed: true,
 		});
 	}
 
@@ -340,35 +332,4 @@
 			this.#store.remove(target.record.id);
 		});
 	}
-
-	#look(): void {
-		const {now} = this.#time;
-		const isStoreCalm = this.#storeDisturbedUntil <= now;
-		for (const {gateway, disturbedUntil, isRemoved} of this.#members) {
-			if (isRemoved || disturbedUntil > now || gateway.frozenUntil > now || !isStoreCalm) {
-				continue;
-			}
-
-			const usable = new Set(gateway.beliefs.usable('s').map(({id}) => id));
-			for (const {record, leftAt, listedSince, isStable} of this.#targets.values()) {
-				if (usable.has(record.id) && now - leftAt > this.#drainMilliseconds) {
-					this.#record('used after leaving', gateway, record.id, leftAt);
-				}
-
-				if (!usable.has(record.id) && leftAt === Number.POSITIVE_INFINITY && isStable && now - listedSince > appearMilliseconds) {
-					this.#record('living and not used', gateway, record.id, listedSince);
-				}
-			}
-		}
-	}
-
-	#record(kind: Violation['kind'], gateway: VirtualGateway, target: string, since: number): void {
-		const key = `${kind} ${gateway.name} ${target}`;
-		if (!this.#seen.has(key)) {
-			this.#seen.add(key);
-			this.violations.push({
-				kind, at: Math.round(this.#time.now), gateway: gateway.name, reader: gateway.reader, target, since: Math.round(since),
-			});
-		}
-	}
 }
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -47,6 +47,7 @@
 	readonly lines: string[] = [];
 	readonly beliefs = new TargetBeliefs(1200);
 	readonly name: string;
+	readonly startedAt: number;
 	#isAlive = true;
 	/** Time that the steady clock of this machine did not count. */
 	#uncounted = 0;
@@ -59,6 +60,7 @@
 		this.#options = options;
 		const {name, incarnation, time, store, links, random} = options;
 		this.name = name;
+		this.startedAt = time.now;
 		const context = this.#createContext();
 		this.#knowledge = new FleetKnowledge({
 			context,
--- a/test/support/virtual-store.ts
+++ b/test/support/virtual-store.ts
@@ -44,6 +44,8 @@
 	revision = 1;
 	/** Time that the store takes for an answer beyond the usual. */
 	slowMilliseconds = 0;
+	/** Until when it answers nobody. */
+	awayUntil = 0;
 	readonly #time: VirtualTime;
 	readonly #targets = new Map<string, TargetRecord>();
 
@@ -81,7 +83,7 @@
 				resolve(err({kind: 'unknown', detail: 'no answer'}));
 			});
 			this.#time.after(caller.way(), () => {
-				const fault = caller.fault();
+				const fault = this.awayUntil > this.#time.now ? 'busy' : caller.fault();
 				if (fault === 'silent') {
 					return;
 				}
