Give the word on the list also to gateways that the store turns away

Cause: a gateway that the store turns away was sent each changed list, but no word that the list still holds. So for it the time between two lists was the time since something had changed, which is often over two heartbeats: a target that left was then kept as if the store had been away, until the next change or the gateway's return; and on its return it kept for two seconds what left then.

Change: gateways that have read the store give their word to those that read for themselves and have not for a second; these take it from any.

--- a/source/entry/store-supply.ts
+++ b/source/entry/store-supply.ts
@@ -30,6 +30,8 @@
 
 /** A store that was read this long ago is taken as out of reach. */
 const storeMilliseconds = 1500;
+/** A gateway that reads for itself and has not for so long is given the word of those that have. */
+const unreadMilliseconds = 1000;
 /** Age that stands for never. */
 const mostStoreAge = 3_600_000;
 
@@ -86,11 +88,12 @@
 		}
 	}
 
-	/** Gives those that rely on this gateway its word, and asks for a configuration that is lacked here. */
+	/** Gives its word to those that rely on this gateway or cannot read, and asks for what is lacked here. */
 	tick(): void {
 		const {context: {beliefs}, knowledge: {inForce}, send} = this.#options;
 		for (const [peer, {digest}] of this.#states) {
-			if (this.#isReader(digest)) {
+			const isUnread = !digest.isFed && digest.storeAge >= unreadMilliseconds && this.#hasStore;
+			if (this.#isReader(digest) || isUnread) {
 				send(peer, {
 					kind: 'fresh', storeAge: this.storeAge, configurationVersion: inForce.version, revision: beliefs.list.revision, listName: beliefs.listName,
 				});
@@ -114,10 +117,13 @@
 		}
 	}
 
-	/** Takes the word of the gateway that this one relies on, if it holds for what is in force here. */
+	/**
+	Takes the word of the gateway that this one relies on, or of any while it cannot
+	read, if it holds for what is in force here.
+	*/
 	hearFresh(peer: string, {storeAge, configurationVersion, revision, listName}: Fresh): void {
 		const {context: {beliefs, now}, knowledge, send} = this.#options;
-		if (peer !== knowledge.feed.reader) {
+		if (peer !== knowledge.feed.reader && this.storeAge < unreadMilliseconds) {
 			return;
 		}
 
--- a/test/support/virtual-day.ts
+++ b/test/support/virtual-day.ts
@@ -140,10 +140,12 @@
 	}
 
 	/** Sets a fault of some gateways and clears it again; targets may leave as it ends. */
-	#disturb(members: readonly Member[], milliseconds: number, set: (member: Member) => void, clear: (member: Member) => void): void {
+	#disturb(members: readonly Member[], milliseconds: number, set: (member: Member) => void, clear: (member: Member) => void, isExcuse = true): void {
 		for (const member of members) {
 			set(member);
-			member.disturbedUntil = Math.max(member.disturbedUntil, this.#time.now + milliseconds + contactMilliseconds);
+			if (isExcuse) {
+				member.disturbedUntil = Math.max(member.disturbedUntil, this.#time.now + milliseconds + contactMilliseconds);
+			}
 		}
 
 		this.#time.after(milliseconds, () => {
@@ -171,7 +173,7 @@
 					gateway.storeFault = fault;
 				}, ({gateway}) => {
 					gateway.storeFault = 'none';
-				});
+				}, false);
 				return;
 			}
 
