Let a gateway that knows no targets ask its peers for them

A gateway that restarted while nobody reached the store knew no targets until the store was back, as peers gave lists only while they read the store themselves, and then lacked those whose entries had lapsed.

--- a/source/entry/store-supply.ts
+++ b/source/entry/store-supply.ts
@@ -32,6 +32,8 @@
 const storeMilliseconds = 1500;
 /** A gateway that reads for itself and has not for so long is given the word of those that have. */
 const unreadMilliseconds = 1000;
+/** Ticks between two asks for targets. */
+const ticksEachAsk = 3;
 /** Age that stands for never. */
 const mostStoreAge = 3_600_000;
 
@@ -48,6 +50,7 @@
 	readonly #options: SupplyOptions;
 	readonly #states = new Map<string, PeerState>();
 	readonly #want: ConfigurationWant;
+	#ticks = 0;
 
 	constructor(options: SupplyOptions) {
 		this.#options = options;
@@ -101,6 +104,7 @@
 		}
 
 		this.#askConfiguration();
+		this.#askTargets();
 	}
 
 	/** Sends what a peer asks for. */
@@ -194,6 +198,18 @@
 		}
 	}
 
+	/** Asks one peer after another for targets while none is known here, as after a start with the store away. */
+	#askTargets(): void {
+		const {context: {beliefs}, send} = this.#options;
+		const peers = [...this.#states.keys()];
+		const peer = peers[Math.floor(this.#ticks / ticksEachAsk) % Math.max(1, peers.length)];
+		if (peer !== undefined && this.#ticks % ticksEachAsk === 0 && beliefs.all().length === 0) {
+			send(peer, {kind: 'want', subject: 'targets'});
+		}
+
+		this.#ticks++;
+	}
+
 	/** Asks one peer for a configuration that is lacked here. */
 	#askConfiguration(): void {
 		const {context: {now, log}, knowledge: {feed, inForce}, send} = this.#options;
