--- /dev/null
+++ b/test/support/lone-gateway.ts
@@ -0,0 +1,101 @@
+/**
+One gateway in virtual time, with peers that say only what a test has them say.
+*/
+import {nameList} from '../../source/decisions/entry/name-list.js';
+import {StoreFeed} from '../../source/decisions/entry/store-feed.js';
+import type {TargetRecord} from '../../source/fleet/target-record.js';
+import type {PeerMessage} from '../../source/generated/peer-messages.js';
+import {VirtualGateway} from './virtual-gateway.js';
+import {VirtualLinks} from './virtual-links.js';
+import {VirtualStore} from './virtual-store.js';
+import {VirtualTime} from './virtual-time.js';
+
+const names: readonly string[] = Array.from({length: 9}, (_, index) => `gateway-${index}`);
+
+const linkMegabits = 1000;
+
+const readerOf = (name: string): string => {
+	const feed = new StoreFeed({name, linkMegabits});
+	feed.update(names.filter(other => other !== name).map(other => ({name: other, linkMegabits})));
+	return feed.reader;
+};
+
+/** A gateway that relies on another one's readings. */
+const own = names.find(name => readerOf(name) !== '')!;
+const reader = readerOf(own);
+
+/**
+The gateway `own`, which relies on the peer `reader`.
+
+@example
+```
+const {time, gateway, say, used} = new LoneGateway();
+await time.run(3000);
+say(LoneGateway.reader, LoneGateway.listOf([LoneGateway.target('a')], 101));
+```
+*/
+export class LoneGateway {
+	static readonly names = names;
+	static readonly own = own;
+	static readonly reader = reader;
+
+	static readonly target = (id: string): TargetRecord => ({
+		id, incarnation: `${id} 1`, bornAt: 1, service: 's', address: `10.1.0.${id.length}:80`, availabilityZone: 'a', isDraining: false, slots: 8, role: 'decode',
+	});
+
+	static readonly listOf = (targets: readonly TargetRecord[], revision: number): PeerMessage => ({
+		kind: 'targets', revision, age: 0, targets: targets.map(record => ({...record})),
+	});
+
+	static readonly freshOf = (targets: readonly TargetRecord[], revision: number): PeerMessage => ({
+		kind: 'fresh', storeAge: 0, configurationVersion: 1, revision, listName: nameList(targets),
+	});
+
+	readonly time = new VirtualTime();
+	readonly store = new VirtualStore(this.time);
+	/** What the reader was sent. */
+	readonly heard: PeerMessage[] = [];
+	readonly gateway: VirtualGateway;
+	readonly #links = new VirtualLinks(this.time);
+
+	constructor() {
+		for (const name of names.filter(other => other !== own)) {
+			this.#addPeer(name);
+		}
+
+		this.gateway = new VirtualGateway({
+			name: own, incarnation: 1, time: this.time, store: this.store, links: this.#links, random: () => 0.5,
+		});
+	}
+
+	readonly say = (peer: string, message: PeerMessage): void => {
+		this.#links.send(peer, own, message);
+	};
+
+	readonly used = (): readonly string[] => this.gateway.beliefs.usable('s').map(({id}) => id);
+
+	#addPeer(name: string): void {
+		this.#links.add({
+			name,
+			incarnation: name,
+			receive: (_, message) => {
+				if (name === reader) {
+					this.heard.push(message);
+				}
+			},
+			lost: () => undefined,
+			run(act) {
+				act();
+			},
+			isAway: () => false,
+			delay: () => 0,
+			cutUntil: () => 0,
+		}, 0);
+		// Something is heard of each all the time, so that links stay.
+		this.time.every(500, () => {
+			this.say(name, {
+				kind: 'answer', number: 0, isGranted: true, waitingMilliseconds: 0,
+			});
+		});
+	}
+}
