--- /dev/null
+++ b/test/support/virtual-entry.ts
@@ -0,0 +1,259 @@
+/**
+The way of requests at one entry gateway, in virtual time, before targets of a
+plain service and engines that only count what arrives.
+*/
+import * as option from 'fp-ts/lib/Option.js';
+import type {Logger} from 'roarr';
+import {KeptParts} from '../../source/decisions/entry/kept-parts.js';
+import {RetryWindow} from '../../source/decisions/entry/retry-window.js';
+import {TargetBeliefs} from '../../source/decisions/entry/target-beliefs.js';
+import {TargetHealth} from '../../source/decisions/entry/target-health.js';
+import type {AttemptSender} from '../../source/entry/attempt-sender.js';
+import type {CallerAnswer} from '../../source/entry/caller-answer.js';
+import type {CallerRequest} from '../../source/entry/caller-request.js';
+import type {EntryContext} from '../../source/entry/entry-context.js';
+import type {EntryMetrics} from '../../source/entry/entry-metrics.js';
+import {LoadBook} from '../../source/entry/load-book.js';
+import {PlainRelay} from '../../source/entry/plain-relay.js';
+import type {PromptQueues} from '../../source/entry/prompt-queues.js';
+import {StreamRelay} from '../../source/entry/stream-relay.js';
+import type {Route} from '../../source/fleet/route.js';
+import type {TargetRecord} from '../../source/fleet/target-record.js';
+import type {ServiceDescription} from '../../source/fleet/service-description.js';
+import type {TargetProtocol} from '../../source/ports/target-protocol.js';
+import type {RetryJudge} from './retry-judge.js';
+import type {RetryTrouble} from './retry-trouble.js';
+import {VirtualSender} from './virtual-sender.js';
+import type {VirtualTime} from './virtual-time.js';
+
+type ServiceName = 'floor' | 'models';
+
+type EntryOptions = {
+	readonly name: string;
+	readonly time: VirtualTime;
+	readonly judge: RetryJudge;
+	readonly bounds: {readonly share: number; readonly windowMilliseconds: number; readonly extra: number};
+	readonly troubles: Readonly<Record<ServiceName, RetryTrouble>>;
+	/** Gateways that this one is linked to, itself included. */
+	readonly gateways: () => number;
+	readonly random: () => number;
+};
+
+const patienceMilliseconds = 3000;
+const targetsEach = 6;
+const parts = [{id: 'aa', tokens: 13_000}, {id: 'bb', tokens: 400}];
+
+const targets: readonly TargetRecord[] = (['floor', 'models'] as const).flatMap(service => Array.from({length: targetsEach}, (_, index) => ({
+	id: `${service}-${index}`,
+	incarnation: `${service}-${index} 1`,
+	bornAt: 1,
+	service,
+	address: `10.1.0.${index}:80`,
+	availabilityZone: 'a',
+	isDraining: false,
+	slots: 8,
+	role: index < 2 ? 'prefill' : 'decode',
+})));
+
+const engines = {engine: {cacheTokens: 400_000}} as unknown as ServiceDescription;
+
+/**
+One process, from its start until `kill`.
+
+@example
+```
+const entry = new VirtualEntry(options);
+entry.take('floor', 'r1');
+```
+*/
+export class VirtualEntry {
+	frozenUntil = 0;
+	#isAlive = true;
+	readonly #options: EntryOptions;
+	readonly #windows = new Map<string, RetryWindow>();
+	readonly #contexts: Readonly<Record<ServiceName, EntryContext>>;
+	readonly #senders: Readonly<Record<ServiceName, AttemptSender>>;
+
+	constructor(options: EntryOptions) {
+		this.#options = options;
+		this.#contexts = {floor: this.#createContext('floor'), models: this.#createContext('models')};
+		this.#senders = {floor: this.#createSender('floor'), models: this.#createSender('models')};
+	}
+
+	kill(): void {
+		this.#isAlive = false;
+	}
+
+	/** Takes a request that a caller sent now; a frozen process reads it later. */
+	take(service: ServiceName, requestId: string): void {
+		const {judge, time} = this.#options;
+		judge.request(service, time.now);
+		this.#after(1, () => {
+			void this.#carry(service, requestId);
+		});
+	}
+
+	async #carry(service: ServiceName, requestId: string): Promise<void> {
+		const {random, troubles, time} = this.#options;
+		const context = this.#contexts[service];
+		const request = this.#request(service, requestId, random() < troubles[service].leaving ? random() * 400 : undefined);
+		await (service === 'floor'
+			? new PlainRelay(request, context, this.#senders.floor).run()
+			: new StreamRelay(request, context, this.#senders.models, this.#queues(time.now)).run());
+	}
+
+	#request(service: ServiceName, requestId: string, leavesAfter: number | undefined): CallerRequest {
+		const {time} = this.#options;
+		const answer: Partial<CallerAnswer> = {
+			isStarted: false,
+			isDone: false,
+			start: () => undefined,
+			write: () => undefined,
+			end: () => undefined,
+			refuse: () => undefined,
+			breakOff: () => undefined,
+			whole: () => undefined,
+			onGone: callback => {
+				if (leavesAfter !== undefined) {
+					this.#after(leavesAfter, callback);
+				}
+			},
+		};
+		const route = {
+			name: service,
+			kind: service === 'floor' ? 'idempotent' : 'streaming',
+			isResumable: true,
+			mostAttempts: 3,
+			timeoutMilliseconds: patienceMilliseconds,
+			targetLatencyMilliseconds: 400,
+			firstEventPatienceMilliseconds: 2000,
+			priority: 0,
+		} as unknown as Route;
+		return {
+			facts: {
+				requestId, patienceMilliseconds, prompt: {tokens: 13_400, parts}, lastEventId: undefined, headers: [],
+			},
+			route,
+			service,
+			configurationVersion: 1,
+			method: 'POST',
+			path: '/',
+			body: undefined,
+			answer: answer as CallerAnswer,
+			startedAt: time.now,
+			limitAt: time.now + patienceMilliseconds,
+		};
+	}
+
+	/** Places each prompt at any engine after a while. */
+	#queues(startedAt: number): PromptQueues {
+		const {random, troubles, time} = this.#options;
+		const wait: PromptQueues['wait'] = (service, prompt, decide) => {
+			let isWithdrawn = false;
+			this.#after(random() * troubles.models.queueMilliseconds, () => {
+				if (isWithdrawn) {
+					return;
+				}
+
+				const way = prompt.isInPlaceOnly || random() < 0.3 ? 'in place' : 'prefill first';
+				const candidates = targets.filter(target => target.service === service && target.role === (way === 'in place' ? 'decode' : 'prefill'));
+				const target = candidates[Math.floor(random() * candidates.length)]!;
+				const engine = {
+					id: target.id, availabilityZone: 'a', role: target.role!, slots: 8, attempts: 0, readMilliseconds: 0, isAvoided: false, failureShare: 0,
+				};
+				decide({
+					kind: 'placed',
+					placement: {
+						engine, keptTokens: 0, way, readMilliseconds: 60, fetchFrom: undefined, latency: time.now - startedAt, cost: 1,
+					},
+					lane: 'onTime',
+					target,
+					fetchFrom: undefined,
+					entry: this.#contexts.models.book.add(target.id, 60),
+					grant: 'own',
+					denials: 0,
+				});
+			});
+			return () => {
+				isWithdrawn = true;
+			};
+		};
+
+		return {wait} as unknown as PromptQueues;
+	}
+
+	#createSender(service: ServiceName): AttemptSender {
+		const {judge, troubles, time, random} = this.#options;
+		return new VirtualSender({
+			service,
+			judge,
+			trouble: troubles[service],
+			now: () => time.now,
+			after: (milliseconds, act) => {
+				this.#after(milliseconds, act);
+			},
+			random,
+			onEnd: ({entry}) => {
+				if (entry !== undefined) {
+					this.#contexts[service].book.remove(entry);
+				}
+			},
+		}) as unknown as AttemptSender;
+	}
+
+	/** Runs what is due while the process lives, and once it runs. */
+	#after(milliseconds: number, act: () => void): () => void {
+		const {time} = this.#options;
+		return time.after(milliseconds, () => {
+			if (!this.#isAlive) {
+				return;
+			}
+
+			if (this.frozenUntil > time.now) {
+				this.#after(this.frozenUntil - time.now, act);
+			} else {
+				act();
+			}
+		});
+	}
+
+	#createContext(service: ServiceName): EntryContext {
+		const {name, time, judge, bounds, gateways, random} = this.#options;
+		const beliefs = new TargetBeliefs(1200);
+		beliefs.adopt({revision: 1, targets}, time.now, time.now);
+		const metrics: Partial<EntryMetrics> = {
+			count(counted) {
+				if (counted === 'retry.denied') {
+					judge.denied(service, time.now);
+				}
+			},
+			record: () => undefined,
+			gauge: () => undefined,
+		};
+		const context: Partial<EntryContext> = {
+			settings: () => ({name, availabilityZone: 'a'} as unknown as ReturnType<EntryContext['settings']>),
+			protocol: {writeRefusal: () => ({}), readPrefill: () => option.some({id: 'h', tokens: 13_400})} as unknown as TargetProtocol,
+			beliefs,
+			book: new LoadBook(),
+			kept: new KeptParts(),
+			health: new TargetHealth(),
+			metrics: metrics as EntryMetrics,
+			log: {info: () => undefined, warn: () => undefined} as unknown as Logger,
+			sampling: {mayWrite: () => false, onLeftOut: () => undefined},
+			now: () => time.now,
+			timers: {
+				after: (milliseconds, act) => this.#after(milliseconds, act),
+				every: () => () => undefined,
+			},
+			random,
+			gateways,
+			service: () => engines,
+			retries: () => {
+				const window = this.#windows.get(service) ?? new RetryWindow(bounds);
+				this.#windows.set(service, window);
+				return window;
+			},
+		};
+		return context as EntryContext;
+	}
+}
