Charge each retry at its first byte, and send none without room then

What targets saw: retries above what the gateway's own window allowed, with no fault between gateways. Cause: the budget was asked for when an attempt had failed and charged when the next one's first byte went out, after a wait for an engine or a connection, so any number of requests was let through on the same room; a prompt that was read a second time and taken was never charged, nor was one that ended after its caller had left; a first reading that was refused was charged, though it is the first arrival; after an attempt that never left, the next one was not asked for at all.

A prompt is read apart a second time only where there is room for the reading and its run; else it is read in place.

Evidence: entry/retry-budget now asks, too, that no retry is sent without room at that moment.

--- a/source/decisions/entry/next-step.ts
+++ b/source/decisions/entry/next-step.ts
@@ -23,7 +23,7 @@
 	/** Attempts so far that targets refused without running them, this one included. */
 	readonly refused: number;
 	readonly unsent: number;
-	/** What the retry budget says at this moment. */
+	/** What the retry budget says at this moment; true while nothing has reached a target. */
 	readonly mayRetry: boolean;
 	readonly remainingMilliseconds: number;
 };
@@ -63,7 +63,7 @@
 
 	switch (outcome) {
 		case 'not sent': {
-			return attempts.unsent < mostUnsentSends ? 'again' : last;
+			return attempts.mayRetry && attempts.unsent < mostUnsentSends ? 'again' : last;
 		}
 
 		case 'not run': {
--- a/source/decisions/entry/part-counts.ts
+++ b/source/decisions/entry/part-counts.ts
@@ -24,13 +24,20 @@
 		this.#parts = Array.from({length: kept}, () => -1);
 	}
 
-	add(part: number, amount = 1): void {
+	add(part: number, amount: 1 | -1 = 1): void {
 		const place = part % this.#counts.length;
 		const before = this.#parts[place] === part ? this.#counts[place]! : 0;
 		this.#parts[place] = part;
 		this.#counts[place] = before + amount;
 	}
 
+	/** Takes one event back, unless its part has fallen out. */
+	remove(part: number): void {
+		if (this.at(part) > 0) {
+			this.add(part, -1);
+		}
+	}
+
 	at(part: number): number {
 		const place = part % this.#counts.length;
 		return part >= 0 && this.#parts[place] === part ? this.#counts[place]! : 0;
--- /dev/null
+++ b/source/decisions/entry/retry-charge.ts
@@ -0,0 +1,8 @@
+/**
+One retry as it was charged.
+*/
+
+/**
+`part` is the part of time that it counts in, undefined for one that need not be earned.
+*/
+export type RetryCharge = {readonly part: number | undefined};
--- a/source/decisions/entry/retry-window.ts
+++ b/source/decisions/entry/retry-window.ts
@@ -19,7 +19,9 @@
 It answers a dead replica, or targets that turn most of what comes away, under
 full load, where every request would otherwise be sent twice.
 */
+import * as option from 'fp-ts/lib/Option.js';
 import {PartCounts} from './part-counts.js';
+import type {RetryCharge} from './retry-charge.js';
 
 /** Parts of the window in which events are counted together; a part counts whole for retries, and not at all for requests, where it lies across the end of a span. */
 const windowParts = 50;
@@ -52,6 +54,8 @@
 	readonly room: number;
 	/** Arrivals beyond the first that may follow besides. */
 	readonly unearned: number;
+	/** Of both, what requests on their way to a target hold. */
+	readonly held: number;
 };
 
 /**
@@ -61,8 +65,8 @@
 ```
 const retries = new RetryWindow({share: 0.2, windowMilliseconds: 10_000, extra: 58, isFirstStart: false});
 retries.request(now);
-if (retries.allows(now)) {
-	retries.retry(now);
+if (retries.reserve(now)) {
+	const charge = retries.spend(later, true);
 }
 ```
 */
@@ -73,6 +77,7 @@
 	readonly #requests = new PartCounts(keptParts);
 	readonly #retries = new PartCounts(keptParts);
 	#unearned: number;
+	#held = 0;
 	/** What all requests so far have earned and retries have not spent. */
 	#earned = 0;
 
@@ -89,20 +94,49 @@
 		this.#earned += this.#share;
 	}
 
-	/** Records one arrival beyond the first of its request. */
-	retry(now: number): void {
-		if (this.#room(now) < 1 && this.#unearned > 0) {
+	/** True when one more retry is within this gateway's part, beside those that are held. */
+	allows(now: number): boolean {
+		return Math.floor(Math.max(0, this.#room(now))) + this.#unearned - this.#held >= 1;
+	}
+
+	/** Holds room for one retry, if there is any. */
+	reserve(now: number): boolean {
+		const isAllowed = this.allows(now);
+		this.#held += isAllowed ? 1 : 0;
+		return isAllowed;
+	}
+
+	/** Releases what was held and is not wanted. */
+	release(count: number): void {
+		this.#held -= count;
+	}
+
+	/** Charges one arrival beyond the first of its request; none when there is no room now, even for one that was held. */
+	spend(now: number, isHeld: boolean): option.Option<RetryCharge> {
+		this.release(isHeld ? 1 : 0);
+		if (!this.allows(now)) {
+			return option.none;
+		}
+
+		if (this.#room(now) < 1) {
 			this.#unearned--;
-			return;
+			return option.some({part: undefined});
 		}
 
-		this.#retries.add(this.#partOf(now));
+		const part = this.#partOf(now);
+		this.#retries.add(part);
 		this.#earned--;
+		return option.some({part});
 	}
 
-	/** True when one more retry is within this gateway's part. */
-	allows(now: number): boolean {
-		return this.#unearned > 0 || this.#room(now) >= 1;
+	/** Takes a charge back for something that turned out to be no retry. */
+	giveBack({part}: RetryCharge): void {
+		if (part === undefined) {
+			this.#unearned++;
+		} else {
+			this.#retries.remove(part);
+			this.#earned++;
+		}
 	}
 
 	/** What a decision at this moment goes by. */
@@ -110,7 +144,7 @@
 		const part = this.#partOf(now);
 		const first = part - windowParts + 1;
 		return {
-			requests: this.#requests.between(first, part), retries: this.#retries.between(first, part), room: Math.floor(this.#room(now)), unearned: this.#unearned,
+			requests: this.#requests.between(first, part), retries: this.#retries.between(first, part), room: Math.floor(this.#room(now)), unearned: this.#unearned, held: this.#held,
 		};
 	}
 
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -32,8 +32,8 @@
 	readonly expectedMilliseconds?: number;
 	/** Time until its answer should begin, from which on a silent target is given up; without it, it never is. */
 	readonly answerDueMilliseconds?: number;
-	/** Called when the first byte is handed over. */
-	readonly onSent?: () => void;
+	/** Asked last of all before the first byte is handed over; false keeps the attempt from being sent. */
+	readonly mayStart?: () => boolean;
 	/** Takes a successful answer as it comes; without it answers are collected. */
 	readonly sink?: StreamSink;
 	/** A collected answer over this size goes to the sink that this gives. */
@@ -124,6 +124,7 @@
 		}
 
 		const watchOver = this.#watch.bind(this);
+		const isStillUsable = this.#isStillUsable.bind(this);
 		const arrival: Arrival = {chunks: [], bytes: 0};
 		const startedAt = context.now();
 		let isSent = false;
@@ -134,24 +135,21 @@
 				method: plan.method, path: plan.path, headers: context.protocol.writeAttempt(plan.facts, plan.instructions), body: plan.body,
 			}, {
 				mayStart() {
-					const isUsable = context.beliefs.isUsable(target);
-					const {listAge, revision} = listFacts(context);
-					if (isUsable) {
-						context.metrics.record('list-age', listAge);
-						plan.onSent?.();
-						context.health.sent(target.incarnation, plan.expectedMilliseconds ?? 0, context.now());
-						isSent = true;
-						watch = watchOver(plan, startedAt, reason => {
-							breakOff(reason);
-						});
-					} else {
-						context.metrics.count('attempt.stopped');
-						context.log.info({
-							event: 'attempt stopped', request: plan.facts.requestId, target: target.id, listAge, revision,
-						}, 'attempt not sent, as its target leaves or has gone');
+					if (!isStillUsable(plan)) {
+						return false;
 					}
 
-					return isUsable;
+					if (plan.mayStart?.() === false) {
+						context.metrics.count('attempt.denied');
+						return false;
+					}
+
+					context.health.sent(target.incarnation, plan.expectedMilliseconds ?? 0, context.now());
+					isSent = true;
+					watch = watchOver(plan, startedAt, reason => {
+						breakOff(reason);
+					});
+					return true;
 				},
 				onHead(status, headers) {
 					clearInterval(watch);
@@ -210,6 +208,23 @@
 		this.#context.log.debug({request: facts.requestId, target: target.id, outcome: result.kind}, 'unused prompt freed');
 	}
 
+	/** Looks once more whether the target may get work, as that may have changed while the attempt waited for its connection. */
+	#isStillUsable({target, facts}: AttemptPlan): boolean {
+		const {beliefs, metrics, log} = this.#context;
+		const isUsable = beliefs.isUsable(target);
+		const {listAge, revision} = listFacts(this.#context);
+		if (isUsable) {
+			metrics.record('list-age', listAge);
+		} else {
+			metrics.count('attempt.stopped');
+			log.info({
+				event: 'attempt stopped', request: facts.requestId, target: target.id, listAge, revision,
+			}, 'attempt not sent, as its target leaves or has gone');
+		}
+
+		return isUsable;
+	}
+
 	/** Gives an attempt up whose answer is overdue at a target that says nothing to anyone here. */
 	#watch({target, answerDueMilliseconds}: AttemptPlan, startedAt: number, giveUp: (reason: string) => void): NodeJS.Timeout | undefined {
 		if (answerDueMilliseconds === undefined) {
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -80,9 +80,9 @@
 				targetId: target.id, remainingMilliseconds: this.#course.remaining, rank: undefined, isPrefillOnly: false, handle: undefined, fetchFrom: undefined, lastEventId: undefined,
 			},
 			readMilliseconds: 0,
-			onSent: () => {
-				this.#isLive = true;
-				this.#course.arrived();
+			mayStart: () => {
+				this.#isLive = this.#course.mayArrive();
+				return this.#isLive;
 			},
 			spill: () => ({
 				head(head) {
--- a/source/entry/request-course.ts
+++ b/source/entry/request-course.ts
@@ -11,6 +11,7 @@
 import type {CallerRequest} from './caller-request.js';
 import type {EntryContext} from './entry-context.js';
 import {RequestLog} from './request-log.js';
+import {RetryPermit} from './retry-permit.js';
 
 /** Time kept for the final answer's way to the caller. */
 const marginMilliseconds = 25;
@@ -46,17 +47,17 @@
 	#ran = 0;
 	#refused = 0;
 	#unsent = 0;
-	/** Arrivals at targets, of which the first is not a retry. */
-	#arrivals = 0;
 	#isOver = false;
 	#firstEventAt: number | undefined;
 	#cancelLimit: (() => void) | undefined;
 	readonly #context: EntryContext;
 	readonly #hooks: Hooks;
+	readonly #permit: RetryPermit;
 
 	constructor(readonly request: CallerRequest, context: EntryContext, hooks: Hooks) {
 		this.#context = context;
 		this.#hooks = hooks;
+		this.#permit = new RetryPermit(context.retries(request.service), context.now);
 		this.lines = new RequestLog(context.log, request.facts.requestId, request.startedAt);
 	}
 
@@ -90,14 +91,29 @@
 		this.#ran++;
 	}
 
-	/** Records that a byte of an attempt was handed over. */
-	arrived(): void {
-		this.#arrivals++;
-		if (this.#arrivals > 1) {
-			this.#context.retries(this.request.service).retry(this.#context.now());
+	/** Asked before the first byte of each attempt; false when the retry budget has no room for it now. */
+	mayArrive(): boolean {
+		const mayArrive = this.#permit.mayArrive();
+		const now = this.#context.now();
+		if (!mayArrive) {
+			this.#countDenied();
+			this.lines.add('attempt denied', this.#retryFacts(), now);
+		} else if (this.#permit.arrivals > 1) {
 			this.#context.metrics.count('retry.arrival');
-			this.lines.add('arrival beyond the first', {arrivals: this.#arrivals, ...this.#retryFacts()}, this.#context.now());
+			this.lines.add('arrival beyond the first', {arrivals: this.#permit.arrivals, ...this.#retryFacts()}, now);
 		}
+
+		return mayArrive;
+	}
+
+	/** True when the prompt may be read apart from its run, as far as the retry budget goes. */
+	mayReadApart(): boolean {
+		return this.#permit.mayReadApart();
+	}
+
+	/** Records that a target took the reading that was sent last. */
+	readingTaken(): void {
+		this.#permit.readingTaken();
 	}
 
 	/** Takes the outcome of an attempt that brought no answer; true when the request goes on. */
@@ -106,19 +122,20 @@
 		this.#refused += outcome.kind === 'not run' ? 1 : 0;
 		this.#unsent += outcome.kind === 'not sent' ? 1 : 0;
 		this.avoid.add(target.id);
-		const {service, route} = this.request;
-		const mayRetry = this.#context.retries(service).allows(this.#context.now());
-		const step = nextStep(outcome.kind, {
+		const {route} = this.request;
+		const mayRetry = this.#permit.mayRetry();
+		const attempts = {
 			isRepeatable: this.#hooks.isRepeatable(),
 			mostAttempts: route.mostAttempts,
 			ran: this.#ran,
 			refused: this.#refused,
 			unsent: this.#unsent,
-			mayRetry,
 			remainingMilliseconds: this.remaining,
-		});
-		if (!mayRetry) {
-			this.#context.metrics.count('retry.denied');
+		};
+		const step = nextStep(outcome.kind, {...attempts, mayRetry});
+		const isDenied = step !== 'again' && !mayRetry && nextStep(outcome.kind, {...attempts, mayRetry: true}) === 'again';
+		if (isDenied) {
+			this.#countDenied();
 		}
 
 		this.#context.metrics.count(`step.${outcome.kind.replace(' ', '-')}.${step.replace(' ', '-')}`);
@@ -135,11 +152,12 @@
 		}, this.#context.now());
 		switch (step) {
 			case 'again': {
+				this.#permit.hold();
 				return !this.isOver;
 			}
 
 			case 'refuse': {
-				this.refuse(outcome.kind === 'not run' ? resultCode.queueFull : resultCode.targetUnreachable);
+				this.refuse(isDenied ? resultCode.retriesExhausted : this.#refusalCode(outcome.kind));
 				return false;
 			}
 
@@ -192,6 +210,7 @@
 		this.#isOver = true;
 		this.#cancelLimit?.();
 		this.#cancelAttempt?.();
+		this.#permit.end();
 		const {route, service, configurationVersion, startedAt} = this.request;
 		const now = this.#context.now();
 		const milliseconds = Math.round(now - startedAt);
@@ -204,7 +223,7 @@
 			milliseconds,
 			firstEvent: this.#firstEventAt === undefined ? undefined : Math.round(this.#firstEventAt - startedAt),
 			ran: this.#ran,
-			arrivals: this.#arrivals,
+			arrivals: this.#permit.arrivals,
 			...ending,
 		}, now);
 		const wentWell = ending.outcome === 'answered' && (this.#firstEventAt ?? now) - startedAt <= route.targetLatencyMilliseconds;
@@ -216,6 +235,14 @@
 		this.#firstEventAt = this.#context.now();
 	}
 
+	#refusalCode(outcome: AttemptOutcome['kind']): number {
+		return outcome === 'not run' ? resultCode.queueFull : resultCode.targetUnreachable;
+	}
+
+	#countDenied(): void {
+		this.#context.metrics.count('retry.denied');
+	}
+
 	/** What a log line says of the retries of this request's service. */
 	#retryFacts(): ReturnType<RetryWindow['facts']> {
 		const {retries, now} = this.#context;
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -132,7 +132,7 @@
 				bodyBytes: body?.byteLength ?? 0,
 				avoid: this.#course.avoid,
 				// A run that goes on behind an event is placed whole: the engine reads prompt and events again.
-				isInPlaceOnly: this.#lastEventId !== undefined,
+				isInPlaceOnly: this.#lastEventId !== undefined || !this.#course.mayReadApart(),
 			}, resolve);
 			this.#course.attemptUnderWay(() => {
 				withdraw();
@@ -198,7 +198,17 @@
 		const {facts, method, path, body} = this.#request;
 		const startedAt = this.#context.now();
 		const {outcome, cancel} = this.#sender.send({
-			target, facts, method, path, body, instructions: this.#instructions(target, {isPrefillOnly: true, fetchFrom}), readMilliseconds: entry.readMilliseconds, entry, expectedMilliseconds: latency * 2, answerDueMilliseconds: (latency * 2) + overdueMilliseconds,
+			target,
+			facts,
+			method,
+			path,
+			body,
+			instructions: this.#instructions(target, {isPrefillOnly: true, fetchFrom}),
+			readMilliseconds: entry.readMilliseconds,
+			entry,
+			expectedMilliseconds: latency * 2,
+			answerDueMilliseconds: (latency * 2) + overdueMilliseconds,
+			mayStart: () => this.#course.mayArrive(),
 		});
 		this.#course.attemptUnderWay(cancel);
 		const result = await outcome;
@@ -206,6 +216,7 @@
 		this.#context.metrics.record('prefill', this.#context.now() - startedAt);
 		this.#course.lines.add('prompt read', {target: target.id, outcome: result.kind, milliseconds: Math.round(this.#context.now() - startedAt)}, this.#context.now());
 		if (option.isSome(handle)) {
+			this.#course.readingTaken();
 			this.#handle = handle.value;
 			this.#handleSends = 0;
 			return !this.#course.isOver;
@@ -215,11 +226,6 @@
 			return false;
 		}
 
-		// The first reading that is taken is no arrival; those that were refused or lost are.
-		if (result.kind !== 'not sent') {
-			this.#context.retries(this.#request.service).retry(this.#context.now());
-		}
-
 		return this.#course.mayGoOn(target, result.kind === 'not sent' ? result : {kind: 'not run', isOtherTarget: false});
 	}
 
@@ -273,9 +279,9 @@
 			expectedMilliseconds: entry.readMilliseconds * 4,
 			// Only a stream that may run again is given up at a silent engine.
 			answerDueMilliseconds: this.#isRepeatable ? (entry.readMilliseconds * 4) + overdueMilliseconds : undefined,
-			onSent: () => {
-				this.#isLive = true;
-				this.#course.arrived();
+			mayStart: () => {
+				this.#isLive = this.#course.mayArrive();
+				return this.#isLive;
 			},
 			sink: {
 				head: head => {
--- a/test/decisions/entry/next-step.test.ts
+++ b/test/decisions/entry/next-step.test.ts
@@ -23,6 +23,11 @@
 	t.pass('2000 runs');
 });
 
+test('nothing is sent again without room in the budget, not even after an attempt that never left', async t => {
+	fc.assert(fc.property(outcome, attempts, (kind, state) => nextStep(kind, {...state, mayRetry: false}) !== 'again'), {seed: 7, numRuns: 2000});
+	t.pass('2000 runs');
+});
+
 test('a caller is never told to wait longer than a third of the time that it has', t => {
 	t.equal(retryAfter({wantedMilliseconds: 9000, remainingMilliseconds: 3000, random: () => 0}), 1);
 	t.equal(retryAfter({wantedMilliseconds: 400, remainingMilliseconds: 3000, random: () => 0}), 0.4);
--- a/test/decisions/entry/retry-window.test.ts
+++ b/test/decisions/entry/retry-window.test.ts
@@ -2,6 +2,7 @@
 The retries of gateways that know nothing of each other.
 */
 import fc from 'fast-check';
+import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
 import {RetryWindow} from '../../../source/decisions/entry/retry-window.js';
 import {RetryJudge} from '../../support/retry-judge.js';
@@ -38,8 +39,7 @@
 				service: 's', requestId, isReading: false, isAccepted: false,
 			};
 			judge.arrive(arrival, now);
-			for (let retry = 0; retry < wanted && own.allows(now); retry++) {
-				own.retry(now);
+			for (let retry = 0; retry < wanted && option.isSome(own.spend(now, false)); retry++) {
 				judge.arrive(arrival, now);
 			}
 		}
@@ -54,10 +54,8 @@
 	let retries = 0;
 	for (let now = 0; now < 60_000; now += 50) {
 		own.request(now);
-		if (own.allows(now)) {
-			own.retry(now);
-			retries += now >= 20_000 ? 1 : 0;
-		}
+		const isSpent = option.isSome(own.spend(now, false));
+		retries += isSpent && now >= 20_000 ? 1 : 0;
 	}
 
 	t.ok(retries >= 0.85 * window.share * 800, `${retries} of ${window.share * 800}`);
@@ -80,12 +78,7 @@
 	const own = new RetryWindow(window);
 	const spent = Array.from({length: 12}, (_, index) => index * 11_000).filter(now => {
 		own.request(now);
-		const isAllowed = own.allows(now);
-		if (isAllowed) {
-			own.retry(now);
-		}
-
-		return isAllowed;
+		return option.isSome(own.spend(now, false));
 	});
 	t.equal(spent.length, 3, 'the one that need not be earned, and two that ten of the twelve earn');
 	t.end();
--- a/test/entry/retry-budget.test.ts
+++ b/test/entry/retry-budget.test.ts
@@ -21,6 +21,7 @@
 		const {broken, ...counts} = await playRetryDays(seeds, {deeds, hasWaits});
 		t.comment(JSON.stringify({...counts, brokenDays: new Set(broken.map(({gateways, seed}) => `${gateways} ${seed}`)).size}));
 		t.strictSame(broken, []);
+		t.equal(counts.overdrawn, 0, 'no retry is sent without room at that moment');
 	});
 }
 
--- a/test/support/play-retry-days.ts
+++ b/test/support/play-retry-days.ts
@@ -10,6 +10,8 @@
 	readonly broken: ReadonlyArray<{readonly gateways: number; readonly seed: number; readonly service: string}>;
 	readonly days: number;
 	readonly retries: number;
+	/** Sent although their gateway's window had no room at that moment. */
+	readonly overdrawn: number;
 	readonly denied: number;
 	/** Denied although the rule would have allowed them at that moment. */
 	readonly deniedInBounds: number;
@@ -31,7 +33,7 @@
 */
 export const playRetryDays = async (seeds: readonly number[], trouble: Pick<Options, 'deeds' | 'hasWaits'>): Promise<Played> => {
 	let played: Played = {
-		broken: [], days: 0, retries: 0, denied: 0, deniedInBounds: 0,
+		broken: [], days: 0, retries: 0, overdrawn: 0, denied: 0, deniedInBounds: 0,
 	};
 	for (const fleet of fleets) {
 		for (const seed of seeds) {
@@ -42,6 +44,7 @@
 				broken: [...played.broken, ...judge.violations().map(violation => ({gateways: fleet.gateways, seed, ...violation}))],
 				days: played.days + 1,
 				retries: played.retries + judge.retries,
+				overdrawn: played.overdrawn + judge.overdrawn,
 				denied: played.denied + judge.denials.all,
 				deniedInBounds: played.deniedInBounds + judge.denials.inBounds,
 			};
--- a/test/support/retry-judge.ts
+++ b/test/support/retry-judge.ts
@@ -63,6 +63,7 @@
 	readonly #read = new Set<string>();
 	/** What would have arrived if one book for the whole fleet had allowed all that the rule does. */
 	readonly #arrivedOrAllowed = new Map<string, number[]>();
+	#overdrawn = 0;
 	#denied = 0;
 	#deniedInBounds = 0;
 
@@ -80,6 +81,15 @@
 		return [...this.#beyondFirst.values()].reduce((sum, times) => sum + times.length, 0);
 	}
 
+	/** Retries that were sent although their gateway's window had no room at that moment. */
+	get overdrawn(): number {
+		return this.#overdrawn;
+	}
+
+	sentWithoutRoom(): void {
+		this.#overdrawn++;
+	}
+
 	/** Records that a caller sent a request. */
 	request(service: string, at: number): void {
 		this.#add(this.#requests, service, at);
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -57,6 +57,25 @@
 
 const engines = {engine: {cacheTokens: 400_000}} as unknown as ServiceDescription;
 
+class JudgedWindow extends RetryWindow {
+	readonly #judge: RetryJudge;
+
+	constructor(bounds: ConstructorParameters<typeof RetryWindow>[0], judge: RetryJudge) {
+		super(bounds);
+		this.#judge = judge;
+	}
+
+	override spend(now: number, isHeld: boolean): ReturnType<RetryWindow['spend']> {
+		const {room, unearned} = this.facts(now);
+		const charge = super.spend(now, isHeld);
+		if (option.isSome(charge) && Math.max(0, room) + unearned < 1) {
+			this.#judge.sentWithoutRoom();
+		}
+
+		return charge;
+	}
+}
+
 /**
 One process, from its start until `kill`.
 
@@ -249,7 +268,7 @@
 			gateways,
 			service: () => engines,
 			retries: () => {
-				const window = this.#windows.get(service) ?? new RetryWindow(bounds);
+				const window = this.#windows.get(service) ?? new JudgedWindow(bounds, judge);
 				this.#windows.set(service, window);
 				return window;
 			},
--- a/test/support/virtual-sender.ts
+++ b/test/support/virtual-sender.ts
@@ -63,9 +63,12 @@
 					return;
 				}
 
-				isSent = true;
-				plan.onSent?.();
-				this.#arrive(plan, settle);
+				isSent = plan.mayStart?.() ?? true;
+				if (isSent) {
+					this.#arrive(plan, settle);
+				} else {
+					settle({kind: 'not sent', reason: 'no longer wanted'});
+				}
 			});
 		}
 
