Hold no room in the retry budget for a request that has ended

Found by reading the change before: an outcome that comes after the end of its request, as of a reading that was taken just as the caller left, would have held one retry for good. Test in entry/retry-permit; it fails without the change.

--- a/source/entry/retry-permit.ts
+++ b/source/entry/retry-permit.ts
@@ -31,6 +31,7 @@
 	readonly #now: () => number;
 	readonly #arrivals = new ArrivalCount();
 	#held = 0;
+	#isEnded = false;
 	#lastCharge: option.Option<RetryCharge> = option.none;
 
 	constructor(window: RetryWindow, now: () => number) {
@@ -82,14 +83,15 @@
 		}
 	}
 
-	/** Releases what is held. */
+	/** Releases what is held; nothing more is from now on, whatever outcome still comes. */
 	end(): void {
+		this.#isEnded = true;
 		this.#window.release(this.#held);
 		this.#held = 0;
 	}
 
 	#holdAll(wanted: number): boolean {
-		while (this.#held < wanted && this.#window.reserve(this.#now())) {
+		while (!this.#isEnded && this.#held < wanted && this.#window.reserve(this.#now())) {
 			this.#held++;
 		}
 
--- a/test/entry/retry-permit.test.ts
+++ b/test/entry/retry-permit.test.ts
@@ -54,6 +54,17 @@
 	t.end();
 });
 
+test('an outcome that comes after the request has ended holds nothing', t => {
+	const {permit, facts} = start(100);
+	const request = permit();
+	request.mayArrive();
+	request.end();
+	request.readingTaken();
+	request.hold();
+	t.equal(facts().held, 0);
+	t.end();
+});
+
 test('a retry that waited is not sent once the window has no room for it', t => {
 	const {permit, wait} = start(100);
 	// The retry that need not be earned.
