--- a/test/support/lossy-fleet.ts
+++ b/test/support/lossy-fleet.ts
@@ -2,54 +2,22 @@
 One gateway's request decisions and three sidecars' attempt tables, joined by
 links with faults, on a virtual clock. It keeps a ledger of what really ran.
 */
-import assert from 'node:assert/strict';
-import * as option from 'fp-ts/lib/Option.js';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import type {AttemptEvent} from '../../source/decisions/attempts/attempt-event.js';
 import {AttemptTable} from '../../source/decisions/attempts/attempt-table.js';
 import {decideRequest} from '../../source/decisions/request/decide-request.js';
 import type {RequestEvent} from '../../source/decisions/request/request-event.js';
-import type {RequestState} from '../../source/decisions/request/request-state.js';
 import {startRequest} from '../../source/decisions/request/start-request.js';
 import type {AttemptMessage, Importance, Message} from '../../source/generated/messages.js';
 import {resultCode} from '../../source/generated/result-codes.js';
-import {describeCode} from '../../source/shared/describe-code.js';
-
-type Step =
-	| {readonly kind: 'request'; readonly repeatable: boolean; readonly tokens: number; readonly importance: Importance}
-	| {readonly kind: 'wait'; readonly milliseconds: number}
-	| {readonly kind: 'silence' | 'cut' | 'restart sidecar' | 'kill target' | 'leave'; readonly target: number}
-	| {readonly kind: 'unreachable'; readonly target: number; readonly milliseconds: number};
-
-type Caller = {
-	state: RequestState;
-	readonly tokens: number;
-	received: string;
-	ending: string | undefined;
-	/** Executions of the request that reached a target. */
-	executions: number;
-	finals: number;
-};
-
-type SentAttempt = {
-	readonly requestId: string;
-	readonly target: number;
-	readonly message: AttemptMessage;
-	readonly startedAt: number;
-	/** Incarnation of the sidecar that the frame was handed to. */
-	sentTo: number | undefined;
-};
-
-type Sidecar = {
-	table: AttemptTable;
-	incarnation: number;
-	/** The link in use; a silent one swallows everything. */
-	link: {readonly id: string; silent: boolean; open: boolean} | undefined;
-	unreachableUntil: number;
-	lastHeardAt: number;
-	running: Map<string, {made: number; readonly total: number; readonly base: number}>;
-};
+import {CallerLedger} from './caller-ledger.js';
+import {FramesInFlight} from './frames-in-flight.js';
+import type {LossyStep} from './lossy-step.js';
+import type {LossySidecar} from './lossy-sidecar.js';
+import type {SentAttempt} from './sent-attempt.js';
+import {sidecarEvent} from './sidecar-event.js';
+import {TargetRuns} from './target-runs.js';
 
 const capacity = {
 	kind: 'engine', totalPieces: 6, tokensPerPiece: 2000, mostRunning: 4, prefillTokensPerSecond: 10_000, decodeTokensPerSecond: 100, tokenMilliseconds: 40,
@@ -62,8 +30,6 @@
 const slotMilliseconds = 20;
 const deadlineMilliseconds = 20_000;
 
-const tokenOf = (requestId: string, index: number): string => `${requestId}.${index};`;
-
 /**
 A small fleet for randomised runs.
 
@@ -79,20 +45,19 @@
 	#now = 0;
 	#identifier = 0;
 	readonly #random: ReturnType<typeof xoroshiro128plus>;
-	readonly #callers = new Map<string, Caller>();
+	readonly #callers = new CallerLedger();
 	readonly #attempts = new Map<string, SentAttempt>();
-	readonly #sidecars: Sidecar[] = Array.from({length: 3}, () => ({
-		table: new AttemptTable(capacity), incarnation: 0, link: undefined, unreachableUntil: 0, lastHeardAt: 0, running: new Map<string, {made: number; total: number; base: number}>(),
+	readonly #sidecars: LossySidecar[] = Array.from({length: 3}, () => ({
+		table: new AttemptTable(capacity), incarnation: 0, link: undefined, unreachableUntil: 0, lastHeardAt: 0, running: new TargetRuns(),
 	}));
 
-	/** Frames in flight, each way, with their time of arrival. */
-	#flights: Array<{readonly at: number; readonly link: string; readonly deliver: () => void}> = [];
+	readonly #frames = new FramesInFlight();
 
 	constructor(seed: number) {
 		this.#random = xoroshiro128plus(seed);
 	}
 
-	step(step: Step): void {
+	step(step: LossyStep): void {
 		switch (step.kind) {
 			case 'request': {
 				this.#request(step.repeatable, step.tokens, step.importance);
@@ -149,35 +114,12 @@
 
 	/** Throws unless every promise held. */
 	check(): void {
-		for (const [requestId, caller] of this.#callers) {
-			const {state, received, ending, executions, finals, tokens} = caller;
-			const whole = Array.from({length: tokens}, (_, index) => tokenOf(requestId, index)).join('');
-			assert.equal(state.phase, 'done', `${requestId} has no final answer`);
-			assert.equal(finals, 1, `${requestId} has ${finals} final answers`);
-			assert.ok(whole.startsWith(received), `${requestId} received ${received}`);
-			if (ending === 'complete') {
-				assert.equal(received, whole, `${requestId} was completed with a part of its answer`);
-			}
-
-			if (ending === 'not run') {
-				assert.equal(executions, 0, `${requestId} was told "not run" and ran ${executions} times`);
-				assert.equal(received, '');
-			}
-
-			if (!state.repeatable) {
-				assert.ok(executions <= 1, `${requestId} may not be repeated and ran ${executions} times`);
-			}
-		}
+		this.#callers.check();
 	}
 
 	/** How often each ending was seen. */
 	get endings(): ReadonlyMap<string, number> {
-		const endings = new Map<string, number>();
-		for (const {ending} of this.#callers.values()) {
-			endings.set(ending ?? 'none', (endings.get(ending ?? 'none') ?? 0) + 1);
-		}
-
-		return endings;
+		return this.#callers.endings;
 	}
 
 	#pick(limit: number): number {
@@ -187,16 +129,9 @@
 	#request(repeatable: boolean, tokens: number, importance: Importance): void {
 		this.#identifier += 1;
 		const requestId = `r${this.#identifier}`;
-		this.#callers.set(requestId, {
-			state: startRequest({
-				requestId, organisation: `o${this.#pick(3)}`, importance, repeatable, streamed: true, deadlineAt: this.#now + deadlineMilliseconds,
-			}),
-			tokens,
-			received: '',
-			ending: undefined,
-			executions: 0,
-			finals: 0,
-		});
+		this.#callers.add(startRequest({
+			requestId, organisation: `o${this.#pick(3)}`, importance, repeatable, streamed: true, deadlineAt: this.#now + deadlineMilliseconds,
+		}), tokens);
 		this.#chooseTarget(requestId, []);
 	}
 
@@ -210,7 +145,7 @@
 	}
 
 	#event(requestId: string, event: RequestEvent): void {
-		const caller = this.#callers.get(requestId)!;
+		const caller = this.#callers.of(requestId);
 		const {state, effects} = decideRequest(caller.state, event);
 		caller.state = state;
 		for (const effect of effects) {
@@ -239,32 +174,12 @@
 					break;
 				}
 
-				case 'write': {
-					caller.received += effect.text;
-					break;
-				}
-
-				case 'complete': {
-					caller.ending = 'complete';
-					caller.finals += 1;
-					break;
-				}
-
-				case 'refuse': {
-					assert.equal(describeCode(effect.code).outcome, 'not run', `refused with ${effect.code}`);
-					caller.ending = 'not run';
-					caller.finals += 1;
-					break;
-				}
-
-				case 'fail': {
-					assert.notEqual(describeCode(effect.code).outcome, 'not run', `failed with ${effect.code}`);
-					caller.ending = 'failed';
-					caller.finals += 1;
-					break;
-				}
-
+				case 'write':
+				case 'complete':
+				case 'refuse':
+				case 'fail':
 				case 'drop': {
+					this.#callers.told(requestId, effect);
 					break;
 				}
 			}
@@ -272,7 +187,7 @@
 	}
 
 	#startAttempt(requestId: string, attemptId: string, target: number, emittedParts: number): void {
-		const caller = this.#callers.get(requestId)!;
+		const caller = this.#callers.of(requestId);
 		const message: AttemptMessage = {
 			kind: 'attempt',
 			attemptId,
@@ -313,36 +228,14 @@
 		this.#fly(link.id, () => {
 			// A frame that a silent connection held may arrive late, but only at the process that it was sent to.
 			if (this.#sidecars[target]!.incarnation === incarnation) {
-				this.#receiveAtSidecar(target, link.id, message);
+				this.#dispatch(target, sidecarEvent(message, link.id));
 			}
 		}, link.silent ? 1 + this.#pick(30_000) : undefined);
 		return true;
 	}
 
 	#fly(link: string, deliver: () => void, delay = 1 + this.#pick(20)): void {
-		// One link keeps the order of its frames.
-		const last = this.#flights.findLast(flight => flight.link === link)?.at ?? 0;
-		this.#flights.push({at: Math.max(last, this.#now + delay), link, deliver});
-	}
-
-	#receiveAtSidecar(target: number, link: string, message: Message): void {
-		switch (message.kind) { // eslint-disable-line @typescript-eslint/switch-exhaustiveness-check -- only what a gateway sends
-			case 'attempt': {
-				this.#dispatch(target, {kind: 'attempt arrived', link, message});
-				break;
-			}
-
-			case 'resume': {
-				this.#dispatch(target, {...message, link});
-				break;
-			}
-
-			case 'acknowledge':
-			case 'cancel': {
-				this.#dispatch(target, message);
-				break;
-			}
-		}
+		this.#frames.send(link, this.#now + delay, deliver);
 	}
 
 	#dispatch(target: number, event: AttemptEvent): void {
@@ -361,16 +254,14 @@
 				}
 
 				case 'run': {
-					const caller = this.#callers.get(effect.message.requestId)!;
-					caller.executions += 1;
-					sidecar.running.set(effect.message.attemptId, {made: 0, total: effect.message.outputTokens, base: Number(effect.message.body)});
+					this.#callers.of(effect.message.requestId).executions += 1;
+					sidecar.running.start(effect.message);
 					break;
 				}
 
 				case 'stop': {
-					sidecar.running.delete(effect.attemptId);
-					this.#dispatch(target, {
-						kind: 'target finished', attemptId: effect.attemptId, code: resultCode.targetLost, status: 502, finishReason: '', contentType: '',
+					sidecar.running.stop(effect.attemptId, told => {
+						this.#dispatch(target, told);
 					});
 					break;
 				}
@@ -416,43 +307,23 @@
 		const until = this.#now + milliseconds;
 		while (this.#now < until) {
 			this.#now += slotMilliseconds;
-			const due = this.#flights.filter(({at}) => at <= this.#now);
-			this.#flights = this.#flights.filter(({at}) => at > this.#now);
-			for (const flight of due.toSorted((first, second) => first.at - second.at)) {
-				flight.deliver();
-			}
-
+			this.#frames.deliver(this.#now);
 			for (const target of [0, 1, 2]) {
 				this.#runTarget(target);
 				this.#dispatch(target, {kind: 'tick'});
 				this.#keepLink(target);
 			}
 
-			for (const [requestId, {state}] of this.#callers) {
-				if (state.phase !== 'done' && state.deadlineAt <= this.#now) {
-					this.#event(requestId, {kind: 'deadline'});
-				}
+			for (const requestId of this.#callers.overdue(this.#now)) {
+				this.#event(requestId, {kind: 'deadline'});
 			}
 		}
 	}
 
 	#runTarget(target: number): void {
-		const sidecar = this.#sidecars[target]!;
-		for (const [attemptId, run] of sidecar.running) {
-			if (this.#now % tokenMilliseconds !== 0) {
-				continue;
-			}
-
-			const {requestId} = this.#attempts.get(attemptId)!;
-			if (run.made < run.total) {
-				this.#dispatch(target, {kind: 'target output', attemptId, text: tokenOf(requestId, run.base + run.made)});
-				run.made += 1;
-				continue;
-			}
-
-			sidecar.running.delete(attemptId);
-			this.#dispatch(target, {
-				kind: 'target finished', attemptId, code: 0, status: 200, finishReason: 'length', contentType: '',
+		if (this.#now % tokenMilliseconds === 0) {
+			this.#sidecars[target]!.running.step(event => {
+				this.#dispatch(target, event);
 			});
 		}
 	}
@@ -470,7 +341,7 @@
 			this.#closeLink(sidecar);
 		}
 
-		const live = [...this.#attempts.entries()].filter(([, attempt]) => attempt.target === target && this.#isLive(attempt.requestId, attempt));
+		const live = [...this.#attempts.entries()].filter(([, attempt]) => attempt.target === target && this.#callers.isLive(attempt.requestId, attempt.message.attemptId));
 		if (link?.open !== true && this.#now >= sidecar.unreachableUntil) {
 			this.#identifier += 1;
 			sidecar.link = {id: `l${this.#identifier}`, silent: false, open: true};
@@ -493,35 +364,26 @@
 		}
 	}
 
-	#isLive(requestId: string, attempt: {readonly message: AttemptMessage}): boolean {
-		const {state} = this.#callers.get(requestId)!;
-		return option.isSome(state.attempt) && state.attempt.value.attemptId === attempt.message.attemptId;
-	}
-
-	#closeLink(sidecar: Sidecar): void {
+	#closeLink(sidecar: LossySidecar): void {
 		if (sidecar.link?.open === true) {
 			sidecar.link.open = false;
 			const {id} = sidecar.link;
-			this.#flights = this.#flights.filter(({link}) => link !== `${id}-back`);
+			this.#frames.drop(`${id}-back`);
 			this.#dispatch(this.#sidecars.indexOf(sidecar), {kind: 'link closed', link: id});
 		}
 	}
 
-	#restart(sidecar: Sidecar): void {
+	#restart(sidecar: LossySidecar): void {
 		this.#closeLink(sidecar);
 		// The target goes on with what it had; nobody hears of it any more.
-		sidecar.running = new Map();
+		sidecar.running = new TargetRuns();
 		sidecar.table = new AttemptTable(capacity);
 		sidecar.incarnation += 1;
 	}
 
 	#killTarget(target: number): void {
-		const sidecar = this.#sidecars[target]!;
-		for (const attemptId of sidecar.running.keys()) {
-			sidecar.running.delete(attemptId);
-			this.#dispatch(target, {
-				kind: 'target finished', attemptId, code: resultCode.targetLost, status: 502, finishReason: '', contentType: '',
-			});
-		}
+		this.#sidecars[target]!.running.stopAll(event => {
+			this.#dispatch(target, event);
+		});
 	}
 }
