Let the proofs of the retry budget notice savings, and run without the runner

The property test now has calm stretches before failures, and a fifth of a window at once has an upper bound, too.

--- a/test/decisions/entry/retry-window.test.ts
+++ b/test/decisions/entry/retry-window.test.ts
@@ -19,6 +19,8 @@
 	restarts: fc.integer({min: 0, max: 99}),
 }), {minLength: 400, maxLength: 1500});
 
+const calmEvents = 200;
+
 test('the sum of what gateways spend by their own requests keeps the rule, with one retry a process beside the share', async t => {
 	fc.assert(fc.property(events, played => {
 		const gateways = Array.from({length: 5}, () => new RetryWindow(window));
@@ -39,7 +41,10 @@
 				service: 's', requestId, isReading: false, isAccepted: false,
 			};
 			judge.arrive(arrival, now);
-			for (let retry = 0; retry < wanted && option.isSome(own.spend(now, false)); retry++) {
+			// What is not spent while all is well must not be saved for when it is not.
+			const isCalm = Math.floor(number / calmEvents) % 2 === 0;
+			const mostRetries = isCalm ? 0 : wanted;
+			for (let retry = 0; retry < mostRetries && option.isSome(own.spend(now, false)); retry++) {
 				judge.arrive(arrival, now);
 			}
 		}
@@ -101,6 +106,7 @@
 		own.request(now);
 	}
 
-	t.ok(own.facts(30_000).room >= 8, `${own.facts(30_000).room} at once, of 40 a window`);
+	const {room} = own.facts(30_000);
+	t.ok(room >= 8 && room <= 41, `${room} at once, of 40 a window and one that is carried over`);
 	t.end();
 });
--- a/test/entry/retry-budget.test.ts
+++ b/test/entry/retry-budget.test.ts
@@ -2,12 +2,17 @@
 Retries of all gateways together, counted where they arrive.
 */
 import process from 'node:process';
-import {test} from 'tap';
+import {t as file, test} from 'tap';
 import {playRetryDays} from '../support/play-retry-days.js';
 
 const firstSeed = Number(process.env.SEED ?? 1);
-const days = Number(process.env.DAYS ?? 3);
-const seeds = Array.from({length: days}, (_, index) => firstSeed + index);
+const days = Number(process.env.DAYS ?? 2);
+/** A day on which what gateways save up from their start breaks the rule. */
+const tellingSeed = 116;
+const seeds = [...Array.from({length: days}, (_, index) => firstSeed + index), tellingSeed];
+
+const mostMilliseconds = 300_000;
+file.setTimeout(mostMilliseconds);
 
 const cases = [
 	{name: 'BUDGET: gateways that lose sight of each other retry no more than the rule allows', deeds: ['cut', 'split'], hasWaits: false},
