--- a/test/entry/attempt-sender.test.ts
+++ b/test/entry/attempt-sender.test.ts
@@ -47,7 +47,8 @@
 	};
 };
 
-const send = (sender: AttemptSender): ReturnType<AttemptSender['send']> => sender.send({
+const send = (sender: AttemptSender, mayStart = (): boolean => true): ReturnType<AttemptSender['send']> => sender.send({
+	mayStart,
 	target,
 	facts: {
 		requestId: 'r1', patienceMilliseconds: 1000, prompt: undefined, lastEventId: undefined, headers: [],
@@ -90,3 +91,23 @@
 	t.strictSame(events, []);
 	t.end();
 });
+
+test('BUDGET: an attempt that the retry budget denies at its first byte is not sent', t => {
+	const {sender, opened} = startSender();
+	send(sender, () => false);
+	t.equal(opened().mayStart(), false);
+	t.end();
+});
+
+test('BUDGET: an attempt whose target has gone is charged nothing', t => {
+	const {sender, beliefs, opened} = startSender();
+	let asked = 0;
+	send(sender, () => {
+		asked++;
+		return true;
+	});
+	beliefs.adopt({revision: 11, targets: []}, 50, 50);
+	t.equal(opened().mayStart(), false);
+	t.equal(asked, 0);
+	t.end();
+});
--- a/test/entry/plain-relay.test.ts
+++ b/test/entry/plain-relay.test.ts
@@ -92,6 +92,27 @@
 	t.match(JSON.parse(reply.body), {error: {ran: 'not run'}});
 });
 
+test('BUDGET: once the retry budget is spent, a refused call is not sent again, and its caller is told when to come back', async t => {
+	const {fleet, first, second, gateway} = await start(t);
+	for (const target of [first, second]) {
+		target.answer = (response, {requestId}) => {
+			response.writeHead(503, {'x-request-id': requestId, 'x-not-executed': '1'});
+			response.end();
+		};
+	}
+
+	const requests = Array.from({length: 8}, (_, index) => `r${index}`);
+	for (const requestId of requests) {
+		await fleet.ask(gateway, {path: '/bids/1', requestId}); // eslint-disable-line no-await-in-loop
+	}
+
+	// A fifth of the requests, and the three that a gateway of a new fleet may send before it has earned any.
+	t.ok(first.arrivals.length + second.arrivals.length <= requests.length + (requests.length * 0.2) + 3);
+	const reply = await fleet.ask(gateway, {path: '/bids/1', requestId: 'last'});
+	t.match(JSON.parse(reply.body), {error: {code: 1011, ran: 'not run'}});
+	t.ok(Number(reply.headers['retry-after']) > 0);
+});
+
 test('a price check whose answer is lost is asked again elsewhere', async t => {
 	const {fleet, first, second, gateway} = await start(t);
 	let asked = 0;
