--- a/test/support/virtual-day.ts
+++ b/test/support/virtual-day.ts
@@ -6,10 +6,9 @@
 could still be sent work, and whether living targets can, also while their entries
 have lapsed as the store was away.
 */
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 import type {JudgedTarget} from './judged-target.js';
+import {SeededChance} from './seeded-chance.js';
 import {VirtualGateway} from './virtual-gateway.js';
 import {VirtualJudge} from './virtual-judge.js';
 import {VirtualLinks} from './virtual-links.js';
@@ -52,7 +51,7 @@
 export class VirtualDay {
 	/** What was done to the fleet, in order. */
 	readonly deeds: string[] = [];
-	readonly #random: () => number;
+	readonly #chance: SeededChance;
 	readonly #time = new VirtualTime();
 	readonly #store = new VirtualStore(this.#time);
 	readonly #links = new VirtualLinks(this.#time);
@@ -63,8 +62,7 @@
 
 	constructor({seed, gateways, targets, drainMilliseconds}: DayOptions) {
 		this.#judge = new VirtualJudge({time: this.#time, targets: this.#targets, drainMilliseconds});
-		const generator = xoroshiro128plus(seed);
-		this.#random = () => uniformInt(generator, 0, 1_000_000) / 1_000_001;
+		this.#chance = new SeededChance(seed);
 		for (let index = 0; index < targets; index++) {
 			this.#addTarget();
 		}
@@ -85,15 +83,15 @@
 	}
 
 	async run(): Promise<void> {
-		const troubles = 3 + this.#whole(4);
+		const troubles = 3 + this.#chance.whole(4);
 		for (let index = 0; index < troubles; index++) {
-			this.#time.after(this.#between(quietMilliseconds, dayMilliseconds - 12_000), () => {
+			this.#time.after(this.#chance.between(quietMilliseconds, dayMilliseconds - 12_000), () => {
 				this.#trouble();
 			});
 		}
 
 		for (let index = 0; index < 6; index++) {
-			this.#time.after(this.#between(quietMilliseconds, dayMilliseconds - 6000), () => {
+			this.#time.after(this.#chance.between(quietMilliseconds, dayMilliseconds - 6000), () => {
 				this.#changeTarget();
 			});
 		}
@@ -113,26 +111,12 @@
 
 	#startGateway(name: string, incarnation: number): VirtualGateway {
 		return new VirtualGateway({
-			name, incarnation, time: this.#time, store: this.#store, links: this.#links, random: this.#random,
+			name, incarnation, time: this.#time, store: this.#store, links: this.#links, random: this.#chance.random,
 		});
 	}
 
-	#between(least: number, most: number): number {
-		return least + (this.#random() * (most - least));
-	}
-
-	#whole(count: number): number {
-		return Math.floor(this.#random() * count);
-	}
-
-	#pick<Item>(items: readonly Item[]): Item | undefined {
-		return items[this.#whole(items.length)];
-	}
-
-	#some(share: number): readonly Member[] {
-		const present = this.#members.filter(({isRemoved}) => !isRemoved);
-		const count = Math.max(1, Math.round(present.length * share));
-		return present.map(member => ({member, order: this.#random()})).toSorted((first, second) => first.order - second.order).slice(0, count).map(({member}) => member);
+	get #present(): readonly Member[] {
+		return this.#members.filter(({isRemoved}) => !isRemoved);
 	}
 
 	#note(deed: string): void {
@@ -153,22 +137,22 @@
 				clear(member);
 			}
 		});
-		if (this.#random() < 0.7) {
-			this.#time.after(milliseconds + this.#between(-1200, 900), () => {
+		if (this.#chance.random() < 0.7) {
+			this.#time.after(milliseconds + this.#chance.between(-1200, 900), () => {
 				this.#changeTarget();
 			});
 		}
 	}
 
 	#trouble(): void {
-		const kind = this.#pick(['turned away', 'turned away', 'frozen', 'frozen', 'slow link', 'slow link', 'cut', 'cut from store', 'kill', 'roll', 'store slow', 'store away', 'busy'] as const)!;
-		const members = this.#some(this.#pick([0.05, 0.1, 0.35])!);
-		const milliseconds = this.#between(500, 7000);
+		const kind = this.#chance.pick(['turned away', 'turned away', 'frozen', 'frozen', 'slow link', 'slow link', 'cut', 'cut from store', 'kill', 'roll', 'store slow', 'store away', 'busy'] as const);
+		const members = this.#chance.some(this.#present, this.#chance.pick([0.05, 0.1, 0.35]));
+		const milliseconds = this.#chance.between(500, 7000);
 		this.#note(`${kind} ${members.map(({gateway}) => gateway.name).join(',')} for ${Math.round(milliseconds)}`);
 		switch (kind) {
 			case 'turned away':
 			case 'cut from store': {
-				const fault = kind === 'turned away' ? this.#pick(['busy', 'silent'] as const)! : 'silent';
+				const fault = kind === 'turned away' ? this.#chance.pick(['busy', 'silent'] as const) : 'silent';
 				this.#disturb(members, milliseconds, ({gateway}) => {
 					gateway.storeFault = fault;
 				}, ({gateway}) => {
@@ -178,8 +162,8 @@
 			}
 
 			case 'frozen': {
-				const length = this.#between(300, 4000);
-				const isSuspended = this.#random() < 0.5;
+				const length = this.#chance.between(300, 4000);
+				const isSuspended = this.#chance.random() < 0.5;
 				this.#disturb(members, length, ({gateway}) => {
 					gateway.freeze(length, isSuspended);
 				}, () => undefined);
@@ -189,14 +173,14 @@
 			case 'busy': {
 				// A loop that is busy for a moment is no fault that the rules know.
 				for (const {gateway} of members) {
-					gateway.freeze(this.#between(50, 900), false);
+					gateway.freeze(this.#chance.between(50, 900), false);
 				}
 
 				return;
 			}
 
 			case 'slow link': {
-				const delay = this.#between(300, 2500);
+				const delay = this.#chance.between(300, 2500);
 				this.#disturb(members, milliseconds, ({gateway}) => {
 					gateway.delayMilliseconds = delay;
 				}, ({gateway}) => {
@@ -214,16 +198,16 @@
 
 			case 'kill': {
 				for (const member of members) {
-					this.#restart(member, this.#between(200, 1500));
+					this.#restart(member, this.#chance.between(200, 1500));
 				}
 
 				return;
 			}
 
 			case 'roll': {
-				for (const [index, member] of this.#some(0.4).entries()) {
+				for (const [index, member] of this.#chance.some(this.#present, 0.4).entries()) {
 					this.#time.after(index * 1000, () => {
-						this.#restart(member, this.#between(200, 600));
+						this.#restart(member, this.#chance.between(200, 600));
 					});
 				}
 
@@ -232,7 +216,7 @@
 
 			case 'store slow': {
 				this.#disturbStore(milliseconds, () => {
-					this.#store.slowMilliseconds = this.#between(100, 900);
+					this.#store.slowMilliseconds = this.#chance.between(100, 900);
 				}, () => {
 					this.#store.slowMilliseconds = 0;
 				});
@@ -267,11 +251,11 @@
 	}
 
 	#lapse(): void {
-		const lapsed = [...this.#targets.values()].filter(({leftAt}) => leftAt === Number.POSITIVE_INFINITY && this.#random() < 0.7);
+		const lapsed = [...this.#targets.values()].filter(({leftAt}) => leftAt === Number.POSITIVE_INFINITY && this.#chance.random() < 0.7);
 		for (const target of lapsed) {
 			this.#store.remove(target.record.id);
 			target.isListed = false;
-			this.#time.after(this.#between(0, 1900), () => {
+			this.#time.after(this.#chance.between(0, 1900), () => {
 				if (target.leftAt === Number.POSITIVE_INFINITY) {
 					this.#store.put(target.record);
 					target.listedSince = this.#time.now;
@@ -314,9 +298,9 @@
 
 	#changeTarget(): void {
 		const living = [...this.#targets.values()].filter(({leftAt}) => leftAt === Number.POSITIVE_INFINITY);
-		const target = this.#pick(living);
-		const kind = this.#pick(['removed', 'removed', 'drains', 'appears'] as const)!;
-		if (kind === 'appears' || target === undefined || living.length < 4) {
+		const target = this.#chance.pick(living);
+		const kind = this.#chance.pick(['removed', 'removed', 'drains', 'appears'] as const);
+		if (kind === 'appears' || living.length < 4) {
 			this.#addTarget();
 			this.#note('target appears');
 			return;
@@ -330,7 +314,7 @@
 		}
 
 		this.#store.put({...target.record, isDraining: true});
-		this.#time.after(this.#between(1000, 6000), () => {
+		this.#time.after(this.#chance.between(1000, 6000), () => {
 			this.#store.remove(target.record.id);
 		});
 	}
--- a/test/support/virtual-retry-day.ts
+++ b/test/support/virtual-retry-day.ts
@@ -2,10 +2,9 @@
 One seeded day of a fleet in virtual time on which targets refuse, lose and hold
 up what is sent, while gateways lose sight of each other, stop, and start again.
 */
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {RetryJudge} from './retry-judge.js';
 import type {RetryTrouble} from './retry-trouble.js';
+import {SeededChance} from './seeded-chance.js';
 import {VirtualEntry} from './virtual-entry.js';
 import {VirtualTime} from './virtual-time.js';
 
@@ -60,7 +59,7 @@
 	readonly deeds: string[] = [];
 	readonly judge: RetryJudge;
 	readonly #options: DayOptions;
-	readonly #random: () => number;
+	readonly #chance: SeededChance;
 	readonly #time = new VirtualTime();
 	readonly #members: Member[];
 	readonly #troubles: Readonly<Record<ServiceName, RetryTrouble>> = {floor: {...calm}, models: {...calm}};
@@ -70,13 +69,12 @@
 	constructor(options: DayOptions) {
 		this.#options = options;
 		this.judge = new RetryJudge(this.#bounds);
-		const generator = xoroshiro128plus(options.seed);
-		this.#random = () => uniformInt(generator, 0, 1_000_000) / 1_000_001;
+		this.#chance = new SeededChance(options.seed);
 		this.#members = Array.from({length: options.gateways}, (_, index) => {
 			const member: Member = {
 				entry: undefined as unknown as VirtualEntry,
 				name: `gateway-${index}`,
-				weight: this.#random() < 0.2 ? 0.05 : 0.4 + this.#random(),
+				weight: this.#chance.random() < 0.2 ? 0.05 : 0.4 + this.#chance.random(),
 				startedAt: -linkMilliseconds,
 				isRunning: true,
 				group: 0,
@@ -86,21 +84,21 @@
 		});
 	}
 
-	get #bounds(): {readonly share: number; readonly windowMilliseconds: number; readonly extra: number} {
+	get #bounds(): ConstructorParameters<typeof RetryJudge>[0] {
 		return {share: 0.2, windowMilliseconds: 10_000, extra: this.#options.extra};
 	}
 
 	async run(): Promise<void> {
 		for (const service of ['floor', 'models'] as const) {
 			this.#nextRequest(service);
-			this.#time.after(this.#between(quietMilliseconds, 14_000), () => {
+			this.#time.after(this.#chance.between(quietMilliseconds, 14_000), () => {
 				this.#troubleTargets(service);
 			});
 		}
 
-		const deeds = this.#options.deeds.length === 0 ? 0 : 2 + this.#whole(5);
+		const deeds = this.#options.deeds.length === 0 ? 0 : 2 + this.#chance.whole(5);
 		for (let index = 0; index < deeds; index++) {
-			this.#time.after(this.#between(quietMilliseconds, dayMilliseconds - 6000), () => {
+			this.#time.after(this.#chance.between(quietMilliseconds, dayMilliseconds - 6000), () => {
 				this.#troubleGateways();
 			});
 		}
@@ -119,7 +117,7 @@
 			bounds: {...this.#bounds, isFirstStart: this.#time.now === 0},
 			troubles: this.#troubles,
 			gateways: () => this.#seenBy(member),
-			random: this.#random,
+			random: this.#chance.random,
 		});
 	}
 
@@ -129,34 +127,17 @@
 		return isLinked(member) ? this.#members.filter(other => isLinked(other) && other.group === member.group).length : 1;
 	}
 
-	#between(least: number, most: number): number {
-		return least + (this.#random() * (most - least));
-	}
-
-	#whole(count: number): number {
-		return Math.floor(this.#random() * count);
-	}
-
-	#pick<Item>(items: readonly Item[]): Item {
-		return items[this.#whole(items.length)]!;
-	}
-
-	#some(share: number): readonly Member[] {
-		const count = Math.max(1, Math.round(this.#members.length * share));
-		return this.#members.map(member => ({member, order: this.#random()})).toSorted((first, second) => first.order - second.order).slice(0, count).map(({member}) => member);
-	}
-
 	#note(deed: string): void {
 		this.deeds.push(`${Math.round(this.#time.now)} ${deed}`);
 	}
 
 	#nextRequest(service: ServiceName): void {
 		const rate = this.#options.loads[service] * this.#troubles[service].load / 1000;
-		this.#time.after(-Math.log(1 - this.#random()) / rate, () => {
+		this.#time.after(-Math.log(1 - this.#chance.random()) / rate, () => {
 			this.#nextRequest(service);
 			this.#requests++;
 			const running = this.#members.filter(({isRunning}) => isRunning);
-			let left = this.#random() * running.reduce((sum, {weight}) => sum + weight, 0);
+			let left = this.#chance.random() * running.reduce((sum, {weight}) => sum + weight, 0);
 			const member = running.find(({weight}) => {
 				left -= weight;
 				return left < 0;
@@ -168,15 +149,15 @@
 	/** Makes targets ask for more retries than the rule allows, for a while, and changes how as it goes. */
 	#troubleTargets(service: ServiceName): void {
 		const trouble = this.#troubles[service];
-		const refused = this.#pick([0, 0.4, 0.7, 0.9]);
-		const change: Partial<RetryTrouble> = this.#options.hasWaits ? this.#hardTrouble(refused) : {refused, load: this.#pick([1, 1, 2.5, 0.2])};
+		const refused = this.#chance.pick([0, 0.4, 0.7, 0.9]);
+		const change: Partial<RetryTrouble> = this.#options.hasWaits ? this.#hardTrouble(refused) : {refused, load: this.#chance.pick([1, 1, 2.5, 0.2])};
 		this.#note(`${service} ${JSON.stringify(change)}`);
 		Object.assign(trouble, change);
-		this.#time.after(this.#between(2000, 12_000), () => {
-			if (this.#random() < 0.3) {
+		this.#time.after(this.#chance.between(2000, 12_000), () => {
+			if (this.#chance.random() < 0.3) {
 				Object.assign(trouble, calm);
 				this.#note(`${service} calm`);
-				this.#time.after(this.#between(0, 5000), () => {
+				this.#time.after(this.#chance.between(0, 5000), () => {
 					this.#troubleTargets(service);
 				});
 			} else {
@@ -188,20 +169,20 @@
 	#hardTrouble(refused: number): Partial<RetryTrouble> {
 		return {
 			refused,
-			lost: this.#pick([0, 0, 0.3, 0.6]),
-			unsent: this.#pick([0, 0, 0.2, 0.5]),
-			connectMilliseconds: this.#pick([3, 3, 100, 900]),
-			delayed: this.#pick([0, 0, 0.05]),
-			delayMilliseconds: this.#pick([200, 600, 1400]),
-			leaving: this.#pick([0.01, 0.01, 0.3]),
-			queueMilliseconds: this.#pick([40, 40, 1200]),
-			load: this.#pick([1, 1, 2.5, 0.2]),
+			lost: this.#chance.pick([0, 0, 0.3, 0.6]),
+			unsent: this.#chance.pick([0, 0, 0.2, 0.5]),
+			connectMilliseconds: this.#chance.pick([3, 3, 100, 900]),
+			delayed: this.#chance.pick([0, 0, 0.05]),
+			delayMilliseconds: this.#chance.pick([200, 600, 1400]),
+			leaving: this.#chance.pick([0.01, 0.01, 0.3]),
+			queueMilliseconds: this.#chance.pick([40, 40, 1200]),
+			load: this.#chance.pick([1, 1, 2.5, 0.2]),
 		};
 	}
 
 	#troubleGateways(): void {
-		const kind = this.#pick(this.#options.deeds);
-		const members = this.#some(this.#pick([0.2, 0.4, 0.6]));
+		const kind = this.#chance.pick(this.#options.deeds);
+		const members = this.#chance.some(this.#members, this.#chance.pick([0.2, 0.4, 0.6]));
 		this.#note(`${kind} ${members.map(({name}) => name).join(',')}`);
 		switch (kind) {
 			case 'cut': {
@@ -216,7 +197,7 @@
 
 			case 'roll': {
 				for (const [index, member] of this.#members.entries()) {
-					this.#time.after(index * this.#pick([300, 500, 1000]), () => {
+					this.#time.after(index * this.#chance.pick([300, 500, 1000]), () => {
 						this.#restart(member, 300);
 					});
 				}
@@ -228,7 +209,7 @@
 			case 'kill':
 			case 'replace': {
 				for (const member of kind === 'herd' ? this.#members : members) {
-					this.#restart(member, kind === 'replace' ? 1000 : this.#between(100, 800));
+					this.#restart(member, kind === 'replace' ? 1000 : this.#chance.between(100, 800));
 				}
 
 				return;
@@ -236,7 +217,7 @@
 
 			case 'freeze': {
 				for (const {entry} of members) {
-					entry.frozenUntil = Math.max(entry.frozenUntil, this.#time.now + this.#between(300, 6000));
+					entry.frozenUntil = Math.max(entry.frozenUntil, this.#time.now + this.#chance.between(300, 6000));
 				}
 			}
 		}
@@ -252,7 +233,7 @@
 			}
 		}
 
-		this.#time.after(this.#between(2000, 14_000), () => {
+		this.#time.after(this.#chance.between(2000, 14_000), () => {
 			for (const member of sets.flat()) {
 				member.group = 0;
 			}
