Let both gateways in virtual time share one process that freezes and ends

The gateway of the retries had written again how the one of the beliefs defers what is due while a process stands still, and drops it once it has ended.

--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -23,6 +23,7 @@
 import type {TargetProtocol} from '../../source/ports/target-protocol.js';
 import type {RetryJudge} from './retry-judge.js';
 import type {RetryTrouble} from './retry-trouble.js';
+import {VirtualProcess} from './virtual-process.js';
 import {VirtualSender} from './virtual-sender.js';
 import type {VirtualTime} from './virtual-time.js';
 
@@ -77,7 +78,7 @@
 }
 
 /**
-One process, from its start until `kill`.
+One process, from its start until it is killed.
 
 @example
 ```
@@ -86,8 +87,7 @@
 ```
 */
 export class VirtualEntry {
-	frozenUntil = 0;
-	#isAlive = true;
+	readonly process: VirtualProcess;
 	readonly #options: EntryOptions;
 	readonly #windows = new Map<string, RetryWindow>();
 	readonly #contexts: Readonly<Record<ServiceName, EntryContext>>;
@@ -95,19 +95,16 @@
 
 	constructor(options: EntryOptions) {
 		this.#options = options;
+		this.process = new VirtualProcess(options.time);
 		this.#contexts = {floor: this.#createContext('floor'), models: this.#createContext('models')};
 		this.#senders = {floor: this.#createSender('floor'), models: this.#createSender('models')};
 	}
 
-	kill(): void {
-		this.#isAlive = false;
-	}
-
 	/** Takes a request that a caller sent now; a frozen process reads it later. */
 	take(service: ServiceName, requestId: string): void {
 		const {judge, time} = this.#options;
 		judge.request(service, time.now);
-		this.#after(1, () => {
+		this.process.after(1, () => {
 			void this.#carry(service, requestId);
 		});
 	}
@@ -134,7 +131,7 @@
 			whole: () => undefined,
 			onGone: callback => {
 				if (leavesAfter !== undefined) {
-					this.#after(leavesAfter, callback);
+					this.process.after(leavesAfter, callback);
 				}
 			},
 		};
@@ -169,7 +166,7 @@
 		const {random, troubles, time} = this.#options;
 		const wait: PromptQueues['wait'] = (service, prompt, decide) => {
 			let isWithdrawn = false;
-			this.#after(random() * troubles.models.queueMilliseconds, () => {
+			this.process.after(random() * troubles.models.queueMilliseconds, () => {
 				if (isWithdrawn) {
 					return;
 				}
@@ -208,9 +205,7 @@
 			judge,
 			trouble: troubles[service],
 			now: () => time.now,
-			after: (milliseconds, act) => {
-				this.#after(milliseconds, act);
-			},
+			after: this.process.after,
 			random,
 			onEnd: ({entry}) => {
 				if (entry !== undefined) {
@@ -220,22 +215,6 @@
 		}) as unknown as AttemptSender;
 	}
 
-	/** Runs what is due while the process lives, and once it runs. */
-	#after(milliseconds: number, act: () => void): () => void {
-		const {time} = this.#options;
-		return time.after(milliseconds, () => {
-			if (!this.#isAlive) {
-				return;
-			}
-
-			if (this.frozenUntil > time.now) {
-				this.#after(this.frozenUntil - time.now, act);
-			} else {
-				act();
-			}
-		});
-	}
-
 	#createContext(service: ServiceName): EntryContext {
 		const {name, time, judge, bounds, gateways, random} = this.#options;
 		const beliefs = new TargetBeliefs(1200);
@@ -261,7 +240,7 @@
 			sampling: {mayWrite: () => false, onLeftOut: () => undefined},
 			now: () => time.now,
 			timers: {
-				after: (milliseconds, act) => this.#after(milliseconds, act),
+				after: this.process.after,
 				every: () => () => undefined,
 			},
 			random,
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -14,6 +14,7 @@
 import type {Timers} from '../../source/shared/timers.js';
 import type {StoreFault} from './store-fault.js';
 import type {VirtualLinks} from './virtual-links.js';
+import {VirtualProcess} from './virtual-process.js';
 import type {VirtualStore} from './virtual-store.js';
 import type {VirtualTime} from './virtual-time.js';
 
@@ -40,7 +41,6 @@
 */
 export class VirtualGateway {
 	storeFault: StoreFault = 'none';
-	frozenUntil = 0;
 	/** What the link of this machine adds to each message. */
 	delayMilliseconds = 0;
 	cutUntil = 0;
@@ -48,7 +48,7 @@
 	readonly beliefs = new TargetBeliefs(1200);
 	readonly name: string;
 	readonly startedAt: number;
-	#isAlive = true;
+	readonly #process: VirtualProcess;
 	/** Time that the steady clock of this machine did not count. */
 	#uncounted = 0;
 	readonly #options: GatewayOptions;
@@ -60,6 +60,7 @@
 		this.#options = options;
 		const {name, incarnation, time, store, links, random} = options;
 		this.name = name;
+		this.#process = new VirtualProcess(time);
 		this.startedAt = time.now;
 		const context = this.#createContext();
 		this.#knowledge = new FleetKnowledge({
@@ -106,9 +107,7 @@
 			lost: peer => {
 				this.#exchange.lost(peer);
 			},
-			run: act => {
-				this.#run(act);
-			},
+			run: this.#process.run,
 			isAway: () => this.frozenUntil > time.now,
 			delay: () => this.delayMilliseconds,
 			cutUntil: () => this.cutUntil,
@@ -120,6 +119,11 @@
 		});
 	}
 
+	/** Until when the process stands still. */
+	get frozenUntil(): number {
+		return this.#process.frozenUntil;
+	}
+
 	/** True when this gateway would say that a route does not exist. */
 	get isSure(): boolean {
 		return this.#knowledge.inForce.isSure(this.#options.time.now - this.#uncounted);
@@ -136,43 +140,25 @@
 		const until = Math.max(this.frozenUntil, now + milliseconds);
 		// A steady clock never steps back, so time that two faults share counts once.
 		this.#uncounted += isSuspended ? until - Math.max(this.frozenUntil, now) : 0;
-		this.frozenUntil = until;
+		this.#process.frozenUntil = until;
 	}
 
 	/** Ends the process without a word. */
 	kill(): void {
-		this.#isAlive = false;
+		this.#process.kill();
 		this.#stopSweep();
 		this.#exchange.stop();
 		void this.#knowledge.stop();
 		this.#options.links.remove(this.name);
 	}
 
-	/** Runs what is due now, once the process runs. */
-	#run(act: () => void): void {
-		if (!this.#isAlive) {
-			return;
-		}
-
-		const {time} = this.#options;
-		if (this.frozenUntil > time.now) {
-			time.after(this.frozenUntil - time.now, () => {
-				this.#run(act);
-			});
-		} else {
-			act();
-		}
-	}
-
 	#createContext(): EntryContext {
 		const {name, time, links, random} = this.#options;
 		const timers: Timers = {
-			after: (milliseconds, act) => time.after(milliseconds, () => {
-				this.#run(act);
-			}),
+			after: this.#process.after,
 			every: (milliseconds, act) => time.every(milliseconds, () => {
 				if (this.frozenUntil <= time.now) {
-					this.#run(act);
+					this.#process.run(act);
 				}
 			}),
 		};
--- a/test/support/virtual-retry-day.ts
+++ b/test/support/virtual-retry-day.ts
@@ -105,7 +105,7 @@
 
 		await this.#time.run(dayMilliseconds);
 		for (const {entry} of this.#members) {
-			entry.kill();
+			entry.process.kill();
 		}
 	}
 
@@ -216,8 +216,8 @@
 			}
 
 			case 'freeze': {
-				for (const {entry} of members) {
-					entry.frozenUntil = Math.max(entry.frozenUntil, this.#time.now + this.#chance.between(300, 6000));
+				for (const {entry: {process}} of members) {
+					process.frozenUntil = Math.max(process.frozenUntil, this.#time.now + this.#chance.between(300, 6000));
 				}
 			}
 		}
@@ -245,7 +245,7 @@
 			return;
 		}
 
-		member.entry.kill();
+		member.entry.process.kill();
 		member.isRunning = false;
 		this.#time.after(milliseconds, () => {
 			member.entry = this.#start(member);
