Hand handlers of an attempt the sender itself, and ask for a denied retry once less

Two methods were bound beside each other because one handler was no arrow function; it is one now. Whether a retry was denied need not ask, too, that the step is not to send again: without room it never is, which decisions/entry/next-step shows. Nothing else changes.

--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -123,8 +123,6 @@
 			return {outcome: Promise.resolve({kind: 'not sent', reason: 'no free connection'}), cancel() {/* Nothing is under way. */}};
 		}
 
-		const watchOver = this.#watch.bind(this);
-		const isStillUsable = this.#isStillUsable.bind(this);
 		const arrival: Arrival = {chunks: [], bytes: 0};
 		const startedAt = context.now();
 		let isSent = false;
@@ -134,8 +132,8 @@
 			breakOff = connection.value.send({
 				method: plan.method, path: plan.path, headers: context.protocol.writeAttempt(plan.facts, plan.instructions), body: plan.body,
 			}, {
-				mayStart() {
-					if (!isStillUsable(plan)) {
+				mayStart: () => {
+					if (!this.#isStillUsable(plan)) {
 						return false;
 					}
 
@@ -146,7 +144,7 @@
 
 					context.health.sent(target.incarnation, plan.expectedMilliseconds ?? 0, context.now());
 					isSent = true;
-					watch = watchOver(plan, startedAt, reason => {
+					watch = this.#watch(plan, startedAt, reason => {
 						breakOff(reason);
 					});
 					return true;
--- a/source/entry/request-course.ts
+++ b/source/entry/request-course.ts
@@ -133,7 +133,7 @@
 			remainingMilliseconds: this.remaining,
 		};
 		const step = nextStep(outcome.kind, {...attempts, mayRetry});
-		const isDenied = step !== 'again' && !mayRetry && nextStep(outcome.kind, {...attempts, mayRetry: true}) === 'again';
+		const isDenied = !mayRetry && nextStep(outcome.kind, {...attempts, mayRetry: true}) === 'again';
 		if (isDenied) {
 			this.#countDenied();
 		}
