Measure how late the event loop runs, and play the grants test in virtual time

Change: EventLoopMonitor records the delay of a timer as a histogram (loop-delay) and logs each stall from 100 ms with the processor time used and the longest piece of work, measured by LoopActivity where messages, store answers, requests and queue passes are handled. The queue of prompts and the grants take their timers from the context, so that the grants test plays in virtual time.

--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -12,6 +12,7 @@
 import type {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
 import type {LoadTracker} from './load-tracker.js';
+import type {LoopActivity} from './loop-activity.js';
 import type {TargetConnections} from './target-connections.js';
 
 /**
@@ -27,6 +28,8 @@
 	readonly connections: TargetConnections;
 	readonly metrics: EntryMetrics;
 	readonly log: Logger;
+	/** What the event loop spends its time on. */
+	readonly activity: LoopActivity;
 	/** Decides which successful requests are logged, and counts the others. */
 	readonly sampling: {readonly mayWrite: (now: number) => boolean; readonly onOmitted: () => void};
 	readonly now: () => number;
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -23,7 +23,9 @@
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetState} from './fleet-state.js';
+import {EventLoopMonitor} from './event-loop-monitor.js';
 import {LoadTracker} from './load-tracker.js';
+import {LoopActivity} from './loop-activity.js';
 import {PeerExchange} from './peer-exchange.js';
 import {Peers} from './peers.js';
 import {PrefillGrants} from './prefill-grants.js';
@@ -82,12 +84,14 @@
 	readonly #cachePollers: EngineCachePollers;
 	readonly #grants: PrefillGrants;
 	readonly #knowledge: FleetState;
+	readonly #loopMonitor: EventLoopMonitor;
 
 	constructor(options: EntryOptions) {
 		this.#options = options;
 		this.#settings = options.settings;
 		this.#log = options.log;
 		this.#context = this.#createContext();
+		this.#loopMonitor = new EventLoopMonitor(this.#context);
 		this.#knowledge = new FleetState({
 			context: this.#context,
 			createStore: options.createStore,
@@ -138,12 +142,15 @@
 			await this.#startServer({host: settings.listen.callers.host, port: metricsPort}, '/metrics', () => ({status: 200, text: this.#context.metrics.render()}));
 		}
 
+		this.#loopMonitor.start();
 		await this.#callerServer.listen(settings.listen.callers);
 		this.#peers?.start();
 		this.#exchange?.start();
 		this.#knowledge.start();
 		this.#maintenanceTimer = setInterval(() => {
-			this.#runMaintenance();
+			this.#context.activity.measure('maintenance', this.#context.targetRegistry.all().length, () => {
+				this.#runMaintenance();
+			});
 		}, maintenanceIntervalMilliseconds);
 	}
 
@@ -168,6 +175,7 @@
 		this.#callerServer.close();
 		await this.#waitUntilDrained(stopAt + graceMilliseconds - killMarginMilliseconds);
 		clearInterval(this.#maintenanceTimer);
+		this.#loopMonitor.stop();
 		this.#cachePollers.stop();
 		this.#exchange?.stop();
 		this.#peers?.stop();
@@ -202,6 +210,7 @@
 			connections: new TargetConnections(),
 			metrics,
 			log,
+			activity: new LoopActivity(clock),
 			now: clock,
 			timers: systemTimers,
 			random: Math.random,
@@ -225,7 +234,9 @@
 			limits: () => this.#knowledge.inForce.current?.limits,
 			isClosing: () => this.#isStopping,
 			onRequest: (request, body, answer, startedAt) => {
-				this.#router.route(request, body, answer, startedAt);
+				this.#context.activity.measure('request', body?.byteLength ?? 0, () => {
+					this.#router.route(request, body, answer, startedAt);
+				});
 			},
 			onRefused: (request, answer, reason) => {
 				const code = refusalCodes[reason];
@@ -251,6 +262,7 @@
 				this.#exchange?.removePeer(peer);
 			},
 			log: this.#log,
+			activity: this.#context.activity,
 			now: clock,
 		});
 	}
--- a/source/entry/fleet-state.ts
+++ b/source/entry/fleet-state.ts
@@ -77,13 +77,17 @@
 				this.#configurationReadAt = requestedAt;
 				this.#recordStoreSuccess();
 				if (configuration !== undefined) {
-					this.adoptConfiguration(configuration, requestedAt, 'store', 'store');
+					context.activity.measure('configuration from the store', configuration.routes.length, () => {
+						this.adoptConfiguration(configuration, requestedAt, 'store', 'store');
+					});
 				}
 			},
 			onTargets: (list, unreadable, requestedAt) => {
 				this.#targetsReadAt = requestedAt;
 				context.metrics.gauge('targets.unreadable', unreadable);
-				this.adoptTargets(list, requestedAt, 'store', 'store');
+				context.activity.measure('targets from the store', list.targets.length, () => {
+					this.adoptTargets(list, requestedAt, 'store', 'store');
+				});
 			},
 			onFailure: (call, detail) => {
 				this.#recordStoreFailure(call, detail);
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -182,6 +182,13 @@
 	}
 
 	#broadcastDigest(): void {
+		const {activity, gatewayCount} = this.#options.context;
+		activity.measure('digest to peers', gatewayCount(), () => {
+			this.#sendDigest();
+		});
+	}
+
+	#sendDigest(): void {
 		const now = this.#options.context.now();
 		const isFull = now - this.#fullDigestAt >= fullDigestMilliseconds;
 		this.#fullDigestAt = isFull ? now : this.#fullDigestAt;
--- a/source/entry/peer-link.ts
+++ b/source/entry/peer-link.ts
@@ -6,6 +6,7 @@
 import type {PeerMessage} from '../generated/peer-messages.js';
 import {validatePeerMessages} from '../generated/validators.js';
 import {FramedSocket} from '../links/framed-socket.js';
+import type {LoopActivity} from './loop-activity.js';
 
 const packr = new Packr({useRecords: false, variableMapSize: true});
 const unpackr = new Unpackr({useRecords: false, mapsAsObjects: true});
@@ -16,7 +17,12 @@
 /** The link is closed when more bytes than this are queued for a slow peer. */
 const maxBufferedBytes = 2_097_152;
 
-type LinkHandlers = {readonly onMessage: (message: PeerMessage) => void; readonly onClosed: (reason: string) => void; readonly now: () => number};
+type LinkHandlers = {
+	readonly onMessage: (message: PeerMessage) => void;
+	readonly onClosed: (reason: string) => void;
+	readonly activity: LoopActivity;
+	readonly now: () => number;
+};
 
 const decode = (data: Uint8Array): PeerMessage | undefined => {
 	try {
@@ -33,7 +39,7 @@
 
 @example
 ```
-const link = new PeerLink(socket, {onMessage, onClosed, now: clock});
+const link = new PeerLink(socket, true, {onMessage, onClosed, activity, now: clock});
 link.send({kind: 'hello', name, incarnation, address});
 ```
 */
@@ -81,13 +87,16 @@
 	}
 
 	#receive(data: Uint8Array): void {
-		this.#receivedAt = this.#handlers.now();
-		const message = decode(data);
+		const {activity, now, onMessage} = this.#handlers;
+		this.#receivedAt = now();
+		const message = activity.measure('decoding a peer message', data.byteLength, () => decode(data));
 		if (message === undefined) {
 			this.close('6002 malformed frame');
 			return;
 		}
 
-		this.#handlers.onMessage(message);
+		activity.measure(`peer message ${message.kind}`, data.byteLength, () => {
+			onMessage(message);
+		});
 	}
 }
--- a/source/entry/peers.ts
+++ b/source/entry/peers.ts
@@ -7,6 +7,7 @@
 import {WebSocket, WebSocketServer} from 'ws';
 import type {Logger} from 'roarr';
 import type {PeerMessage} from '../generated/peer-messages.js';
+import type {LoopActivity} from './loop-activity.js';
 import {PeerLink} from './peer-link.js';
 
 type Peer = {readonly name: string; readonly incarnation: string; readonly address: string; readonly linkMegabits: number; readonly link: PeerLink};
@@ -20,6 +21,7 @@
 	readonly onMessage: (peer: string, message: PeerMessage) => void;
 	readonly onLost: (peer: string) => void;
 	readonly log: Logger;
+	readonly activity: LoopActivity;
 	readonly now: () => number;
 };
 
@@ -149,6 +151,7 @@
 			onClosed: reason => {
 				this.#removeLink(link, reason);
 			},
+			activity: this.#options.activity,
 			now: this.#options.now,
 		});
 		link.send({
--- a/source/entry/prefill-grants.ts
+++ b/source/entry/prefill-grants.ts
@@ -53,11 +53,11 @@
 		const {context, send} = this.#options;
 		this.#lastNumber++;
 		const number = this.#lastNumber;
-		const timer = setTimeout(() => {
+		const cancelTimeout = context.timers.after(answerTimeoutMilliseconds, () => {
 			this.#settle(number, 'no answer');
-		}, answerTimeoutMilliseconds);
+		});
 		this.#pending.set(number, (verdict, answer) => {
-			clearTimeout(timer);
+			cancelTimeout();
 			context.metrics.count(`grant.${verdict.replace(' ', '-')}`);
 			if (answer !== undefined) {
 				context.loadTracker.setOwnerBacklog(target.id, answer.waitingMilliseconds + (verdict === 'granted' ? readMilliseconds : 0), context.now());
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -60,7 +60,7 @@
 	readonly #grants: PrefillGrants;
 	/** Prompts for which the engine's owner gateway was asked and has not answered yet. */
 	readonly #awaitingGrant = new Set<WaitingPrompt>();
-	#timer: NodeJS.Timeout | undefined;
+	#cancelNextPass: (() => void) | undefined;
 
 	/** `onPlaced` is called after a long prompt was placed, so that peers are informed. */
 	constructor(context: EntryContext, grants: PrefillGrants, onPlaced: () => void) {
@@ -105,6 +105,12 @@
 	}
 
 	#process(service: string, queue: Map<WaitingPrompt, Entry>): void {
+		this.#context.activity.measure('prompt queue', queue.size, () => {
+			this.#placeOrReject(service, queue);
+		});
+	}
+
+	#placeOrReject(service: string, queue: Map<WaitingPrompt, Entry>): void {
 		const {views, record} = targetViews(this.#context, service);
 		if (views.some(({role}) => role === 'decode')) {
 			this.#placeAll(service, queue, views, record);
@@ -216,13 +222,13 @@
 
 	/** Schedules the next pass while prompts are waiting. */
 	#startTimer(): void {
-		if (this.#timer !== undefined || this.waitingCount === 0) {
+		if (this.#cancelNextPass !== undefined || this.waitingCount === 0) {
 			return;
 		}
 
-		this.#timer = setTimeout(() => {
-			this.#timer = undefined;
+		this.#cancelNextPass = this.#context.timers.after(processIntervalMilliseconds, () => {
+			this.#cancelNextPass = undefined;
 			this.#processAll();
-		}, processIntervalMilliseconds);
+		});
 	}
 }
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -14,6 +14,7 @@
 import type {EntryContext} from '../../source/entry/entry-context.js';
 import type {EntryMetrics} from '../../source/entry/entry-metrics.js';
 import {LoadTracker} from '../../source/entry/load-tracker.js';
+import {LoopActivity} from '../../source/entry/loop-activity.js';
 import {PlainRelay} from '../../source/entry/plain-relay.js';
 import type {PromptQueues} from '../../source/entry/prompt-queues.js';
 import {StreamRelay} from '../../source/entry/stream-relay.js';
@@ -237,6 +238,7 @@
 			health: new TargetHealth(),
 			metrics: metrics as EntryMetrics,
 			log: {info: () => undefined, warn: () => undefined} as unknown as Logger,
+			activity: new LoopActivity(() => time.now),
 			sampling: {mayWrite: () => false, onOmitted: () => undefined},
 			now: () => time.now,
 			timers: {
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -9,6 +9,7 @@
 import type {EntrySettings} from '../../source/entry/entry-settings.js';
 import {FleetState} from '../../source/entry/fleet-state.js';
 import {LoadTracker} from '../../source/entry/load-tracker.js';
+import {LoopActivity} from '../../source/entry/loop-activity.js';
 import {PeerExchange} from '../../source/entry/peer-exchange.js';
 import type {PrefillGrants} from '../../source/entry/prefill-grants.js';
 import type {Timers} from '../../source/shared/timers.js';
@@ -187,6 +188,7 @@
 			log: {
 				info: write, warn: write, error: write, debug: () => undefined,
 			} as unknown as Logger,
+			activity: new LoopActivity(() => time.now),
 			now: () => time.now - this.#uncounted,
 			timers,
 			random,
