Count the age of relayed store data from the peer's sending, not from its handling

Ruled out: a common clock (time of day jumps), subtracting the receiver's own stall (bytes also wait at the sender). Change: digests carry the sender's monotonic time; messages with data of the store return the stamp of the receiver's last digest and how long it was held (echo). The receiver takes the earliest time at which the message can have been sent.

--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -158,6 +158,7 @@
 		const reported = told.filter(({engine}) => rows.has(engine));
 		return {
 			kind: 'digest',
+			sentAt: Math.floor(context.now()),
 			configurationVersion: inForce.version,
 			storeAge: this.#storeRelay.storeAge,
 			reader: this.#options.fleetState.feed.reader,
@@ -193,7 +194,7 @@
 		const isFull = now - this.#fullDigestAt >= fullDigestMilliseconds;
 		this.#fullDigestAt = isFull ? now : this.#fullDigestAt;
 		const digest = this.#createDigest(this.#options.context.prefixCache.takeUpdates(), isFull, false);
-		const text = JSON.stringify({...digest, storeAge: 0});
+		const text = JSON.stringify({...digest, sentAt: 0, storeAge: 0});
 		this.#unchangedDigests = text === this.#lastDigest ? this.#unchangedDigests + 1 : 0;
 		const maxSkipped = digestPace(this.#options.context.gatewayCount()).ticks > 1 ? 0 : maxSkippedDigests;
 		if (this.#unchangedDigests % (maxSkipped + 1) === 0) {
--- a/source/entry/store-relay.ts
+++ b/source/entry/store-relay.ts
@@ -7,6 +7,7 @@
 which list are in force here, and when the store was last read.
 */
 import {ConfigurationPeerSelector} from '../decisions/entry/configuration-peer-selector.js';
+import {earliestSendTime} from '../decisions/entry/earliest-send-time.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import type {PeerMessage} from '../generated/peer-messages.js';
 import type {EntryContext} from './entry-context.js';
@@ -25,8 +26,8 @@
 	readonly send: (peer: string, message: PeerMessage) => void;
 };
 
-/** A peer's last digest, and what the peer was sent unrequested: the version of a configuration, and the hash of a list. */
-type PeerState = {readonly digest: Digest; sentVersion: number; sentListHash: number | undefined};
+/** A peer's last digest with the time of its arrival, and what the peer was sent unrequested: the version of a configuration, and the hash of a list. */
+type PeerState = {readonly digest: Digest; readonly receivedAt: number; sentVersion: number; sentListHash: number | undefined};
 
 /** The store is taken to be out of reach of a gateway that has not read it for this long. */
 const storeReachableMilliseconds = 1500;
@@ -75,7 +76,9 @@
 	/** Records a peer's digest, and sends the peer what should not wait for its request. */
 	handleDigest(peer: string, digest: Digest): void {
 		const {sentVersion = 0, sentListHash} = this.#states.get(peer) ?? {};
-		const state = {digest, sentVersion, sentListHash};
+		const state = {
+			digest, receivedAt: this.#options.context.now(), sentVersion, sentListHash,
+		};
 		this.#states.set(peer, state);
 		if (!digest.isFed || this.#isDependent(digest)) {
 			this.#sendMissing(peer, state);
@@ -94,11 +97,17 @@
 	/** Sends freshness reports to dependents and to peers that cannot read the store, and requests what this gateway lacks. */
 	tick(): void {
 		const {context: {targetRegistry}, fleetState: {inForce}, send} = this.#options;
-		for (const [peer, {digest}] of this.#states) {
+		for (const [peer, state] of this.#states) {
+			const {digest} = state;
 			const isStale = !digest.isFed && digest.storeAge >= staleMilliseconds && this.#isStoreReachable;
 			if (this.#isDependent(digest) || isStale) {
 				send(peer, {
-					kind: 'fresh', storeAge: this.storeAge, configurationVersion: inForce.version, revision: targetRegistry.list.revision, listName: targetRegistry.listHash,
+					kind: 'fresh',
+					echo: this.#createEcho(state),
+					storeAge: this.storeAge,
+					configurationVersion: inForce.version,
+					revision: targetRegistry.list.revision,
+					listName: targetRegistry.listHash,
 				});
 			}
 		}
@@ -126,7 +135,7 @@
 	gateway cannot read the store. The report counts only if it names the list in force
 	here; otherwise the list is requested, unless the peer's list is older.
 	*/
-	handleFresh(peer: string, {storeAge, configurationVersion, revision, listName}: Fresh): void {
+	handleFresh(peer: string, {echo, storeAge, configurationVersion, revision, listName}: Fresh): void {
 		const {context: {targetRegistry, now}, fleetState, send} = this.#options;
 		if (peer !== fleetState.feed.reader && this.storeAge < staleMilliseconds) {
 			return;
@@ -140,7 +149,7 @@
 			return;
 		}
 
-		const readAt = now() - storeAge;
+		const readAt = earliestSendTime(echo, now()) - storeAge;
 		fleetState.feed.confirm(peer, readAt);
 		fleetState.confirmTargets(revision, readAt, peer);
 		if (fleetState.feed.isFed(now())) {
@@ -148,9 +157,10 @@
 		}
 	}
 
-	handleTargets(peer: string, {revision, age, targets}: Targets): void {
+	handleTargets(peer: string, {echo, revision, age, targets}: Targets): void {
 		const {context, fleetState} = this.#options;
-		fleetState.adoptTargets({revision, targets: targets.map(target => ({...target, role: target.role}))}, context.now() - age, 'peer', peer);
+		const readAt = earliestSendTime(echo, context.now()) - age;
+		fleetState.adoptTargets({revision, targets: targets.map(target => ({...target, role: target.role}))}, readAt, 'peer', peer);
 	}
 
 	handleConfiguration(peer: string, {configuration}: Configuration): void {
@@ -181,17 +191,23 @@
 		}
 	}
 
-	/** Sends a peer the newest list, as the store returned it. */
+	/** Sends a peer the newest list, as the store returned it, unless the peer has sent no digest yet. */
 	#sendTargets(peer: string): void {
 		const {context, send} = this.#options;
 		const {revision, listAge} = targetListStatus(context);
-		if (revision > 0) {
+		const state = this.#states.get(peer);
+		if (revision > 0 && state !== undefined) {
 			send(peer, {
-				kind: 'targets', revision, age: listAge, targets: context.targetRegistry.list.targets.map(target => ({...target})),
+				kind: 'targets', echo: this.#createEcho(state), revision, age: listAge, targets: context.targetRegistry.list.targets.map(target => ({...target})),
 			});
 		}
 	}
 
+	/** Returns the time stamp of a peer's last digest, from which the peer bounds the age of a message. */
+	#createEcho({digest, receivedAt}: PeerState): Fresh['echo'] {
+		return {sentAt: digest.sentAt, heldMilliseconds: Math.max(0, Math.floor(this.#options.context.now() - receivedAt))};
+	}
+
 	#sendConfiguration(peer: string): void {
 		const {context: {metrics}, fleetState: {inForce: {current}}, send} = this.#options;
 		if (current !== undefined) {
--- a/test/entry/peer-exchange.test.ts
+++ b/test/entry/peer-exchange.test.ts
@@ -61,6 +61,7 @@
 	time.every(600, () => {
 		say(reader, {
 			kind: 'digest',
+			sentAt: 0,
 			configurationVersion: 0,
 			storeAge: 60_000,
 			reader: 'gateway-unknown',
--- a/test/support/lone-gateway.ts
+++ b/test/support/lone-gateway.ts
@@ -20,6 +20,9 @@
 	return feed.reader;
 };
 
+/** Replaced when the message is sent. */
+const noEcho = {sentAt: 0, heldMilliseconds: 0};
+
 /** A gateway that relies on another one's readings. */
 const own = names.find(name => readerOf(name) !== '')!;
 const reader = readerOf(own);
@@ -44,11 +47,11 @@
 	});
 
 	static readonly listOf = (targets: readonly TargetRecord[], revision: number): PeerMessage => ({
-		kind: 'targets', revision, age: 0, targets: targets.map(record => ({...record})),
+		kind: 'targets', echo: noEcho, revision, age: 0, targets: targets.map(record => ({...record})),
 	});
 
 	static readonly freshOf = (targets: readonly TargetRecord[], revision: number): PeerMessage => ({
-		kind: 'fresh', storeAge: 0, configurationVersion: 1, revision, listName: hashTargetList(targets),
+		kind: 'fresh', echo: noEcho, storeAge: 0, configurationVersion: 1, revision, listName: hashTargetList(targets),
 	});
 
 	readonly time = new VirtualTime();
@@ -57,6 +60,8 @@
 	readonly heard: PeerMessage[] = [];
 	readonly gateway: VirtualGateway;
 	readonly #links = new VirtualLinks(this.time);
+	/** The last digest that each peer has received from the gateway, and when. */
+	readonly #digests = new Map<string, {readonly sentAt: number; readonly receivedAt: number}>();
 
 	constructor() {
 		for (const name of names.filter(other => other !== own)) {
@@ -68,8 +73,11 @@
 		});
 	}
 
+	/** Sends a message with the echo that the peer would send. */
 	readonly say = (peer: string, message: PeerMessage): void => {
-		this.#links.send(peer, own, message);
+		const {sentAt, receivedAt} = this.#digests.get(peer) ?? {sentAt: 0, receivedAt: 0};
+		const echo = {sentAt, heldMilliseconds: Math.floor(this.time.now - receivedAt)};
+		this.#links.send(peer, own, 'echo' in message ? {...message, echo} : message);
 	};
 
 	readonly used = (): readonly string[] => this.gateway.beliefs.usable('s').map(({id}) => id);
@@ -79,6 +87,10 @@
 			name,
 			incarnation: name,
 			receive: (_, message) => {
+				if (message.kind === 'digest') {
+					this.#digests.set(name, {sentAt: message.sentAt, receivedAt: this.time.now});
+				}
+
 				if (name === reader) {
 					this.heard.push(message);
 				}
