Bound the time that passes over the queue of prompts take

The event loop accepts one connection in each turn, and from 7.9 s to 9.6 s one gateway of 0.513 of a core made 5 to 13 turns in half a second (a trial with counters on a scratch copy): it used its whole share, of which passes over a queue of 60 to 80 prompts took up to 84 of 210 ms and garbage collection 30 to 50 ms, while connections waited unaccepted for seconds. Ruled out: a single stall of the loop (the longest is 289 ms), requests lost inside the gateway, the traffic alone (accepted connections fall from 58 to 5 in half a second while it lasts).

--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -127,15 +127,34 @@
 
 const byUrgency = (first: WaitingPrompt, second: WaitingPrompt): number => first.priority - second.priority || first.dueAt - second.dueAt;
 
+/** The waiting prompts in the order of each lane. It holds for one moment, so that one pass over a queue sorts once. */
+type QueueOrder = {
+	/** Prompts whose first event can still be on time, the most urgent first. */
+	readonly timely: readonly WaitingPrompt[];
+	/** All prompts, the one whose caller gives up soonest first. */
+	readonly byGiveUp: readonly WaitingPrompt[];
+};
+
+/** Orders the prompts that wait now. */
+const order = (waiting: readonly WaitingPrompt[], now: number): QueueOrder => ({
+	timely: waiting.filter(({dueAt}) => now + firstEventMilliseconds < dueAt).toSorted(byUrgency),
+	byGiveUp: waiting.toSorted((first, second) => first.giveUpAt - second.giveUpAt),
+});
+
+/** Returns the order without a prompt that was placed. */
+const without = ({timely, byGiveUp}: QueueOrder, placed: WaitingPrompt): QueueOrder => ({
+	timely: timely.filter(prompt => prompt !== placed),
+	byGiveUp: byGiveUp.filter(prompt => prompt !== placed),
+});
+
 /** Returns the prompt to send now and its placement; none when all prompts have to wait. */
-const next = (waiting: readonly WaitingPrompt[], context: QueueContext, now: number): option.Option<Choice> => {
-	const timely = waiting.filter(({dueAt}) => now + firstEventMilliseconds < dueAt).toSorted(byUrgency);
+const next = ({timely, byGiveUp}: QueueOrder, context: QueueContext, now: number): option.Option<Choice> => {
 	const onTime = placeFirst(timely, 'onTime', context, ({dueAt}, {latency}) => now + latency + firstEventMilliseconds <= dueAt);
 	if (option.isSome(onTime)) {
 		return onTime;
 	}
 
-	return placeFirst(waiting.toSorted((first, second) => first.giveUpAt - second.giveUpAt), 'late', context, () => true);
+	return placeFirst(byGiveUp, 'late', context, () => true);
 };
 
 /** Total prefill rate of all engines, in prefill engines. */
@@ -147,12 +166,11 @@
 which engines prefill, and how long each would have to wait. They are determined on
 arrival, so that no caller waits only to be rejected later.
 */
-const unservable = (waiting: readonly WaitingPrompt[], context: QueueContext, gateways: number, now: number): ReadonlyArray<{readonly prompt: WaitingPrompt; readonly waitMilliseconds: number}> => {
+const unservable = ({byGiveUp}: QueueOrder, context: QueueContext, gateways: number, now: number): ReadonlyArray<{readonly prompt: WaitingPrompt; readonly waitMilliseconds: number}> => {
 	const prefillRate = Math.max(inPlacePrefillShare, totalPrefillRate(context.engines)) / Math.max(1, gateways);
 	const averageBacklog = context.engines.reduce((sum, {readMilliseconds}) => sum + readMilliseconds, 0) / Math.max(1, context.engines.length);
 	let queuedMilliseconds = 0;
-	return waiting
-		.toSorted((first, second) => first.giveUpAt - second.giveUpAt)
+	return byGiveUp
 		.flatMap(prompt => {
 			const waitMilliseconds = averageBacklog + (queuedMilliseconds / prefillRate);
 			const prefillMilliseconds = idlePrefillMilliseconds(prompt, context);
@@ -168,7 +186,10 @@
 
 @example
 ```
-const chosen = promptQueue.next(waiting, context, clock());
+const order = promptQueue.order(waiting, now);
+const chosen = promptQueue.next(order, context, now);
 ```
 */
-export const promptQueue = {next, unservable, selectInPlaceEngines} as const;
+export const promptQueue = {
+	order, without, next, unservable, selectInPlaceEngines,
+} as const;
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -4,6 +4,7 @@
 import * as option from 'fp-ts/lib/Option.js';
 import type {PromptPlacement} from '../decisions/entry/prompt-placement.js';
 import type {EngineView} from '../decisions/entry/engine-view.js';
+import {queuePassPause} from '../decisions/entry/queue-pass-pause.js';
 import {promptQueue} from '../decisions/entry/prompt-queue.js';
 import {announcedPrefillMilliseconds} from '../decisions/entry/announced-prefill-milliseconds.js';
 import type {WaitingPrompt} from '../decisions/entry/waiting-prompt.js';
@@ -32,6 +33,8 @@
 	| {readonly kind: 'no engine'}
 	| {readonly kind: 'hopeless'; readonly waitMilliseconds: number};
 
+type QueueOrder = ReturnType<typeof promptQueue.order>;
+
 type QueueContext = Parameters<typeof promptQueue.next>[1];
 
 type Choice = Extract<ReturnType<typeof promptQueue.next>, {readonly _tag: 'Some'}>['value'];
@@ -40,9 +43,6 @@
 
 type Entry = {readonly prompt: WaitingPrompt; readonly decide: (verdict: Verdict) => void; readonly denials: number};
 
-/** Interval between two passes over a queue: a pass costs as much for one prompt as for many. */
-const processIntervalMilliseconds = 8;
-
 /**
 Holds one queue for each service. A prompt leaves its queue with a verdict, or when it is withdrawn.
 
@@ -61,6 +61,8 @@
 	/** Prompts for which the engine's owner gateway was asked and has not answered yet. */
 	readonly #awaitingGrant = new Set<WaitingPrompt>();
 	#cancelNextPass: (() => void) | undefined;
+	/** How long the last pass over all queues took. */
+	#passMilliseconds = 0;
 
 	/** `onPlaced` is called after a long prompt was placed, so that peers are informed. */
 	constructor(context: EntryContext, grants: PrefillGrants, onPlaced: () => void) {
@@ -105,9 +107,13 @@
 	}
 
 	#process(service: string, queue: Map<WaitingPrompt, Entry>): void {
-		this.#context.activity.measure('prompt queue', queue.size, () => {
+		const {activity, now} = this.#context;
+		const startedAt = now();
+		activity.measure('prompt queue', queue.size, () => {
 			this.#placeOrReject(service, queue);
 		});
+		this.#passMilliseconds = now() - startedAt;
+		this.#startTimer();
 	}
 
 	#placeOrReject(service: string, queue: Map<WaitingPrompt, Entry>): void {
@@ -119,8 +125,6 @@
 				this.#decide(queue, prompt, {kind: 'no engine'});
 			}
 		}
-
-		this.#startTimer();
 	}
 
 	/** Places prompts until the remaining ones have to wait. Each placement adds to the engine's load for the next choice. */
@@ -128,14 +132,16 @@
 		const now = this.#context.now();
 		const sharedContext = this.#queueContext(service, views, record, now);
 		let engines = views;
+		let order = promptQueue.order([...queue.keys()], now);
 		while (queue.size > 0) {
 			const context = {...sharedContext, engines};
-			const chosen = promptQueue.next([...queue.keys()], context, now);
+			const chosen = promptQueue.next(order, context, now);
 			if (option.isNone(chosen)) {
-				this.#rejectUnservable(queue, context, now);
+				this.#rejectUnservable(queue, order, context, now);
 				return;
 			}
 
+			order = promptQueue.without(order, chosen.value.prompt);
 			const {engine, readMilliseconds} = chosen.value.placement;
 			engines = engines.map(view => view.id === engine.id ? {...view, attempts: view.attempts + 1, readMilliseconds: view.readMilliseconds + readMilliseconds} : view);
 			this.#send(queue, chosen.value, record);
@@ -188,25 +194,25 @@
 		}
 	}
 
-	#rejectUnservable(queue: Map<WaitingPrompt, Entry>, context: QueueContext, now: number): void {
-		for (const {prompt, waitMilliseconds} of promptQueue.unservable([...queue.keys()], context, this.#context.gatewayCount(), now)) {
+	#rejectUnservable(queue: Map<WaitingPrompt, Entry>, order: QueueOrder, context: QueueContext, now: number): void {
+		for (const {prompt, waitMilliseconds} of promptQueue.unservable(order, context, this.#context.gatewayCount(), now)) {
 			this.#decide(queue, prompt, {kind: 'hopeless', waitMilliseconds});
 		}
 	}
 
-	/** The context of one pass, except for the engines' load. The prefix cache index is queried once for each prompt and engine. */
+	/** The context of one pass, except for the engines' load. The prefix cache index is queried once for each engine and combination of shared parts. */
 	#queueContext(service: string, views: readonly EngineView[], record: (id: string) => TargetRecord, now: number): Omit<QueueContext, 'engines'> {
 		const engine = this.#context.service(service)?.engine;
 		const {cacheTokens = 0, bytesPerToken = 0, linkMegabitsPerSecond = 1} = engine ?? {};
-		const cachedTokensByPrompt = new Map<WaitingPrompt, Map<string, number>>();
+		const cachedTokensByParts = new Map<string, Map<string, number>>();
 		return {
 			inPlaceEngines: promptQueue.selectInPlaceEngines(views),
 			availabilityZone: this.#context.settings().availabilityZone,
 			bytesPerToken,
 			linkMegabitsPerSecond,
 			cachedTokens: (prompt, id) => {
-				const byEngine = cachedTokensByPrompt.get(prompt) ?? new Map<string, number>();
-				cachedTokensByPrompt.set(prompt, byEngine);
+				const byEngine = cachedTokensByParts.get(prompt.sharedKey) ?? new Map<string, number>();
+				cachedTokensByParts.set(prompt.sharedKey, byEngine);
 				const cachedTokens = byEngine.get(id) ?? this.#context.prefixCache.cachedTokens(record(id).incarnation, prompt.sharedParts, {cacheTokens, now});
 				byEngine.set(id, cachedTokens);
 				return cachedTokens;
@@ -226,7 +232,7 @@
 			return;
 		}
 
-		this.#cancelNextPass = this.#context.timers.after(processIntervalMilliseconds, () => {
+		this.#cancelNextPass = this.#context.timers.after(queuePassPause(this.#passMilliseconds), () => {
 			this.#cancelNextPass = undefined;
 			this.#processAll();
 		});
--- a/test/decisions/entry/grant-prefill.test.ts
+++ b/test/decisions/entry/grant-prefill.test.ts
@@ -31,7 +31,7 @@
 
 const choose = (waiting: readonly WaitingPrompt[], backlogs: ReadonlyMap<string, number>) => {
 	const engines = viewsOf(backlogs);
-	const chosen = promptQueue.next(waiting, {
+	const chosen = promptQueue.next(promptQueue.order(waiting, 0), {
 		engines, inPlaceEngines: promptQueue.selectInPlaceEngines(engines), availabilityZone: 'a', bytesPerToken: 35_136, linkMegabitsPerSecond: 270_000, cachedTokens: () => 13_300,
 	}, 0);
 	return option.isSome(chosen) ? chosen.value : undefined;
--- a/test/decisions/entry/prompt-queue.test.ts
+++ b/test/decisions/entry/prompt-queue.test.ts
@@ -21,7 +21,7 @@
 });
 
 const chosenId = (waiting: readonly WaitingPrompt[], engines: readonly EngineView[], now: number): string | undefined => {
-	const chosen = promptQueue.next(waiting, contextOf(engines), now);
+	const chosen = promptQueue.next(promptQueue.order(waiting, now), contextOf(engines), now);
 	return option.isSome(chosen) ? chosen.value.prompt.id : undefined;
 };
 
@@ -101,14 +101,14 @@
 		}
 
 		const context = contextOf([view('p1', 'prefill', {readMilliseconds: Math.max(0, freeAt - now)}), view('d1', 'decode', {attempts: 64})]);
-		const chosen = promptQueue.next(waiting, context, now);
+		const chosen = promptQueue.next(promptQueue.order(waiting, now), context, now);
 		if (option.isSome(chosen)) {
 			const {prompt: sent} = chosen.value;
 			send(sent, now);
 			waiting = waiting.filter(each => each !== sent);
 		}
 
-		const unservable = new Set(promptQueue.unservable(waiting, context, 1, now).map(({prompt: each}) => each));
+		const unservable = new Set(promptQueue.unservable(promptQueue.order(waiting, now), context, 1, now).map(({prompt: each}) => each));
 		result.rejected += unservable.size;
 		waiting = waiting.filter(each => !unservable.has(each));
 	}
@@ -129,7 +129,7 @@
 test('a prompt that cannot start before its caller gives up is rejected on arrival, with the time until there is capacity', t => {
 	const engines = [view('p1', 'prefill', {readMilliseconds: 250}), view('d1', 'decode', {attempts: 64})];
 	const queue = Array.from({length: 12}, (_, index) => prompt(String(index), index));
-	const unservable = promptQueue.unservable(queue, contextOf(engines), 1, 20);
+	const unservable = promptQueue.unservable(promptQueue.order(queue, 20), contextOf(engines), 1, 20);
 	t.ok(unservable.length > 0 && unservable.length < queue.length);
 	t.ok(unservable.every(({prompt: each}) => Number(each.id) >= queue.length - unservable.length), 'the last to arrive');
 	t.ok(unservable.every(({waitMilliseconds}) => waitMilliseconds > 1000));
