Take targets at their word when they leave or ask for a pause

A target that leaves says so in the header Server-Leaving, one that is full may ask for a pause with 503 and Retry-After. Nothing read either. Change: both are decoded in the adapter and recorded for the incarnation that was asked, from the head of any answer that is its own (streams, prefills, polls of the cache; not of 421 or of another request). A leaving target gets nothing more, whatever the store says; a paused one gets nothing until the end of the pause: requests, retries, prefills, polls. Ruled out: telling peers of pauses (they are meant for one gateway); a broadcast at once for a leaving target (each gateway hears it itself; peers get it with the next full digest).

--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -13,6 +13,7 @@
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {EntryContext} from './entry-context.js';
+import {recordTargetState} from './record-target-state.js';
 import {targetListStatus} from './target-list-status.js';
 import type {LoadEntry} from './load-entry.js';
 
@@ -29,7 +30,7 @@
 	readonly instructions: SendInstructions;
 	/** Estimated time of the target to prefill the prompt. */
 	readonly readMilliseconds: number;
-	/** Its entry in the load book, if one was reserved. */
+	/** Its entry in the load tracker, if one was reserved. */
 	readonly entry?: LoadEntry;
 	/** Time within which the target is expected to send something; 0 when left out. */
 	readonly expectedMilliseconds?: number;
@@ -158,6 +159,10 @@
 					context.health.recordReceived(target.incarnation, context.now());
 					received.facts = context.protocol.readAnswer(status, headers);
 					received.answerKind = classifyAnswer(received.facts, plan.facts.requestId, !plan.instructions.isPrefillOnly);
+					if (received.answerKind !== 'foreign' && received.answerKind !== 'other target') {
+						recordTargetState(context, target, received.facts);
+					}
+
 					context.metrics.record('target-head', context.now() - startedAt);
 					if (plan.sink !== undefined && received.answerKind === 'answer') {
 						received.sink = plan.sink;
@@ -212,19 +217,20 @@
 
 	/** Checks again that the target may get work, because that may have changed while the attempt waited for its connection. */
 	#checkStillUsable({target, facts}: AttemptPlan): boolean {
-		const {targetRegistry, metrics, log} = this.#context;
-		const isUsable = targetRegistry.isUsable(target);
+		const {targetRegistry, pauses, metrics, log, now} = this.#context;
+		const isRegistered = targetRegistry.isUsable(target);
+		const isPaused = pauses.isPaused(target.incarnation, now());
 		const {listAge, revision} = targetListStatus(this.#context);
-		if (isUsable) {
+		if (isRegistered && !isPaused) {
 			metrics.record('list-age', listAge);
-		} else {
-			metrics.count('attempt.stopped');
-			log.info({
-				event: 'attempt stopped', request: facts.requestId, target: target.id, listAge, revision,
-			}, 'attempt not sent: its target is leaving or gone');
+			return true;
 		}
 
-		return isUsable;
+		metrics.count('attempt.stopped');
+		log.info({
+			event: 'attempt stopped', request: facts.requestId, target: target.id, reason: isRegistered ? 'paused' : 'leaving or gone', listAge, revision,
+		}, isRegistered ? 'attempt not sent: its target has asked for a pause' : 'attempt not sent: its target is leaving or gone');
+		return false;
 	}
 
 	/** Aborts an attempt when its answer is overdue and this gateway has received nothing from its target on any attempt for too long. */
--- a/source/entry/engine-cache-poller.ts
+++ b/source/entry/engine-cache-poller.ts
@@ -6,6 +6,7 @@
 import type {CacheChanges} from '../fleet/cache-changes.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {EntryContext} from './entry-context.js';
+import {recordTargetState} from './record-target-state.js';
 
 /** An engine answers a poll at once when there are changes, otherwise after this time. */
 const longPollMilliseconds = 1000;
@@ -58,15 +59,26 @@
 	}
 
 	async #poll(): Promise<void> {
+		const {pauses, now} = this.#context;
+		const pauseMilliseconds = pauses.shortest([this.#target.incarnation], now());
+		if (pauseMilliseconds > 0) {
+			this.#schedule(pauseMilliseconds);
+			return;
+		}
+
 		const isAnswered = await this.#fetchChanges();
 		if (this.#isStopped) {
 			return;
 		}
 
 		this.#logTransition(isAnswered);
+		this.#schedule(isAnswered ? pollPauseMilliseconds : retryMilliseconds);
+	}
+
+	#schedule(milliseconds: number): void {
 		this.#timer = setTimeout(() => {
 			void this.#poll();
-		}, isAnswered ? pollPauseMilliseconds : retryMilliseconds);
+		}, milliseconds);
 	}
 
 	/** Makes one request; true when its answer could be read. */
@@ -101,6 +113,7 @@
 		try {
 			const answer = await request(`http://${this.#target.address}${path}`, {dispatcher: this.#agent, headers, signal: AbortSignal.timeout(callTimeoutMilliseconds)});
 			const body = await answer.body.text();
+			recordTargetState(this.#context, this.#target, this.#context.protocol.readAnswer(answer.statusCode, answer.headers));
 			this.#context.metrics.count(`engine.asked.${answer.statusCode}`);
 			return answer.statusCode === 200 ? this.#context.protocol.readCacheChanges(body) : option.none;
 		} catch (error) {
--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -6,6 +6,7 @@
 import type {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
 import type {TargetRegistry} from '../decisions/entry/target-registry.js';
 import type {TargetHealth} from '../decisions/entry/target-health.js';
+import type {TargetPauses} from '../decisions/entry/target-pauses.js';
 import type {ServiceDescription} from '../fleet/service-description.js';
 import type {TargetProtocol} from '../ports/target-protocol.js';
 import type {Timers} from '../shared/timers.js';
@@ -25,6 +26,8 @@
 	readonly loadTracker: LoadTracker;
 	readonly prefixCache: PrefixCacheIndex;
 	readonly health: TargetHealth;
+	/** Targets that have asked this gateway for a pause. */
+	readonly pauses: TargetPauses;
 	readonly connections: TargetConnections;
 	readonly metrics: EntryMetrics;
 	readonly log: Logger;
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -9,6 +9,7 @@
 import {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
 import {TargetRegistry} from '../decisions/entry/target-registry.js';
 import {TargetHealth} from '../decisions/entry/target-health.js';
+import {TargetPauses} from '../decisions/entry/target-pauses.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {FleetStore} from '../ports/fleet-store.js';
 import type {TargetProtocol} from '../ports/target-protocol.js';
@@ -207,6 +208,7 @@
 			}),
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
+			pauses: new TargetPauses(),
 			connections: new TargetConnections(),
 			metrics,
 			log,
@@ -317,7 +319,7 @@
 
 	/** Drops the state of targets that are gone, and updates pollers and gauges. */
 	#runMaintenance(): void {
-		const {targetRegistry, prefixCache, health, connections, metrics} = this.#context;
+		const {targetRegistry, prefixCache, health, pauses, connections, metrics} = this.#context;
 		const records = targetRegistry.all();
 		const incarnations = new Set(records.map(record => record.incarnation));
 		for (const target of health.takeSilent(clock())) {
@@ -329,6 +331,7 @@
 		this.#cachePollers.update(records, this.#settings.name, this.#peers?.names ?? []);
 		prefixCache.retainOnly(incarnations);
 		health.keepOnly(incarnations);
+		pauses.keepOnly(incarnations);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
 		metrics.gauge('requests.open', this.#callerServer.open);
 		metrics.gauge('requests.waiting', this.#queues.waitingCount);
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -47,7 +47,7 @@
 	async #runAttempts(): Promise<void> {
 		const target = this.#selectTarget();
 		if (option.isNone(target)) {
-			this.#lifecycle.refuse(resultCode.noTarget, 800);
+			this.#lifecycle.refuseWithoutTarget();
 			return;
 		}
 
--- /dev/null
+++ b/source/entry/record-target-state.ts
@@ -0,0 +1,35 @@
+/**
+Records what a target says of itself in the head of any of its answers: that it is leaving,
+and that it asks for a pause.
+*/
+import type {AnswerFacts} from '../fleet/answer-facts.js';
+import type {TargetRecord} from '../fleet/target-record.js';
+import type {EntryContext} from './entry-context.js';
+
+type Context = Pick<EntryContext, 'targetRegistry' | 'pauses' | 'metrics' | 'log' | 'now'>;
+
+/**
+Both facts hold for the incarnation that was asked, not for its address: a new incarnation
+at the same address neither leaves nor pauses. Peers learn of a leaving target by the next digest.
+
+@example
+```
+recordTargetState(context, target, facts);
+```
+*/
+export const recordTargetState = ({targetRegistry, pauses, metrics, log, now}: Context, target: TargetRecord, {isLeaving, pauseMilliseconds}: AnswerFacts): void => {
+	const {incarnation, id, address} = target;
+	if (isLeaving && targetRegistry.markLeaving(incarnation, now())) {
+		metrics.count('target.leaving.own-word');
+		log.info({
+			event: 'target leaving', target: id, address, source: 'answer',
+		}, 'target says that it is leaving');
+	}
+
+	if (pauseMilliseconds !== undefined && pauses.record(incarnation, pauseMilliseconds, now())) {
+		metrics.count('target.paused');
+		log.info({
+			event: 'target paused', target: id, address, milliseconds: Math.round(pauseMilliseconds),
+		}, 'target asks for a pause');
+	}
+};
--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -17,6 +17,9 @@
 /** Time reserved before the deadline so that the final answer reaches the caller in time. */
 const answerMarginMilliseconds = 25;
 
+/** Time within which a target is expected to appear when none is known. */
+const targetAppearsMilliseconds = 800;
+
 type Ending = {readonly outcome: string; readonly code?: number; readonly reason?: string; readonly retryAfterSeconds?: number};
 
 type LifecycleOptions = {
@@ -201,6 +204,18 @@
 		this.end({outcome: 'refused', code, retryAfterSeconds: seconds});
 	}
 
+	/** Ends the request because no target can take it now: none is known, or all have asked for a pause. */
+	refuseWithoutTarget(): void {
+		const {targetRegistry, pauses, now} = this.#context;
+		const incarnations = targetRegistry.usable(this.request.service).map(({incarnation}) => incarnation);
+		const pauseMilliseconds = pauses.shortest(incarnations, now());
+		if (pauseMilliseconds > 0) {
+			this.refuse(resultCode.targetsPaused, pauseMilliseconds);
+		} else {
+			this.refuse(resultCode.noTarget, targetAppearsMilliseconds);
+		}
+	}
+
 	/** Ends the request with an error, or aborts its answer: it is not known whether the request ran, or the answer is incomplete. */
 	fail(code: number, reason = ''): void {
 		const {answer, facts} = this.request;
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -108,7 +108,7 @@
 			}
 
 			case 'no engine': {
-				this.#lifecycle.refuse(resultCode.noTarget, 800);
+				this.#lifecycle.refuseWithoutTarget();
 				return false;
 			}
 
@@ -252,7 +252,7 @@
 			engines: views, availabilityZone: this.#context.settings().availabilityZone, prefillZone: handle.engine.availabilityZone, bodyBytes: this.#request.body?.byteLength ?? 0, avoid: this.#lifecycle.avoid,
 		});
 		if (option.isNone(chosen)) {
-			this.#lifecycle.refuse(resultCode.noTarget, 800);
+			this.#lifecycle.refuseWithoutTarget();
 			return false;
 		}
 
--- a/source/entry/target-views.ts
+++ b/source/entry/target-views.ts
@@ -8,7 +8,7 @@
 type TargetViews = {readonly views: readonly EngineView[]; readonly record: (id: string) => TargetRecord};
 
 /**
-Returns one view for each usable target, and a function that finds a target's record.
+Returns one view for each usable target that has not asked for a pause, and a function that finds a target's record.
 A target of a plain service has no role. Its view has the role 'decode', which no
 decision on plain services reads.
 
@@ -17,9 +17,11 @@
 const {views, record} = targetViews(context, 'appraiser-models');
 ```
 */
-export const targetViews = ({targetRegistry, loadTracker, health, now}: EntryContext, service: string): TargetViews => {
-	const records = new Map(targetRegistry.usable(service).map(record => [record.id, record]));
+export const targetViews = ({targetRegistry, loadTracker, health, pauses, now}: EntryContext, service: string): TargetViews => {
 	const at = now();
+	const records = new Map(targetRegistry.usable(service)
+		.filter(({incarnation}) => !pauses.isPaused(incarnation, at))
+		.map(record => [record.id, record]));
 	return {
 		views: [...records.values()].map(record => ({
 			id: record.id,
--- a/source/fleet/answer-facts.ts
+++ b/source/fleet/answer-facts.ts
@@ -15,5 +15,9 @@
 	/** True when the address belongs to another target than the one that was addressed. */
 	readonly isOtherTarget: boolean;
 	readonly isEncoded: boolean;
+	/** True when the target reports that it is leaving and wants no new work. */
+	readonly isLeaving: boolean;
+	/** How long the target wants nothing from this gateway, counted from its answer; undefined when it does not say. */
+	readonly pauseMilliseconds: number | undefined;
 	readonly headers: Readonly<Record<string, string | readonly string[]>>;
 };
--- a/test/entry/attempt-sender.test.ts
+++ b/test/entry/attempt-sender.test.ts
@@ -6,6 +6,7 @@
 import type {Logger} from 'roarr';
 import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
 import {TargetHealth} from '../../source/decisions/entry/target-health.js';
+import {TargetPauses} from '../../source/decisions/entry/target-pauses.js';
 import {AttemptSender} from '../../source/entry/attempt-sender.js';
 import type {EntryContext} from '../../source/entry/entry-context.js';
 import {EntryMetrics} from '../../source/entry/entry-metrics.js';
@@ -24,7 +25,7 @@
 /** Returns a sender with one connection, and the handlers with which the attempt waits for that connection. */
 const startSender = (): {readonly sender: AttemptSender; readonly beliefs: TargetRegistry; readonly getHandlers: () => Handlers; readonly events: unknown[]} => {
 	const beliefs = new TargetRegistry(1200);
-	beliefs.adopt({revision: 10, targets: [target]}, 0, 0);
+	beliefs.adopt({era: 1, revision: 10, targets: [target]}, 0, 0);
 	let handlers: Handlers | undefined;
 	const events: unknown[] = [];
 	const write = (context: unknown): void => {
@@ -39,7 +40,7 @@
 	};
 	const connections: Pick<TargetConnections, 'acquire'> = {acquire: () => option.some(connection as TargetConnection)};
 	const parts: Partial<EntryContext> = {
-		targetRegistry: beliefs, protocol: targetProtocol, loadTracker: new LoadTracker(), health: new TargetHealth(), metrics: new EntryMetrics('gateway'),
+		targetRegistry: beliefs, protocol: targetProtocol, loadTracker: new LoadTracker(), health: new TargetHealth(), pauses: new TargetPauses(), metrics: new EntryMetrics('gateway'),
 		connections: connections as TargetConnections,
 		log: {info: write, warn: write, debug: () => undefined} as unknown as Logger, now: () => 100, gatewayCount: () => 20, service: () => undefined,
 	};
@@ -66,7 +67,7 @@
 test('DRAIN: an attempt that waits for its connection is not sent if its target is no longer registered', t => {
 	const {sender, beliefs, getHandlers, events} = startSender();
 	send(sender);
-	beliefs.adopt({revision: 11, targets: []}, 50, 50);
+	beliefs.adopt({era: 1, revision: 11, targets: []}, 50, 50);
 	t.equal(getHandlers().mayStart(), false);
 	t.strictSame(events, ['attempt stopped']);
 	t.end();
@@ -79,7 +80,7 @@
 	t.equal(first.getHandlers().mayStart(), false);
 	const second = startSender();
 	send(second.sender);
-	second.beliefs.adopt({revision: 11, targets: [{...target, bornAt: 2, incarnation: 'i-1 2'}]}, 50, 50);
+	second.beliefs.adopt({era: 1, revision: 11, targets: [{...target, bornAt: 2, incarnation: 'i-1 2'}]}, 50, 50);
 	t.equal(second.getHandlers().mayStart(), false);
 	t.end();
 });
@@ -87,7 +88,7 @@
 test('an attempt whose target is still registered is sent', t => {
 	const {sender, beliefs, getHandlers, events} = startSender();
 	send(sender);
-	beliefs.adopt({revision: 11, targets: [target]}, 50, 50);
+	beliefs.adopt({era: 1, revision: 11, targets: [target]}, 50, 50);
 	t.equal(getHandlers().mayStart(), true);
 	t.strictSame(events, []);
 	t.end();
@@ -107,7 +108,7 @@
 		checkCount++;
 		return true;
 	});
-	beliefs.adopt({revision: 11, targets: []}, 50, 50);
+	beliefs.adopt({era: 1, revision: 11, targets: []}, 50, 50);
 	t.equal(getHandlers().mayStart(), false);
 	t.equal(checkCount, 0);
 	t.end();
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -8,6 +8,7 @@
 import {WindowedRetryBudget} from '../../source/decisions/entry/windowed-retry-budget.js';
 import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
 import {TargetHealth} from '../../source/decisions/entry/target-health.js';
+import {TargetPauses} from '../../source/decisions/entry/target-pauses.js';
 import type {AttemptSender} from '../../source/entry/attempt-sender.js';
 import type {CallerAnswer} from '../../source/entry/caller-answer.js';
 import type {CallerRequest} from '../../source/entry/caller-request.js';
@@ -219,7 +220,7 @@
 	#createContext(service: ServiceName): EntryContext {
 		const {name, time, judge, bounds, gateways, random} = this.#options;
 		const beliefs = new TargetRegistry(1200);
-		beliefs.adopt({revision: 1, targets}, time.now, time.now);
+		beliefs.adopt({era: 1, revision: 1, targets}, time.now, time.now);
 		const metrics: Partial<EntryMetrics> = {
 			count(counted) {
 				if (counted === 'retry.denied') {
@@ -236,6 +237,7 @@
 			loadTracker: new LoadTracker(),
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
+			pauses: new TargetPauses(),
 			metrics: metrics as EntryMetrics,
 			log: {info: () => undefined, warn: () => undefined} as unknown as Logger,
 			activity: new LoopActivity(() => time.now),
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -4,6 +4,7 @@
 import type {Logger} from 'roarr';
 import {PrefixCacheIndex} from '../../source/decisions/entry/prefix-cache-index.js';
 import {TargetHealth} from '../../source/decisions/entry/target-health.js';
+import {TargetPauses} from '../../source/decisions/entry/target-pauses.js';
 import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
 import type {WaitingPrompt} from '../../source/decisions/entry/waiting-prompt.js';
 import type {EntryContext} from '../../source/entry/entry-context.js';
@@ -132,7 +133,7 @@
 	#createContext(): EntryContext {
 		const {name, time, targets, gateways} = this.#options;
 		const targetRegistry = new TargetRegistry(1200);
-		targetRegistry.adopt({revision: 1, targets}, 0, 0);
+		targetRegistry.adopt({era: 1, revision: 1, targets}, 0, 0);
 		const service: Partial<ServiceDescription> = {
 			name: 'models',
 			engine: {
@@ -145,6 +146,7 @@
 			loadTracker: this.loadTracker,
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
+			pauses: new TargetPauses(),
 			metrics: new EntryMetrics(name),
 			log: {info: () => undefined, warn: () => undefined} as unknown as Logger,
 			activity: new LoopActivity(() => time.now),
