Keep what is known when the store comes back from an older copy

The store may come back from a copy some seconds old; revisions are given out again, and the header Store-Era rises. Lists were ordered by revision alone: after a return, every new list counted as older and was ignored until its revision passed the former one, and entries of targets that had gone were used again. Change: positions in the store's history are era and revision. Answers and reports of a former era prove nothing. Live targets that the copy lacks are retained for two seconds; an entry of a target that went in an earlier era counts only if it is still listed after the time in which the store removes what nobody renews (DepartedTargets). Gateways tell peers of targets that went lately and of the return, so that a gateway that starts meanwhile knows. For two seconds after a return no configuration counts as the newest (503 instead of 404); one in force never goes back. Reports on the store name its address, so that another store's history is not compared. Leaving targets are remembered while they are listed; gateways no longer remind each other of them for good. The entry gateway writes nothing to the store, so nothing of its own is lost there.

--- a/source/decisions/entry/configuration-in-force.ts
+++ b/source/decisions/entry/configuration-in-force.ts
@@ -1,6 +1,10 @@
 /**
 Holds the configuration in force at a gateway, and when it was last confirmed to be the newest one.
 
+A store that comes back from an older copy may have lost configurations that operators were
+told are accepted. Operators write them again. Until they have had the time to, what the
+store returns does not confirm that a configuration is the newest one.
+
 Invariant: within one incarnation of the process, the version only increases.
 */
 import type {FleetConfiguration} from '../../fleet/fleet-configuration.js';
@@ -9,6 +13,9 @@
 /** Time after a successful read of the store during which the configuration counts as the newest one. */
 const freshMilliseconds = 1500;
 
+/** Time after the return of a store within which operators write again what it has lost. */
+const rewriteMilliseconds = 2000;
+
 type Source = 'store' | 'peer';
 
 /**
@@ -25,6 +32,8 @@
 	#current: FleetConfiguration | undefined;
 	#routes = new RouteTable([]);
 	#confirmedAt = Number.NEGATIVE_INFINITY;
+	/** Reads before this time confirm nothing, because the store has just come back from an older copy. */
+	#unconfirmedUntil = Number.NEGATIVE_INFINITY;
 
 	get current(): FleetConfiguration | undefined {
 		return this.#current;
@@ -41,7 +50,7 @@
 
 	/** Adopts a configuration that was requested at `readAt`, if it is newer than the one in force; true when it is. */
 	adopt(configuration: FleetConfiguration, source: Source, readAt: number): boolean {
-		if (source === 'store') {
+		if (source === 'store' && configuration.version >= this.version) {
 			this.#confirmedAt = Math.max(this.#confirmedAt, readAt);
 		}
 
@@ -61,8 +70,13 @@
 		}
 	}
 
+	/** Records that the store came back from an older copy at `restoredAt`. */
+	recordRestore(restoredAt: number): void {
+		this.#unconfirmedUntil = Math.max(this.#unconfirmedUntil, restoredAt + rewriteMilliseconds);
+	}
+
 	/** True when a route that is not in the table can be reported as nonexistent. */
 	isFresh(now: number): boolean {
-		return this.#current !== undefined && now - this.#confirmedAt < freshMilliseconds;
+		return this.#current !== undefined && this.#confirmedAt >= this.#unconfirmedUntil && now - this.#confirmedAt < freshMilliseconds;
 	}
 }
--- a/source/decisions/entry/target-registry.ts
+++ b/source/decisions/entry/target-registry.ts
@@ -13,17 +13,23 @@
 to be listed again. Only the time between two lists, from whichever gateway, shows that
 the store was unavailable. Calls of this gateway that fail while others succeed leave
 no such gap, and no target may be retained because of them.
+
+A store that comes back from an older copy begins a new era. What was read in an earlier
+one is no proof of anything: live targets whose entries the copy lacks are retained until
+they are certain to be listed again, and targets that have gone stay so although the copy
+lists them (see `DepartedTargets`).
 */
+import type {StorePosition} from '../../fleet/store-position.js';
 import type {TargetList} from '../../fleet/target-list.js';
 import type {TargetRecord} from '../../fleet/target-record.js';
+import {DepartedTargets} from './departed-targets.js';
 import {hashTargetList} from './hash-target-list.js';
+import {isOlderPosition} from './is-older-position.js';
 
 /** Time after the return of the store within which a live target is listed again. */
 const relistMilliseconds = 2000;
 /** An entry expires after three heartbeats, one of which may have passed before the store became unavailable. */
 const heartbeatsToExpire = 2;
-/** How long an incarnation is remembered as leaving after this was last reported. */
-const leavingRetentionMilliseconds = 60_000;
 
 type Change = {readonly kind: 'appeared' | 'leaving' | 'gone' | 'changed'; readonly record: TargetRecord};
 
@@ -35,19 +41,20 @@
 
 @example
 ```
-registry.adopt({revision: 41, targets}, askedAt, clock());
+registry.adopt({era: 1, revision: 41, targets}, askedAt, clock());
 const candidates = registry.usable('appraiser-models');
 ```
 */
 export class TargetRegistry {
-	#list: TargetList = {revision: 0, targets: []};
+	#list: TargetList = {era: 0, revision: 0, targets: []};
 	#listHash = hashTargetList([]);
 	#readAt = Number.NEGATIVE_INFINITY;
 	#listed: ReadonlyMap<string, TargetRecord> = new Map();
 	/** Listed targets, and those that are retained although they are not listed. */
 	#records: ReadonlyMap<string, TargetRecord> = new Map();
-	/** When each leaving incarnation was last reported as leaving. */
-	readonly #leaving = new Map<string, number>();
+	/** Listed incarnations whose entries may be remainders of targets that have gone. */
+	#listedInVain: ReadonlySet<string> = new Set();
+	readonly #departed: DepartedTargets;
 	/** Cache of the usable targets by service, cleared at each change. */
 	readonly #usable = new Map<string, readonly TargetRecord[]>();
 	/** A target that is missing from a list read before this time is retained. */
@@ -57,6 +64,7 @@
 	/** `heartbeatMilliseconds` is the interval at which targets renew their entries. */
 	constructor(heartbeatMilliseconds: number) {
 		this.#expiryMilliseconds = heartbeatMilliseconds * heartbeatsToExpire;
+		this.#departed = new DepartedTargets(heartbeatMilliseconds);
 	}
 
 	/** The newest list, as the store returned it. */
@@ -74,6 +82,11 @@
 		return this.#records.size - this.#listed.size;
 	}
 
+	/** Number of listed targets that are not used because their entries may be remainders. */
+	get listedInVainCount(): number {
+		return this.#listedInVain.size;
+	}
+
 	/** The latest time at which the newest list is known to have been current. */
 	get readAt(): number {
 		return this.#readAt;
@@ -81,13 +94,19 @@
 
 	/** Adopts a list that was requested at `readAt`; returns the changes. */
 	adopt(list: TargetList, readAt: number, now: number): readonly Change[] {
-		if (list.revision < this.#list.revision) {
+		if (isOlderPosition(list, this.#list)) {
 			return [];
 		}
 
+		const isFirstOfEra = list.era !== this.#list.era;
+		const isRestored = isFirstOfEra && this.#list.era !== 0;
+		if (isFirstOfEra) {
+			this.#departed.recordReturn(readAt);
+		}
+
 		this.#list = list;
 		this.#listHash = hashTargetList(list.targets);
-		return this.#reconcile(readAt, now);
+		return this.#reconcile(readAt, now, isRestored);
 	}
 
 	/** Records that the newest list was still current at `readAt`, at this revision; returns the targets that are no longer retained. */
@@ -96,15 +115,14 @@
 		return this.#reconcile(readAt, now);
 	}
 
-	/** Accepts the next list whatever its revision, because another store numbers its revisions anew. */
-	resetRevision(): void {
-		this.#list = {...this.#list, revision: 0};
+	/** Accepts the next list whatever its position, because another store numbers its eras and revisions anew. */
+	resetPosition(): void {
+		this.#list = {...this.#list, era: 0, revision: 0};
 	}
 
-	/** Records that a peer, or the target's address, reported an incarnation as leaving; true when that was not known yet. */
+	/** Records that a peer, the target itself, or its address reported an incarnation as leaving; true when that was not known yet. */
 	markLeaving(incarnation: string, now: number): boolean {
-		const isNew = !this.#leaving.has(incarnation);
-		this.#leaving.set(incarnation, now);
+		const isNew = this.#departed.markLeaving(incarnation, now);
 		if (isNew) {
 			this.#usable.clear();
 		}
@@ -112,9 +130,20 @@
 		return isNew;
 	}
 
+	/** Records a peer's report that a list lacked an incarnation. */
+	recordGone(incarnation: string, position: StorePosition, now: number, ageMilliseconds: number): void {
+		this.#departed.recordGone(incarnation, position, now, ageMilliseconds);
+		this.#findListedInVain();
+	}
+
 	/** Incarnations that are known to be leaving, for the digest to peers. */
-	leaving(): readonly string[] {
-		return [...this.#leaving.keys()];
+	leaving(now: number): readonly string[] {
+		return this.#departed.announcedLeaving(now);
+	}
+
+	/** Incarnations that have gone lately, for the digest to peers. */
+	gone(now: number): ReturnType<DepartedTargets['announcedGone']> {
+		return this.#departed.announcedGone(now);
 	}
 
 	all(): readonly TargetRecord[] {
@@ -136,12 +165,17 @@
 	isUsable(record: TargetRecord): boolean {
 		const current = this.#records.get(record.id);
 		return current?.bornAt === record.bornAt && current.address === record.address
-			&& !current.isDraining && !this.#leaving.has(current.incarnation);
+			&& !current.isDraining && !this.#departed.isLeaving(current.incarnation) && !this.#listedInVain.has(current.incarnation);
 	}
 
 	/** Updates the records from the newest list. */
-	#reconcile(readAt: number, now: number): readonly Change[] {
-		const mayHaveExpired = Number.isFinite(this.#readAt) && readAt - this.#readAt >= this.#expiryMilliseconds;
+	#reconcile(readAt: number, now: number, isRestored = false): readonly Change[] {
+		const hasGap = this.#hasGapUntil(readAt);
+		const mayHaveExpired = isRestored || hasGap;
+		if (hasGap) {
+			this.#departed.recordReturn(readAt);
+		}
+
 		this.#retainUntil = mayHaveExpired ? readAt + relistMilliseconds : this.#retainUntil;
 		this.#readAt = Math.max(this.#readAt, readAt);
 		const previous = this.#records;
@@ -152,18 +186,43 @@
 			})
 			.map(record => [record.id, record]));
 		const missing = [...previous.values()].filter(({id}) => !listed.has(id));
-		const retained = missing.filter(({isDraining}) => !isDraining && this.#readAt < this.#retainUntil);
+		const retained = missing.filter(({isDraining, incarnation}) => !isDraining && !this.#listedInVain.has(incarnation) && this.#readAt < this.#retainUntil);
 		this.#listed = listed;
 		this.#records = new Map([...listed, ...retained.map(record => [record.id, record] as const)]);
-		this.#usable.clear();
-		this.#forgetOldLeaving(now);
 		const gone = missing.filter(({id}) => !this.#records.has(id)).map(record => ({kind: 'gone' as const, record}));
-		return [...[...listed.values()].flatMap(record => this.#compare(previous.get(record.id), record, now)), ...gone];
+		for (const {record: {incarnation}} of gone) {
+			this.#departed.recordGone(incarnation, this.#list, now);
+		}
+
+		this.#departed.forgetOld(new Set(this.all().map(({incarnation}) => incarnation)), now);
+		const wereListedInVain = this.#listedInVain;
+		this.#findListedInVain();
+		const changes = [...listed.values()]
+			.filter(({incarnation}) => !this.#listedInVain.has(incarnation))
+			.flatMap(record => this.#compare(wereListedInVain.has(record.incarnation) ? undefined : previous.get(record.id), record, now));
+		return [...changes, ...gone];
+	}
+
+	/** True when entries may have expired in the time between the last list and one that was read at `readAt`. */
+	#hasGapUntil(readAt: number): boolean {
+		return Number.isFinite(this.#readAt) && readAt - this.#readAt >= this.#expiryMilliseconds;
+	}
+
+	#findListedInVain(): void {
+		const incarnations = [...this.#listed.values()].map(({incarnation}) => incarnation);
+		this.#listedInVain = new Set(incarnations.filter(incarnation => this.#departed.isListedInVain(incarnation, this.#list, this.#readAt)));
+		for (const incarnation of incarnations) {
+			if (!this.#listedInVain.has(incarnation)) {
+				this.#departed.recordListed(incarnation);
+			}
+		}
+
+		this.#usable.clear();
 	}
 
 	#compare(previous: TargetRecord | undefined, record: TargetRecord, now: number): readonly Change[] {
 		if (record.isDraining) {
-			return this.markLeaving(record.incarnation, now) ? [{kind: 'leaving', record}] : [];
+			return this.#departed.markLeaving(record.incarnation, now) ? [{kind: 'leaving', record}] : [];
 		}
 
 		if (previous === undefined) {
@@ -173,13 +232,4 @@
 		const isSame = previous.bornAt === record.bornAt && previous.address === record.address && previous.role === record.role;
 		return isSame ? [] : [{kind: 'changed', record}];
 	}
-
-	#forgetOldLeaving(now: number): void {
-		for (const [incarnation, reportedAt] of this.#leaving) {
-			if (now - reportedAt > leavingRetentionMilliseconds) {
-				this.#leaving.delete(incarnation);
-				this.#usable.clear();
-			}
-		}
-	}
 }
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -161,7 +161,7 @@
 		this.#settings = settings;
 		this.#log.info({event: 'reload', seeds: settings.peerSeeds, store: settings.store.address}, 'settings reloaded');
 		if (former.store.address !== settings.store.address) {
-			this.#context.targetRegistry.resetRevision();
+			this.#context.targetRegistry.resetPosition();
 			this.#knowledge.start();
 		}
 	}
--- a/source/entry/fleet-state.ts
+++ b/source/entry/fleet-state.ts
@@ -2,6 +2,7 @@
 Holds a gateway's view of the configuration and the targets, from the store and from peers.
 */
 import {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
+import {isOlderPosition} from '../decisions/entry/is-older-position.js';
 import {StoreFeed} from '../decisions/entry/store-feed.js';
 import type {TargetRegistry} from '../decisions/entry/target-registry.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
@@ -24,7 +25,8 @@
 	readonly onTargets: (changes: Changes) => void;
 };
 
-const maxLoggedAgeMilliseconds = 3_600_000;
+/** Upper bound of an age in log lines and messages. An event that never took place has this age. */
+const maxReportedAgeMilliseconds = 3_600_000;
 
 /**
 Adopts newer data from the store and from peers, and logs each change.
@@ -45,6 +47,10 @@
 	#isStoreReachable = false;
 	#wasFed = false;
 	#retainedCount = 0;
+	#listedInVainCount = 0;
+	/** The newest era of the store that this gateway has seen; 0 when the store does not number its eras. */
+	#era = 0;
+	#restoredAt = Number.NEGATIVE_INFINITY;
 	#reader: StoreReader | undefined;
 	#store: FleetStore | undefined;
 	readonly #options: FleetStateOptions;
@@ -61,6 +67,15 @@
 		return Math.min(this.#configurationReadAt, this.#targetsReadAt);
 	}
 
+	get era(): number {
+		return this.#era;
+	}
+
+	/** How many milliseconds ago this gateway saw the store come back from an older copy, at most `maxReportedAgeMilliseconds`. */
+	get sinceRestore(): number {
+		return Math.round(Math.min(maxReportedAgeMilliseconds, this.#options.context.now() - this.#restoredAt));
+	}
+
 	service(name: string): ServiceDescription | undefined {
 		return this.#services.get(name);
 	}
@@ -68,12 +83,17 @@
 	/** Starts to poll the store that the settings name; called again after a change of the settings. */
 	start(): void {
 		const {context, createStore} = this.#options;
+		this.#era = 0;
 		this.#reader?.stop();
 		void this.#store?.close();
 		const store = createStore(context.settings());
 		this.#store = store;
 		this.#reader = new StoreReader(store, context.settings().store.readsPerSecond, {
-			onConfiguration: (configuration, requestedAt) => {
+			onConfiguration: (configuration, era, requestedAt) => {
+				if (!this.#acceptEra(era)) {
+					return;
+				}
+
 				this.#configurationReadAt = requestedAt;
 				this.#recordStoreSuccess();
 				if (configuration !== undefined) {
@@ -83,6 +103,10 @@
 				}
 			},
 			onTargets: (list, unreadable, requestedAt) => {
+				if (!this.#acceptEra(list.era)) {
+					return;
+				}
+
 				this.#targetsReadAt = requestedAt;
 				context.metrics.gauge('targets.unreadable', unreadable);
 				context.activity.measure('targets from the store', list.targets.length, () => {
@@ -128,13 +152,22 @@
 	/** Adopts a list that was requested at `readAt`, unless a newer one is in force. */
 	adoptTargets(list: TargetList, readAt: number, source: 'store' | 'peer', from: string): void {
 		const {targetRegistry, metrics, now} = this.#options.context;
-		if (list.revision < targetRegistry.list.revision) {
+		if (isOlderPosition(list, targetRegistry.list)) {
 			metrics.count('targets.list.older');
+		} else {
+			this.#acceptEra(list.era);
 		}
 
 		this.#applyChanges(targetRegistry.adopt(list, readAt, now()), source, from);
 	}
 
+	/** Records a peer's report that it saw the store come back from an older copy, so many milliseconds ago. */
+	recordPeerEra(era: number, sinceRestoreMilliseconds: number): void {
+		if (era === this.#era) {
+			this.inForce.recordRestore(this.#options.context.now() - sinceRestoreMilliseconds);
+		}
+	}
+
 	/** Records a peer's report that the list in force was still current at `readAt`. */
 	confirmTargets(revision: number, readAt: number, from: string): void {
 		const {targetRegistry, now} = this.#options.context;
@@ -155,11 +188,37 @@
 		if (isFed !== this.#wasFed) {
 			this.#wasFed = isFed;
 			log.info({
-				event: 'store fed', isFed, reader: this.feed.reader, age: Math.round(Math.min(maxLoggedAgeMilliseconds, now() - this.feed.readAt)),
+				event: 'store fed', isFed, reader: this.feed.reader, age: Math.round(Math.min(maxReportedAgeMilliseconds, now() - this.feed.readAt)),
 			}, isFed ? 'fed with store data by another gateway' : 'not fed with store data; reads the store itself');
 		}
 	}
 
+	/** False when an answer is of an earlier era than the one that this gateway knows: it was delayed, and proves nothing. */
+	#acceptEra(era: number): boolean {
+		const {metrics, log, now} = this.#options.context;
+		const former = this.#era;
+		if (era !== 0 && era < former) {
+			metrics.count('store.answer.former-era');
+			return false;
+		}
+
+		if (era > former) {
+			this.#era = era;
+			metrics.gauge('store.era', era);
+		}
+
+		if (era > former && former !== 0) {
+			this.#restoredAt = now();
+			this.inForce.recordRestore(this.#restoredAt);
+			metrics.count('store.restored');
+			log.warn({
+				event: 'store restored', era, former, configurationVersion: this.inForce.version, ...targetListStatus(this.#options.context),
+			}, 'store has come back from an older copy');
+		}
+
+		return true;
+	}
+
 	#applyChanges(changes: Changes, source: 'store' | 'peer', from: string): void {
 		const {context, onTargets} = this.#options;
 		const {targetRegistry, metrics, log} = context;
@@ -179,6 +238,14 @@
 			}, 'targets that are not listed are retained after the store was unavailable');
 		}
 
+		metrics.gauge('targets.listed-in-vain', targetRegistry.listedInVainCount);
+		if (targetRegistry.listedInVainCount !== this.#listedInVainCount) {
+			this.#listedInVainCount = targetRegistry.listedInVainCount;
+			log.info({
+				event: 'targets listed in vain', count: targetRegistry.listedInVainCount, ...listStatus,
+			}, 'listed targets that are not used because they had gone before the store came back from an older copy');
+		}
+
 		onTargets(changes);
 	}
 
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -151,19 +151,29 @@
 	}
 
 	#createDigest({sent, told}: ReturnType<EntryContext['prefixCache']['takeUpdates']>, isFull: boolean, isWhole: boolean): Digest {
-		const {context, peers, fleetState: {inForce}} = this.#options;
+		const {context, peers, fleetState} = this.#options;
 		const outstanding = context.loadTracker.ownLoads();
 		const followed = this.#options.followedEngines();
 		const rows = new Map(followed.map((engine, row) => [engine, row]));
+		const gone = isFull ? context.targetRegistry.gone(context.now()) : [];
 		const reported = told.filter(({engine}) => rows.has(engine));
 		return {
 			kind: 'digest',
 			sentAt: Math.floor(context.now()),
-			configurationVersion: inForce.version,
+			configurationVersion: fleetState.inForce.version,
+			store: context.settings().store.address,
+			storeEra: fleetState.era,
+			sinceRestore: fleetState.sinceRestore,
 			storeAge: this.#storeRelay.storeAge,
-			reader: this.#options.fleetState.feed.reader,
-			isFed: this.#options.fleetState.feed.isFed(context.now()),
-			leaving: isFull ? [...context.targetRegistry.leaving()] : [],
+			reader: fleetState.feed.reader,
+			isFed: fleetState.feed.isFed(context.now()),
+			leaving: isFull ? [...context.targetRegistry.leaving(context.now())] : [],
+			gone: {
+				incarnations: gone.map(({incarnation}) => incarnation),
+				eras: gone.map(({position}) => position.era),
+				revisions: gone.map(({position}) => position.revision),
+				ages: gone.map(({ageMilliseconds}) => ageMilliseconds),
+			},
 			peers: isFull ? [...peers.addresses] : [],
 			sent: {engines: sent.map(({engine}) => engine), parts: sent.map(({part}) => part), tokens: sent.map(({tokens}) => tokens)},
 			told: {
@@ -194,7 +204,9 @@
 		const isFull = now - this.#fullDigestAt >= fullDigestMilliseconds;
 		this.#fullDigestAt = isFull ? now : this.#fullDigestAt;
 		const digest = this.#createDigest(this.#options.context.prefixCache.takeUpdates(), isFull, false);
-		const text = JSON.stringify({...digest, sentAt: 0, storeAge: 0});
+		const text = JSON.stringify({
+			...digest, sentAt: 0, sinceRestore: 0, storeAge: 0, gone: digest.gone.incarnations,
+		});
 		this.#unchangedDigests = text === this.#lastDigest ? this.#unchangedDigests + 1 : 0;
 		const maxSkipped = digestPace(this.#options.context.gatewayCount()).ticks > 1 ? 0 : maxSkippedDigests;
 		if (this.#unchangedDigests % (maxSkipped + 1) === 0) {
--- a/source/entry/store-reader.ts
+++ b/source/entry/store-reader.ts
@@ -13,8 +13,8 @@
 import type {Timers} from '../shared/timers.js';
 
 type StoreReaderOptions = {
-	/** The configuration is undefined before the first one was written. `requestedAt` is when the call began. */
-	readonly onConfiguration: (configuration: FleetConfiguration | undefined, requestedAt: number) => void;
+	/** The configuration is undefined before the first one was written. `era` is the store's, `requestedAt` is when the call began. */
+	readonly onConfiguration: (configuration: FleetConfiguration | undefined, era: number, requestedAt: number) => void;
 	readonly onTargets: (list: TargetList, unreadable: number, requestedAt: number) => void;
 	/** Called on each failed call. */
 	readonly onFailure: (call: string, detail: string) => void;
@@ -95,8 +95,8 @@
 			return false;
 		}
 
-		return result.match(configuration => {
-			this.#options.onConfiguration(option.toUndefined(configuration), requestedAt);
+		return result.match(({configuration, era}) => {
+			this.#options.onConfiguration(option.toUndefined(configuration), era, requestedAt);
 			return true;
 		}, error => {
 			this.#options.onFailure('read configuration', error.detail);
--- a/source/entry/store-relay.ts
+++ b/source/entry/store-relay.ts
@@ -8,6 +8,7 @@
 */
 import {ConfigurationPeerSelector} from '../decisions/entry/configuration-peer-selector.js';
 import {earliestSendTime} from '../decisions/entry/earliest-send-time.js';
+import {isOlderPosition} from '../decisions/entry/is-older-position.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import type {PeerMessage} from '../generated/peer-messages.js';
 import type {EntryContext} from './entry-context.js';
@@ -80,6 +81,7 @@
 			digest, receivedAt: this.#options.context.now(), sentVersion, sentListHash,
 		};
 		this.#states.set(peer, state);
+		this.#recordHistory(digest);
 		if (!digest.isFed || this.#isDependent(digest)) {
 			this.#sendMissing(peer, state);
 		}
@@ -96,7 +98,8 @@
 
 	/** Sends freshness reports to dependents and to peers that cannot read the store, and requests what this gateway lacks. */
 	tick(): void {
-		const {context: {targetRegistry}, fleetState: {inForce}, send} = this.#options;
+		const {context, fleetState: {inForce}, send} = this.#options;
+		const {targetRegistry} = context;
 		for (const [peer, state] of this.#states) {
 			const {digest} = state;
 			const isStale = !digest.isFed && digest.storeAge >= staleMilliseconds && this.#isStoreReachable;
@@ -104,8 +107,10 @@
 				send(peer, {
 					kind: 'fresh',
 					echo: this.#createEcho(state),
+					store: context.settings().store.address,
 					storeAge: this.storeAge,
 					configurationVersion: inForce.version,
+					era: targetRegistry.list.era,
 					revision: targetRegistry.list.revision,
 					listName: targetRegistry.listHash,
 				});
@@ -135,14 +140,15 @@
 	gateway cannot read the store. The report counts only if it names the list in force
 	here; otherwise the list is requested, unless the peer's list is older.
 	*/
-	handleFresh(peer: string, {echo, storeAge, configurationVersion, revision, listName}: Fresh): void {
+	handleFresh(peer: string, {echo, store, storeAge, configurationVersion, era, revision, listName}: Fresh): void {
 		const {context: {targetRegistry, now}, fleetState, send} = this.#options;
-		if (peer !== fleetState.feed.reader && this.storeAge < staleMilliseconds) {
+		const isIgnored = peer !== fleetState.feed.reader && this.storeAge < staleMilliseconds;
+		if (isIgnored || !this.#isOwnStore(store)) {
 			return;
 		}
 
-		if (listName !== targetRegistry.listHash) {
-			if (revision >= targetRegistry.list.revision) {
+		if (listName !== targetRegistry.listHash || era !== targetRegistry.list.era) {
+			if (!isOlderPosition({era, revision}, targetRegistry.list)) {
 				send(peer, {kind: 'want', subject: 'targets'});
 			}
 
@@ -157,10 +163,14 @@
 		}
 	}
 
-	handleTargets(peer: string, {echo, revision, age, targets}: Targets): void {
+	handleTargets(peer: string, {echo, store, era, revision, age, targets}: Targets): void {
 		const {context, fleetState} = this.#options;
+		if (!this.#isOwnStore(store)) {
+			return;
+		}
+
 		const readAt = earliestSendTime(echo, context.now()) - age;
-		fleetState.adoptTargets({revision, targets: targets.map(target => ({...target, role: target.role}))}, readAt, 'peer', peer);
+		fleetState.adoptTargets({era, revision, targets: targets.map(target => ({...target, role: target.role}))}, readAt, 'peer', peer);
 	}
 
 	handleConfiguration(peer: string, {configuration}: Configuration): void {
@@ -168,6 +178,25 @@
 		fleetState.adoptConfiguration(configuration as unknown as FleetConfiguration, context.now(), 'peer', peer);
 	}
 
+	/** True for the address of the store that this gateway reads. Positions in the histories of two stores cannot be compared. */
+	#isOwnStore(store: string): boolean {
+		return store === this.#options.context.settings().store.address;
+	}
+
+	/** Records what a digest says of the store's era and of targets that have gone. */
+	#recordHistory({store, storeEra, sinceRestore, gone}: Digest): void {
+		const {context: {targetRegistry, now}, fleetState} = this.#options;
+		if (!this.#isOwnStore(store)) {
+			return;
+		}
+
+		fleetState.recordPeerEra(storeEra, sinceRestore);
+		for (const [index, incarnation] of gone.incarnations.entries()) {
+			const position = {era: gone.eras[index] ?? 0, revision: gone.revisions[index] ?? 0};
+			targetRegistry.recordGone(incarnation, position, now(), gone.ages[index] ?? 0);
+		}
+	}
+
 	/** True when the sender of a digest has this gateway as its reader. */
 	#isDependent({reader}: Digest): boolean {
 		return reader === this.#options.context.settings().name;
@@ -197,8 +226,15 @@
 		const {revision, listAge} = targetListStatus(context);
 		const state = this.#states.get(peer);
 		if (revision > 0 && state !== undefined) {
+			const {era, targets} = context.targetRegistry.list;
 			send(peer, {
-				kind: 'targets', echo: this.#createEcho(state), revision, age: listAge, targets: context.targetRegistry.list.targets.map(target => ({...target})),
+				kind: 'targets',
+				echo: this.#createEcho(state),
+				store: context.settings().store.address,
+				era,
+				revision,
+				age: listAge,
+				targets: targets.map(target => ({...target})),
 			});
 		}
 	}
--- a/source/ports/fleet-store.ts
+++ b/source/ports/fleet-store.ts
@@ -11,8 +11,8 @@
 Reads configurations and targets. Every call has a timeout and never throws.
 */
 export type FleetStore = {
-	/** Returns the newest configuration, or none if none has been written yet. */
-	readConfiguration(): Promise<Result<Option<FleetConfiguration>, StoreError>>;
+	/** Returns the newest configuration, or none if none has been written yet, and the store's era (see `StorePosition`). */
+	readConfiguration(): Promise<Result<{readonly configuration: Option<FleetConfiguration>; readonly era: number}, StoreError>>;
 	/** Returns all targets. Entries that cannot be decoded are left out; `unreadable` is their number. */
 	listTargets(): Promise<Result<{readonly list: TargetList; readonly unreadable: number}, StoreError>>;
 	close(): Promise<void>;
--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -8,6 +8,10 @@
 
 type Fault = 'none' | 'busy' | 'reset' | 'silent';
 
+type Item = {readonly value: string; readonly revision: number; readonly created: number};
+
+type Copy = {readonly revision: number; readonly items: ReadonlyMap<string, Item>};
+
 /**
 Items by key, each with the revision of its last change. Pages hold `pageSize` items.
 
@@ -24,8 +28,10 @@
 	calls = 0;
 	/** Time until an answer is sent. */
 	delayMilliseconds = 0;
+	/** Sent with each answer; undefined for a store that does not number its eras. */
+	era: number | undefined = 1;
 	#revision = 1;
-	readonly #items = new Map<string, {readonly value: string; readonly revision: number; readonly created: number}>();
+	#items = new Map<string, Item>();
 	readonly #server = new LoopbackServer((request, response) => {
 		this.#answer(request, response);
 	});
@@ -54,6 +60,18 @@
 		this.#items.delete(key);
 	}
 
+	/** A copy of what the store holds now. */
+	copy(): Copy {
+		return {revision: this.#revision, items: new Map(this.#items)};
+	}
+
+	/** Comes back from a copy: what was written since is gone, revisions are given out again, and the era rises. */
+	restore({revision, items}: Copy): void {
+		this.#revision = revision;
+		this.#items = new Map(items);
+		this.era = (this.era ?? 0) + 1;
+	}
+
 	#answer(request: http.IncomingMessage, response: http.ServerResponse): void {
 		this.calls++;
 		switch (this.fault) {
@@ -98,7 +116,7 @@
 	}
 
 	#send(response: http.ServerResponse, status: number, body: unknown): void {
-		response.writeHead(status, {'content-type': 'application/json'});
+		response.writeHead(status, {'content-type': 'application/json', ...this.era === undefined ? {} : {'store-era': String(this.era)}});
 		response.end(JSON.stringify(body));
 	}
 }
