Bound the store's return from above when the age of a list is only bounded

Since the age of relayed data counts from the earliest time at which it can have been sent, the first list after an outage or a return could seem read before the store was back: targets that were to be retained for two seconds were dropped at once, and remainders trusted 0.2 s early. Change: both spans count from the handling of that list, the latest time at which it was read.

--- a/source/decisions/entry/departed-targets.ts
+++ b/source/decisions/entry/departed-targets.ts
@@ -32,7 +32,7 @@
 @example
 ```
 departed.recordGone('i-7f3a91c2 17', {era: 3, revision: 900}, now);
-departed.recordReturn(readAt);
+departed.recordReturn(now);
 departed.isListedInVain('i-7f3a91c2 17', {era: 4, revision: 20}, readAt); // true
 ```
 */
@@ -40,7 +40,7 @@
 	/** When each leaving incarnation was last reported as leaving. */
 	readonly #leaving = new Map<string, number>();
 	readonly #gone = new Map<string, Gone>();
-	/** When the store was last known to have come back, from a copy or from an outage. */
+	/** The latest time at which the store can have come back, from a copy or from an outage. */
 	#returnedAt = Number.NEGATIVE_INFINITY;
 	readonly #removalMilliseconds: number;
 
@@ -79,9 +79,9 @@
 		}
 	}
 
-	/** Records that a list read at `readAt` was the first of an era, or the first after an outage. While the store is away, entries may not be removed. */
-	recordReturn(readAt: number): void {
-		this.#returnedAt = readAt;
+	/** Records the first list of an era, or the first after an outage, during which the store may remove nothing. */
+	recordReturn(now: number): void {
+		this.#returnedAt = now;
 	}
 
 	/** True if an incarnation that is listed at this position must not be used because its entry may be a remainder. `readAt` is when the list was last known to be current. */
--- a/source/decisions/entry/target-registry.ts
+++ b/source/decisions/entry/target-registry.ts
@@ -101,7 +101,7 @@
 		const isFirstOfEra = list.era !== this.#list.era;
 		const isRestored = isFirstOfEra && this.#list.era !== 0;
 		if (isFirstOfEra) {
-			this.#departed.recordReturn(readAt);
+			this.#departed.recordReturn(now);
 		}
 
 		this.#list = list;
@@ -173,10 +173,11 @@
 		const hasGap = this.#hasGapUntil(readAt);
 		const mayHaveExpired = isRestored || hasGap;
 		if (hasGap) {
-			this.#departed.recordReturn(readAt);
+			this.#departed.recordReturn(now);
 		}
 
-		this.#retainUntil = mayHaveExpired ? readAt + relistMilliseconds : this.#retainUntil;
+		// The list may have been read later than `readAt`, but not later than now.
+		this.#retainUntil = mayHaveExpired ? now + relistMilliseconds : this.#retainUntil;
 		this.#readAt = Math.max(this.#readAt, readAt);
 		const previous = this.#records;
 		const listed = new Map(this.#list.targets
