--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -69,10 +69,6 @@
 		this.#server.headersTimeout = limits.headerMilliseconds;
 	}
 
-	closeIdle(): void {
-		this.#server.closeIdleConnections();
-	}
-
 	close(): void {
 		this.#server.close();
 		this.#server.closeIdleConnections();
