--- a/source/gateway/idempotency-claims.ts
+++ b/source/gateway/idempotency-claims.ts
@@ -146,7 +146,7 @@
 	}
 
 	#scheduleCleanUp(cleanUp: CleanUp): void {
-		this.#cleanUps = [...this.#cleanUps.slice(-maxCleanUps), cleanUp];
+		this.#cleanUps = [...this.#cleanUps.slice(1 - maxCleanUps), cleanUp];
 	}
 
 	/** Corrects one stored record. The revision that was read guards against changing another request's claim. */
--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -30,6 +30,8 @@
 	delayMilliseconds = 0;
 	/** Sent with each answer; undefined for a store that does not number its eras. */
 	era: number | undefined = 1;
+	/** The era from the second page of a list on, as when the store comes back between two pages. */
+	eraOfNextPages: number | undefined;
 	#revision = 1;
 	#items = new Map<string, Item>();
 	readonly #server = new LoopbackServer((request, response) => {
@@ -107,6 +109,7 @@
 
 		const prefix = url.searchParams.get('pathPrefix') ?? '';
 		const after = url.searchParams.get('after') ?? '';
+		this.era = after === '' ? this.era : this.eraOfNextPages ?? this.era;
 		const keys = [...this.#items.keys()].filter(key => key.startsWith(prefix) && key > after).toSorted();
 		this.#send(response, 200, {items: keys.slice(0, this.pageSize).map(key => this.#item(key)), hasMore: keys.length > this.pageSize, at: this.#revision});
 	}
--- a/test/entry/store-restore.test.ts
+++ b/test/entry/store-restore.test.ts
@@ -94,3 +94,20 @@
 	t.strictSame(used(), ['a', 'bb'], 'an entry that is still listed after its time is renewed by a live target');
 	gateway.kill();
 });
+
+test('after the return no configuration counts as the newest until the operator has had time to write it again', async t => {
+	const {time, store, gateway} = new LoneGateway();
+	await time.run(3000);
+	t.ok(gateway.isSure);
+	store.restore(store.copy());
+	const samples: Array<{readonly at: number; readonly isSure: boolean}> = [];
+	time.every(50, () => {
+		samples.push({at: time.now, isSure: gateway.isSure});
+	});
+	await time.run(9000);
+	const firstDoubt = samples.find(({isSure}) => !isSure)!.at;
+	t.ok(firstDoubt <= 3900, `noticed with the next read, at ${firstDoubt}`);
+	t.ok(samples.filter(({at}) => at >= firstDoubt && at < firstDoubt + 2000).every(({isSure}) => !isSure));
+	t.ok(samples.at(-1)!.isSure);
+	gateway.kill();
+});
