--- a/source/decisions/entry/departed-targets.ts
+++ b/source/decisions/entry/departed-targets.ts
@@ -17,7 +17,7 @@
 	isListedAgain: boolean;
 };
 
-/** How long a departed incarnation is remembered after it was last listed. */
+/** How long an incarnation that is neither listed nor retained is remembered. */
 const retentionMilliseconds = 60_000;
 /** How long peers are told of it; shorter, so that gateways do not remind each other for good. */
 const announceMilliseconds = 20_000;
@@ -33,7 +33,7 @@
 ```
 departed.recordGone('i-7f3a91c2 17', {era: 3, revision: 900}, now);
 departed.recordReturn(now);
-departed.isListedInVain('i-7f3a91c2 17', {era: 4, revision: 20}, readAt); // true
+departed.isStaleEntry('i-7f3a91c2 17', {era: 4, revision: 20}, readAt); // true
 ```
 */
 export class DepartedTargets {
@@ -71,7 +71,7 @@
 		}
 	}
 
-	/** Records that an incarnation is listed, and not in vain. */
+	/** Records that an incarnation is listed and not stale. */
 	recordListed(incarnation: string): void {
 		const gone = this.#gone.get(incarnation);
 		if (gone !== undefined) {
@@ -84,8 +84,8 @@
 		this.#returnedAt = now;
 	}
 
-	/** True if an incarnation that is listed at this position must not be used because its entry may be a remainder. `readAt` is when the list was last known to be current. */
-	isListedInVain(incarnation: string, list: StorePosition, readAt: number): boolean {
+	/** True if an incarnation that is listed at this position must not be used because its entry may be stale. `readAt` is when the list was last known to be current. */
+	isStaleEntry(incarnation: string, list: StorePosition, readAt: number): boolean {
 		const gone = this.#gone.get(incarnation);
 		if (gone === undefined || gone.isListedAgain) {
 			return false;
@@ -106,7 +106,7 @@
 		}
 
 		for (const [incarnation, {at}] of this.#gone) {
-			if (now - at > retentionMilliseconds) {
+			if (!known.has(incarnation) && now - at > retentionMilliseconds) {
 				this.#gone.delete(incarnation);
 			}
 		}
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -3,14 +3,14 @@
 
 For seconds at a time, more long prompts arrive than all engines can prefill. If each
 were sent on arrival, it would wait behind all before it: every answer would be late,
-and engines would prefill for callers that have given up. So an engine gets a backlog
-of a few tenths of a second only, and the other prompts wait here, where their order
-can still change. Prompts that can be on time go first, the most urgent one first.
-While engines have spare capacity, late prompts follow, first the one whose caller
-gives up soonest. Long prompts wait for a prefill engine: prefilled in place, several of
-them at once would stop the tokens of all streams on a decode engine for longer than
-callers accept between two events. A prompt that cannot start before its caller gives up is rejected at
-once, with the time after which there will be capacity.
+and engines would prefill for callers that have given up. So an engine gets a backlog of
+a few tenths of a second only, and the other prompts wait here, where their order can
+still change. Prompts that can be on time go first, the most urgent one first. While
+engines have spare capacity, late prompts follow, first the one whose caller gives up
+soonest. Long prompts wait for a prefill engine: prefilled in place, several of them at
+once would stop the tokens of all streams on a decode engine for longer than callers
+accept between two events. A prompt that cannot start before its caller gives up is
+rejected at once, with the time after which there will be capacity.
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {rendezvousOrder} from '../routing/rendezvous-order.js';
--- a/source/decisions/entry/queue-pass-pause.ts
+++ b/source/decisions/entry/queue-pass-pause.ts
@@ -12,7 +12,7 @@
 /** Longest pause, so that a single slow pass does not leave engines idle. */
 const maxPauseMilliseconds = 60;
 /** The pause as a multiple of the time that the last pass took: passes take a fifth of the time at most. */
-const pauseShare = 4;
+const pauseFactor = 4;
 
 /**
 Returns the pause after a pass, in milliseconds.
@@ -22,4 +22,4 @@
 queuePassPause(5); // 20
 ```
 */
-export const queuePassPause = (passMilliseconds: number): number => Math.min(maxPauseMilliseconds, Math.max(minPauseMilliseconds, passMilliseconds * pauseShare));
+export const queuePassPause = (passMilliseconds: number): number => Math.min(maxPauseMilliseconds, Math.max(minPauseMilliseconds, passMilliseconds * pauseFactor));
--- a/source/decisions/entry/target-registry.ts
+++ b/source/decisions/entry/target-registry.ts
@@ -52,8 +52,8 @@
 	#listed: ReadonlyMap<string, TargetRecord> = new Map();
 	/** Listed targets, and those that are retained although they are not listed. */
 	#records: ReadonlyMap<string, TargetRecord> = new Map();
-	/** Listed incarnations whose entries may be remainders of targets that have gone. */
-	#listedInVain: ReadonlySet<string> = new Set();
+	/** Listed incarnations whose entries may be stale: their targets had gone before the store came back. */
+	#staleEntries: ReadonlySet<string> = new Set();
 	readonly #departed: DepartedTargets;
 	/** Cache of the usable targets by service, cleared at each change. */
 	readonly #usable = new Map<string, readonly TargetRecord[]>();
@@ -82,9 +82,9 @@
 		return this.#records.size - this.#listed.size;
 	}
 
-	/** Number of listed targets that are not used because their entries may be remainders. */
-	get listedInVainCount(): number {
-		return this.#listedInVain.size;
+	/** Number of listed targets that are not used because their entries may be stale. */
+	get staleEntryCount(): number {
+		return this.#staleEntries.size;
 	}
 
 	/** The latest time at which the newest list is known to have been current. */
@@ -133,7 +133,7 @@
 	/** Records a peer's report that a list lacked an incarnation. */
 	recordGone(incarnation: string, position: StorePosition, now: number, ageMilliseconds: number): void {
 		this.#departed.recordGone(incarnation, position, now, ageMilliseconds);
-		this.#findListedInVain();
+		this.#findStaleEntries();
 	}
 
 	/** Incarnations that are known to be leaving, for the digest to peers. */
@@ -165,7 +165,7 @@
 	isUsable(record: TargetRecord): boolean {
 		const current = this.#records.get(record.id);
 		return current?.bornAt === record.bornAt && current.address === record.address
-			&& !current.isDraining && !this.#departed.isLeaving(current.incarnation) && !this.#listedInVain.has(current.incarnation);
+			&& !current.isDraining && !this.#departed.isLeaving(current.incarnation) && !this.#staleEntries.has(current.incarnation);
 	}
 
 	/** Updates the records from the newest list. */
@@ -187,7 +187,7 @@
 			})
 			.map(record => [record.id, record]));
 		const missing = [...previous.values()].filter(({id}) => !listed.has(id));
-		const retained = missing.filter(({isDraining, incarnation}) => !isDraining && !this.#listedInVain.has(incarnation) && this.#readAt < this.#retainUntil);
+		const retained = missing.filter(({isDraining, incarnation}) => !isDraining && !this.#staleEntries.has(incarnation) && this.#readAt < this.#retainUntil);
 		this.#listed = listed;
 		this.#records = new Map([...listed, ...retained.map(record => [record.id, record] as const)]);
 		const gone = missing.filter(({id}) => !this.#records.has(id)).map(record => ({kind: 'gone' as const, record}));
@@ -196,11 +196,11 @@
 		}
 
 		this.#departed.forgetOld(new Set(this.all().map(({incarnation}) => incarnation)), now);
-		const wereListedInVain = this.#listedInVain;
-		this.#findListedInVain();
+		const formerStaleEntries = this.#staleEntries;
+		this.#findStaleEntries();
 		const changes = [...listed.values()]
-			.filter(({incarnation}) => !this.#listedInVain.has(incarnation))
-			.flatMap(record => this.#compare(wereListedInVain.has(record.incarnation) ? undefined : previous.get(record.id), record, now));
+			.filter(({incarnation}) => !this.#staleEntries.has(incarnation))
+			.flatMap(record => this.#compare(formerStaleEntries.has(record.incarnation) ? undefined : previous.get(record.id), record, now));
 		return [...changes, ...gone];
 	}
 
@@ -209,11 +209,11 @@
 		return Number.isFinite(this.#readAt) && readAt - this.#readAt >= this.#expiryMilliseconds;
 	}
 
-	#findListedInVain(): void {
+	#findStaleEntries(): void {
 		const incarnations = [...this.#listed.values()].map(({incarnation}) => incarnation);
-		this.#listedInVain = new Set(incarnations.filter(incarnation => this.#departed.isListedInVain(incarnation, this.#list, this.#readAt)));
+		this.#staleEntries = new Set(incarnations.filter(incarnation => this.#departed.isStaleEntry(incarnation, this.#list, this.#readAt)));
 		for (const incarnation of incarnations) {
-			if (!this.#listedInVain.has(incarnation)) {
+			if (!this.#staleEntries.has(incarnation)) {
 				this.#departed.recordListed(incarnation);
 			}
 		}
--- a/source/entry/fleet-state.ts
+++ b/source/entry/fleet-state.ts
@@ -47,7 +47,7 @@
 	#isStoreReachable = false;
 	#wasFed = false;
 	#retainedCount = 0;
-	#listedInVainCount = 0;
+	#staleEntryCount = 0;
 	/** The newest era of the store that this gateway has seen; 0 when the store does not number its eras. */
 	#era = 0;
 	#restoredAt = Number.NEGATIVE_INFINITY;
@@ -238,11 +238,11 @@
 			}, 'targets that are not listed are retained after the store was unavailable');
 		}
 
-		metrics.gauge('targets.listed-in-vain', targetRegistry.listedInVainCount);
-		if (targetRegistry.listedInVainCount !== this.#listedInVainCount) {
-			this.#listedInVainCount = targetRegistry.listedInVainCount;
+		metrics.gauge('targets.stale-entries', targetRegistry.staleEntryCount);
+		if (targetRegistry.staleEntryCount !== this.#staleEntryCount) {
+			this.#staleEntryCount = targetRegistry.staleEntryCount;
 			log.info({
-				event: 'targets listed in vain', count: targetRegistry.listedInVainCount, ...listStatus,
+				event: 'stale entries', count: targetRegistry.staleEntryCount, ...listStatus,
 			}, 'listed targets that are not used because they had gone before the store came back from an older copy');
 		}
 
--- a/test/decisions/entry/departed-targets.test.ts
+++ b/test/decisions/entry/departed-targets.test.ts
@@ -20,7 +20,7 @@
 	registry.adopt({era: 3, revision: 905, targets: [record('a')]}, 700, 700);
 	registry.adopt({era: 4, revision: 20, targets: [record('a'), record('b')]}, 1400, 1400);
 	t.strictSame(ids(registry), ['a']);
-	t.equal(registry.listedInVainCount, 1);
+	t.equal(registry.staleEntryCount, 1);
 	registry.confirm(60, 6000, 6000);
 	t.strictSame(ids(registry), ['a'], 'not while the store was away in between: it may remove nothing then');
 	for (const at of [7000, 8000, 9000, 10_000]) {
@@ -54,7 +54,7 @@
 	t.end();
 });
 
-test('a remainder that the next copy lacks is not retained', t => {
+test('a stale entry that the next copy lacks is not retained', t => {
 	const registry = new TargetRegistry(heartbeatMilliseconds);
 	registry.adopt({era: 3, revision: 900, targets: [record('a'), record('b')]}, 0, 0);
 	registry.adopt({era: 3, revision: 905, targets: [record('a')]}, 700, 700);
--- a/test/entry/store-copy.test.ts
+++ b/test/entry/store-copy.test.ts
@@ -23,7 +23,7 @@
 	fleet.configure([{...route, service: 'other'}], [{name: 'floor'}, {name: 'other'}], 60);
 	await fleet.until(() => fleet.logged('target gone').length === 1 && fleet.logged('configuration adopted').some(({version}) => version === 60));
 	fleet.store.restore(copy);
-	await fleet.until(() => fleet.logged('store restored').length === 1 && fleet.logged('targets listed in vain').length === 1);
+	await fleet.until(() => fleet.logged('store restored').length === 1 && fleet.logged('stale entries').length === 1);
 	const {calls} = fleet.store;
 	await fleet.until(() => fleet.store.calls > calls + 2);
 	const replies = await Promise.all(Array.from({length: 10}, async (_, index) => fleet.ask(gateway, {path: '/bids/1', requestId: `b${index}`})));
--- a/test/entry/store-restore.test.ts
+++ b/test/entry/store-restore.test.ts
@@ -11,7 +11,7 @@
 
 const firstSeed = Number(process.env.SEED ?? 1);
 const days = Number(process.env.DAYS ?? 24);
-/** Seeds of days on which live targets were taken for remainders, or remainders for live targets, by earlier versions. */
+/** Seeds of days on which live targets were taken for stale, or stale entries for live targets, by earlier versions. */
 const decisiveSeeds = [132, 244, 259, 2159, 2178];
 const seeds = [...Array.from({length: days}, (_, index) => firstSeed + index), ...decisiveSeeds];
 
