Refuse requests that are read too late in a planned stop to be finished

Requests read before that have the rest of the grace period. Test: entry-gateway, a request behind a stream on one connection.

--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -69,6 +69,12 @@
 		this.#server.headersTimeout = limits.headerMilliseconds;
 	}
 
+	/** Closes the connections on which no request is open. */
+	closeIdle(): void {
+		this.#server.closeIdleConnections();
+	}
+
+	/** Accepts no more connections, and closes the idle ones. */
 	close(): void {
 		this.#server.close();
 		this.#server.closeIdleConnections();
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -18,6 +18,7 @@
 import {pause} from '../shared/pause.js';
 import {systemTimers} from '../shared/system-timers.js';
 import {AttemptSender} from './attempt-sender.js';
+import type {CallerAnswer} from './caller-answer.js';
 import {CallerServer} from './caller-server.js';
 import {EngineCachePollers} from './engine-cache-pollers.js';
 import type {EntryContext} from './entry-context.js';
@@ -49,6 +50,8 @@
 /** How long the platform's load balancer may still open new connections after the readiness check fails. */
 const balancerLagMilliseconds = 2600;
 const drainCheckIntervalMilliseconds = 50;
+/** A caller that is refused during the drain may return at once, as another gateway takes it; up to twice this, so that callers are spread. */
+const minRetrySeconds = 0.05;
 /** Time left between the end of the drain and the moment when the platform kills the process. */
 const killMarginMilliseconds = 400;
 const maintenanceIntervalMilliseconds = 1000;
@@ -68,6 +71,8 @@
 export class EntryGateway {
 	#settings: EntrySettings;
 	#isStopping = false;
+	/** True once new requests can come only on connections that were busy when the gateway closed its idle ones. */
+	#isDraining = false;
 	#wasReady = false;
 	#maintenanceTimer: NodeJS.Timeout | undefined;
 	readonly #incarnation = newIdentifier();
@@ -166,13 +171,18 @@
 		}
 	}
 
-	/** Fails the readiness check at once, keeps serving while the load balancer may still open connections, then ends when no request is open or the grace period is nearly over. */
+	/**
+	Fails the readiness check at once, and keeps serving while the load balancer may still open
+	connections. After that, open requests are finished and new ones are refused as not run: one
+	that is accepted late would be cut off at the end of the grace period.
+	*/
 	async stop(): Promise<void> {
 		const stopAt = clock();
 		const {graceMilliseconds} = this.#settings.bounds;
 		this.#isStopping = true;
 		this.#log.info({event: 'stop', open: this.#callerServer.open}, 'entry gateway stops');
 		await pause(Math.min(balancerLagMilliseconds, graceMilliseconds / 2));
+		this.#isDraining = true;
 		this.#callerServer.close();
 		await this.#waitUntilDrained(stopAt + graceMilliseconds - killMarginMilliseconds);
 		clearInterval(this.#maintenanceTimer);
@@ -236,6 +246,11 @@
 			limits: () => this.#knowledge.inForce.current?.limits,
 			isClosing: () => this.#isStopping,
 			onRequest: (request, body, answer, startedAt) => {
+				if (this.#isDraining) {
+					this.#refuseWhileDraining(request, answer);
+					return;
+				}
+
 				this.#context.activity.measure('request', body?.byteLength ?? 0, () => {
 					this.#router.route(request, body, answer, startedAt);
 				});
@@ -250,6 +265,18 @@
 		});
 	}
 
+	/** Refuses a request that was read too late to be finished before the process ends. */
+	#refuseWhileDraining(request: http.IncomingMessage, answer: CallerAnswer): void {
+		const {protocol, metrics, random} = this.#context;
+		const {requestId} = protocol.readRequest(request.rawHeaders);
+		const retryAfterSeconds = minRetrySeconds * (1 + random());
+		metrics.count(`request.refused.${resultCode.stopping}`);
+		this.#log.info({
+			event: 'request ended', request: requestId, outcome: 'refused', code: resultCode.stopping, retryAfterSeconds,
+		}, 'request refused because the gateway is about to end');
+		answer.sendError(resultCode.stopping, protocol.writeRefusal(requestId), retryAfterSeconds);
+	}
+
 	#createPeers(address: {readonly host: string; readonly port: number}): Peers {
 		return new Peers({
 			name: this.#settings.name,
@@ -313,6 +340,7 @@
 
 	async #waitUntilDrained(until: number): Promise<void> {
 		while (this.#callerServer.open > 0 && clock() < until) {
+			this.#callerServer.closeIdle();
 			await pause(drainCheckIntervalMilliseconds); // eslint-disable-line no-await-in-loop
 		}
 	}
--- a/test/entry/entry-gateway.test.ts
+++ b/test/entry/entry-gateway.test.ts
@@ -243,3 +243,64 @@
 	t.match(await fleet.ask(gateway, {path: '/bids/1', requestId: 'r2'}), {status: 200, body: 'after'});
 	await stopped;
 });
+
+test('LOST: a request that comes late in a planned stop, on a connection that was busy, is not passed on to be cut off', async t => {
+	const fleet = await EntryFleet.start(t);
+	fleet.configure([{...bids, routeType: 'streaming', sessionAffinity: true}], [{name: 'floor'}]);
+	const target = await fleet.addTarget('i-1', 'floor');
+	const gateway = await fleet.addGateway({
+		bounds: {
+			heartbeatMilliseconds: 1200, graceMilliseconds: 4000, retryShare: 0.2, retryWindowMilliseconds: 10_000, retryExtra: 50,
+		},
+	});
+	let finish = (): void => undefined;
+	target.answer = (response, {requestId}) => {
+		response.writeHead(200, {'x-request-id': requestId, 'x-response-signature': 'proof', 'content-type': 'text/event-stream'});
+		response.write('id: 1\ndata: piece\n\n');
+		finish = () => {
+			response.end('id: 2\ndata: last\n\n');
+		};
+	};
+
+	const {port} = gateway.settings.listen.callers;
+	const requestText = (id: string): string => `POST /bids/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: ${id}\r\nContent-Length: 0\r\n\r\n`;
+	let seen = '';
+	let isClosed = false;
+	const socket = net.connect(port, '127.0.0.1', () => {
+		socket.write(requestText('early'));
+	});
+	socket.on('data', data => {
+		seen += data.toString('latin1');
+	});
+	socket.on('error', () => {
+		// The close event follows.
+	});
+	socket.on('close', () => {
+		isClosed = true;
+	});
+	await fleet.until(() => target.arrivals.length === 1);
+	const stopped = gateway.gateway.stop();
+	// The gateway takes no more connections once it drains.
+	const isListening = async (): Promise<boolean> => new Promise(resolve => {
+		const probe = net.connect(port, '127.0.0.1', () => {
+			probe.destroy();
+			resolve(true);
+		});
+		probe.on('error', () => {
+			resolve(false);
+		});
+	});
+	while (await isListening()) { // eslint-disable-line no-await-in-loop
+		await new Promise(resolve => { // eslint-disable-line no-await-in-loop
+			setTimeout(resolve, 20);
+		});
+	}
+
+	socket.write(requestText('late'));
+	finish();
+	await fleet.until(() => isClosed);
+	await stopped;
+	t.match(seen, 'last', 'the stream that was open is finished');
+	t.equal(target.arrivals.length, 1, 'the late request is not passed on');
+	t.notMatch(seen.slice(seen.indexOf('last')), '200 OK');
+});
