Prefill long prompts in place again

A threshold in tokens cuts through a kind of request; what is needed is a bound on the pause that in-place prefill causes at an engine, whatever the kind.

--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -3,14 +3,12 @@
 
 For seconds at a time, more long prompts arrive than all engines can prefill. If each
 were sent on arrival, it would wait behind all before it: every answer would be late,
-and engines would prefill for callers that have given up. So an engine gets a backlog of
-a few tenths of a second only, and the other prompts wait here, where their order can
-still change. Prompts that can be on time go first, the most urgent one first. While
-engines have spare capacity, late prompts follow, first the one whose caller gives up
-soonest. Long prompts wait for a prefill engine: prefilled in place, several of them at
-once would stop the tokens of all streams on a decode engine for longer than callers
-accept between two events. A prompt that cannot start before its caller gives up is
-rejected at once, with the time after which there will be capacity.
+and engines would prefill for callers that have given up. So an engine gets a backlog
+of a few tenths of a second only, and the other prompts wait here, where their order
+can still change. Prompts that can be on time go first, the most urgent one first.
+While engines have spare capacity, late prompts follow, first the one whose caller
+gives up soonest. A prompt that cannot start before its caller gives up is rejected at
+once, with the time after which there will be capacity.
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {rendezvousOrder} from '../routing/rendezvous-order.js';
@@ -21,9 +19,9 @@
 import type {PromptPlacement} from './prompt-placement.js';
 import type {WaitingPrompt} from './waiting-prompt.js';
 
-/** Prefill time from which a prompt counts as long. In place, a prompt of this length delays each token of the engine's other requests for about 150 ms in all. */
-const longPrefillMilliseconds = 60;
-/** A decode engine that runs more requests than this prefills no long prompt in place, also when no prefill engine can. */
+/** Prefill time from which a prompt counts as long. */
+const longPrefillMilliseconds = 25;
+/** A decode engine that runs more requests than this prefills no long prompt in place. */
 const maxRunningForLongPrefill = 20;
 /** Time from the end of the prefill to the first event at the caller, spent in engines and on the network. */
 const firstEventMilliseconds = 190;
@@ -75,10 +73,6 @@
 	readonly all: readonly EngineView[];
 };
 
-/** True when there is a prefill engine that may take the prompt, now or after a wait. */
-const canWaitForPrefillEngine = ({avoid}: WaitingPrompt, {engines}: QueueContext): boolean =>
-	engines.some(({id, role, isAvoided}) => role === 'prefill' && !isAvoided && !avoid.has(id));
-
 /** Selects the decode engines that prefill in place, the same on every gateway; called once for a list of engines. */
 const selectInPlaceEngines = (engines: ReadonlyArray<Pick<EngineView, 'id' | 'role'>>): ReadonlySet<string> => {
 	const decodeEngines = engines.filter(({role}) => role === 'decode').map(({id}) => id);
@@ -112,11 +106,7 @@
 		return option.isSome(first) ? first : placeOn(available.all);
 	}
 
-	if (option.isNone(first) || first.value.way === 'prefill first') {
-		return first;
-	}
-
-	return placeOn(canWaitForPrefillEngine(prompt, context) ? available.prefilling.filter(({role}) => role === 'prefill') : available.prefillingLong);
+	return option.isSome(first) && first.value.way === 'in place' ? placeOn(available.prefillingLong) : first;
 };
 
 const placeFirst = (prompts: readonly WaitingPrompt[], lane: Lane, context: QueueContext, isAcceptable: (prompt: WaitingPrompt, placement: PromptPlacement) => boolean): option.Option<Choice> => {
--- a/test/decisions/entry/prompt-queue.test.ts
+++ b/test/decisions/entry/prompt-queue.test.ts
@@ -67,61 +67,6 @@
 	t.end();
 });
 
-test('in a burst of long prompts none is prefilled in place beside running streams while a prefill engine can take it later', t => {
-	const engines = [view('p1', 'prefill', {readMilliseconds: 300}), view('d1', 'decode', {attempts: 12}), view('d2', 'decode', {attempts: 8})];
-	const burst = Array.from({length: 8}, (_, index) => prompt(String(index), index, {tokens: 12_000, sharedTokens: 5400}));
-	t.equal(chosenId(burst, engines, 10), undefined);
-	t.equal(chosenId(burst, [view('p1', 'prefill', {isAvoided: true}), ...engines.slice(1)], 10), '0', 'unless the only prefill engine does not answer');
-	t.equal(chosenId(burst.map(each => ({...each, avoid: new Set(['p1'])})), engines, 10), '0', 'or has failed the prompt');
-	t.equal(chosenId(burst, engines.slice(1), 10), '0', 'or there is none');
-	t.end();
-});
-
-test('prompts of a few hundred to two thousand tokens do not wait for a prefill engine', t => {
-	const engines = [view('p1', 'prefill', {readMilliseconds: 300}), view('d1', 'decode', {attempts: 12})];
-	t.equal(chosenId([prompt('note', 0, {tokens: 2368, sharedTokens: 0, dueAt: 400})], engines, 0), 'note');
-	t.end();
-});
-
-/**
-Plays a burst of long prompts beside streams on one decode engine, which prefills a chunk of
-each in-place prompt between two tokens; returns the longest time between two tokens.
-*/
-const longestPause = (isLongInPlace: boolean): number => {
-	const chunkMilliseconds = 512 / 32;
-	const stepMilliseconds = 5;
-	let inPlace: number[] = [];
-	let prefillBacklog = 0;
-	let pause = 0;
-	for (let now = 0, arrived = 0; now < 6000;) {
-		while (arrived < 30 && arrived * 40 <= now) {
-			arrived++;
-			const engines = [view('p1', 'prefill', {readMilliseconds: prefillBacklog}), view('d1', 'decode', {attempts: 10 + inPlace.length})];
-			const chosen = promptQueue.next(promptQueue.order([prompt(String(arrived), now, {tokens: 12_000, sharedTokens: 0, avoid: isLongInPlace ? new Set(['p1']) : new Set()})], now), contextOf(engines), now);
-			if (option.isSome(chosen) && chosen.value.placement.way === 'in place') {
-				inPlace.push(Math.ceil(12_000 / 512));
-			} else if (option.isSome(chosen)) {
-				prefillBacklog += chosen.value.placement.readMilliseconds;
-			}
-		}
-
-		const step = stepMilliseconds + (inPlace.length * chunkMilliseconds);
-		pause = Math.max(pause, step);
-		inPlace = inPlace.map(chunks => chunks - 1).filter(chunks => chunks > 0);
-		prefillBacklog = Math.max(0, prefillBacklog - step);
-		now += step;
-	}
-
-	return pause;
-};
-
-test('in a burst of long prompts the tokens of running streams are not delayed by them', t => {
-	const waiting = longestPause(false);
-	const inPlace = longestPause(true);
-	t.ok(waiting < inPlace / 2, `${waiting} ms between two tokens, ${inPlace} ms when long prompts are prefilled in place`);
-	t.end();
-});
-
 /** Simulates a burst on one prefill engine that prefills prompts in the order in which they are sent. */
 const simulate = (count: number, gapMilliseconds: number, isQueued: boolean): {readonly onTime: number; readonly late: number; readonly rejected: number; readonly wasted: number} => {
 	const result = {
