Refuse requests before a relay begins in one place

The gateway counted, logged and answered a refusal during the drain beside the router, which did the same for a request without a route. Both go through RequestRouter#refuse now. Codes, log fields and Retry-After are as before.

--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -18,7 +18,6 @@
 import {pause} from '../shared/pause.js';
 import {systemTimers} from '../shared/system-timers.js';
 import {AttemptSender} from './attempt-sender.js';
-import type {CallerAnswer} from './caller-answer.js';
 import {CallerServer} from './caller-server.js';
 import {EngineCachePollers} from './engine-cache-pollers.js';
 import type {EntryContext} from './entry-context.js';
@@ -50,8 +49,6 @@
 /** How long the platform's load balancer may still open new connections after the readiness check fails. */
 const balancerLagMilliseconds = 2600;
 const drainCheckIntervalMilliseconds = 50;
-/** A caller that is refused during the drain may return at once, as another gateway takes it; up to twice this, so that callers are spread. */
-const minRetrySeconds = 0.05;
 /** Time left between the end of the drain and the moment when the platform kills the process. */
 const killMarginMilliseconds = 400;
 const maintenanceIntervalMilliseconds = 1000;
@@ -126,7 +123,7 @@
 			this.#queues.processSoon();
 		});
 		this.#router = new RequestRouter({
-			context: this.#context, inForce: this.#knowledge.inForce, sender: this.#sender, queues: this.#queues, storeReadAt: () => this.#knowledge.storeReadAt,
+			context: this.#context, inForce: this.#knowledge.inForce, sender: this.#sender, queues: this.#queues, isDraining: () => this.#isDraining, storeReadAt: () => this.#knowledge.storeReadAt,
 		});
 		this.#callerServer = this.#createCallerServer();
 		const {peers: address} = options.settings.listen;
@@ -246,11 +243,6 @@
 			limits: () => this.#knowledge.inForce.current?.limits,
 			isClosing: () => this.#isStopping,
 			onRequest: (request, body, answer, startedAt) => {
-				if (this.#isDraining) {
-					this.#refuseWhileDraining(request, answer);
-					return;
-				}
-
 				this.#context.activity.measure('request', body?.byteLength ?? 0, () => {
 					this.#router.route(request, body, answer, startedAt);
 				});
@@ -265,18 +257,6 @@
 		});
 	}
 
-	/** Refuses a request that was read too late to be finished before the process ends. */
-	#refuseWhileDraining(request: http.IncomingMessage, answer: CallerAnswer): void {
-		const {protocol, metrics, random} = this.#context;
-		const {requestId} = protocol.readRequest(request.rawHeaders);
-		const retryAfterSeconds = minRetrySeconds * (1 + random());
-		metrics.count(`request.refused.${resultCode.stopping}`);
-		this.#log.info({
-			event: 'request ended', request: requestId, outcome: 'refused', code: resultCode.stopping, retryAfterSeconds,
-		}, 'request refused because the gateway is about to end');
-		answer.sendError(resultCode.stopping, protocol.writeRefusal(requestId), retryAfterSeconds);
-	}
-
 	#createPeers(address: {readonly host: string; readonly port: number}): Peers {
 		return new Peers({
 			name: this.#settings.name,
--- a/source/entry/request-router.ts
+++ b/source/entry/request-router.ts
@@ -18,10 +18,24 @@
 	readonly inForce: ConfigurationInForce;
 	readonly sender: AttemptSender;
 	readonly queues: PromptQueues;
+	/** True once a new request could not be finished before the process ends. */
+	readonly isDraining: () => boolean;
 	/** When the configuration and the targets were last read from the store, whichever is earlier. */
 	readonly storeReadAt: () => number;
 };
 
+type Refusal = {
+	readonly code: number;
+	readonly reason: string;
+	/** Inputs of the decision, for the log. */
+	readonly facts: Readonly<Record<string, number>>;
+	readonly retryAfterSeconds?: number;
+};
+
+/** A caller that is refused during the drain may return at once, as another gateway takes it; up to twice this, so that callers are spread. */
+const minRetrySeconds = 0.05;
+const noConfigurationRetrySeconds = 0.5;
+
 /**
 One instance exists per process.
 
@@ -41,6 +55,14 @@
 	route(request: http.IncomingMessage, body: Uint8Array | undefined, answer: CallerAnswer, startedAt: number): void {
 		const {protocol} = this.#options.context;
 		const facts = protocol.readRequest(request.rawHeaders);
+		if (this.#options.isDraining()) {
+			const retryAfterSeconds = minRetrySeconds * (1 + this.#options.context.random());
+			this.#refuse(facts.requestId, answer, {
+				code: resultCode.stopping, reason: 'request refused because the gateway is about to end', facts: {retryAfterSeconds}, retryAfterSeconds,
+			});
+			return;
+		}
+
 		const path = request.url ?? '/';
 		const match = this.#options.inForce.routes.find(request.headers.host ?? '', path);
 		if (option.isNone(match)) {
@@ -95,12 +117,24 @@
 	}
 
 	#refuseUnrouted(requestId: string, answer: CallerAnswer): void {
-		const isFresh = this.#options.inForce.isFresh(this.#options.context.now());
-		const code = isFresh ? resultCode.unknownService : resultCode.noConfiguration;
-		this.#options.context.metrics.count(`request.refused.${code}`);
-		this.#options.context.log.info({
-			event: 'request ended', request: requestId, outcome: 'refused', code, configurationVersion: this.#options.inForce.version, storeAge: Math.round(this.#options.context.now() - this.#options.storeReadAt()),
-		}, 'no route');
-		answer.sendError(code, this.#options.context.protocol.writeRefusal(requestId), isFresh ? undefined : 0.5);
+		const {inForce, context, storeReadAt} = this.#options;
+		const now = context.now();
+		const isFresh = inForce.isFresh(now);
+		const facts = {configurationVersion: inForce.version, storeAge: Math.round(now - storeReadAt())};
+		this.#refuse(requestId, answer, isFresh
+			? {code: resultCode.unknownService, reason: 'no route', facts}
+			: {
+				code: resultCode.noConfiguration, reason: 'no route', facts, retryAfterSeconds: noConfigurationRetrySeconds,
+			});
+	}
+
+	/** Refuses a request that no relay has begun. */
+	#refuse(requestId: string, answer: CallerAnswer, {code, reason, facts, retryAfterSeconds}: Refusal): void {
+		const {metrics, log, protocol} = this.#options.context;
+		metrics.count(`request.refused.${code}`);
+		log.info({
+			event: 'request ended', request: requestId, outcome: 'refused', code, ...facts,
+		}, reason);
+		answer.sendError(code, protocol.writeRefusal(requestId), retryAfterSeconds);
 	}
 }
