Look for stale entries only when a peer's report is new

Peers report the same departures in each full digest for 20 s; every one searched the whole list and cleared the cache of usable targets. A comment on the queue's pass and a condition of the test's judge that could not differ are corrected.

--- a/source/decisions/entry/departed-targets.ts
+++ b/source/decisions/entry/departed-targets.ts
@@ -63,12 +63,15 @@
 		return this.#leaving.has(incarnation);
 	}
 
-	/** Records that a list lacked an incarnation, `ageMilliseconds` ago. */
-	recordGone(incarnation: string, position: StorePosition, now: number, ageMilliseconds = 0): void {
+	/** Records that a list lacked an incarnation, `ageMilliseconds` ago; true when that was not known yet. */
+	recordGone(incarnation: string, position: StorePosition, now: number, ageMilliseconds = 0): boolean {
 		const known = this.#gone.get(incarnation);
-		if (known === undefined || isOlderPosition(known.position, position)) {
+		const isNew = known === undefined || isOlderPosition(known.position, position);
+		if (isNew) {
 			this.#gone.set(incarnation, {position, at: now - ageMilliseconds, isListedAgain: false});
 		}
+
+		return isNew;
 	}
 
 	/** Records that an incarnation is listed and not stale. */
--- a/source/decisions/entry/target-registry.ts
+++ b/source/decisions/entry/target-registry.ts
@@ -132,8 +132,9 @@
 
 	/** Records a peer's report that a list lacked an incarnation. */
 	recordGone(incarnation: string, position: StorePosition, now: number, ageMilliseconds: number): void {
-		this.#departed.recordGone(incarnation, position, now, ageMilliseconds);
-		this.#findStaleEntries();
+		if (this.#departed.recordGone(incarnation, position, now, ageMilliseconds)) {
+			this.#findStaleEntries();
+		}
 	}
 
 	/** Incarnations that are known to be leaving, for the digest to peers. */
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -61,7 +61,7 @@
 	/** Prompts for which the engine's owner gateway was asked and has not answered yet. */
 	readonly #awaitingGrant = new Set<WaitingPrompt>();
 	#cancelNextPass: (() => void) | undefined;
-	/** How long the last pass over all queues took. */
+	/** How long the last pass over a queue took. */
 	#passMilliseconds = 0;
 
 	/** `onPlaced` is called after a long prompt was placed, so that peers are informed. */
--- a/test/support/virtual-judge.ts
+++ b/test/support/virtual-judge.ts
@@ -89,7 +89,7 @@
 			}
 		} else if (!isUsable && this.#used.has(key)) {
 			this.#ceased.add(key);
-		} else if (isUsable && this.#ceased.has(key)) {
+		} else if (this.#ceased.has(key)) {
 			this.#record('used again after leaving', gateway, record.id, leftAt);
 		}
 	}
