--- a/test/support/virtual-day.ts
+++ b/test/support/virtual-day.ts
@@ -379,6 +379,9 @@
 		target.leftAt = this.#time.now;
 		if (this.#restores > 0 && this.#store.awayUntil > this.#time.now) {
 			// The store does not take its word; the entry lapses after the store's return.
+			this.#time.after(this.#store.awayUntil - this.#time.now, () => {
+				this.#writeAgain(target, this.#store.era);
+			});
 			return;
 		}
 
