--- a/source/entry/record-target-state.ts
+++ b/source/entry/record-target-state.ts
@@ -20,7 +20,7 @@
 export const recordTargetState = ({targetRegistry, pauses, metrics, log, now}: Context, target: TargetRecord, {isLeaving, pauseMilliseconds}: AnswerFacts): void => {
 	const {incarnation, id, address} = target;
 	if (isLeaving && targetRegistry.markLeaving(incarnation, now())) {
-		metrics.count('target.leaving.own-word');
+		metrics.count('target.leaving.answer');
 		log.info({
 			event: 'target leaving', target: id, address, source: 'answer',
 		}, 'target says that it is leaving');
