--- a/test/entry/store-copy.test.ts
+++ b/test/entry/store-copy.test.ts
@@ -2,9 +2,8 @@
 A gateway before a store that comes back from an older copy, over HTTP.
 */
 import {test} from 'tap';
-import {PlatformStore} from '../../platform/platform-store.js';
-import {PlatformStoreStandIn} from '../../stand-ins/platform-store-stand-in.js';
 import {EntryFleet} from '../support/entry-fleet.js';
+import {startPlatformStore} from '../support/start-platform-store.js';
 
 const route = {
 	name: 'bids', pathPrefix: '/bids/', routeType: 'non_idempotent', service: 'floor',
@@ -34,13 +33,7 @@
 });
 
 test('the era is read from each answer; a list whose pages are of two eras is no list', async t => {
-	const standIn = new PlatformStoreStandIn();
-	await standIn.start();
-	const store = new PlatformStore(standIn.address);
-	t.teardown(async () => {
-		await store.close();
-		standIn.stop();
-	});
+	const {standIn, store} = await startPlatformStore(t);
 	standIn.era = 7;
 	for (const id of ['a', 'b', 'c']) {
 		standIn.put(`servers/${id}`, '{}');
--- a/test/platform/platform-store.test.ts
+++ b/test/platform/platform-store.test.ts
@@ -3,21 +3,14 @@
 other connections.
 */
 import {test} from 'tap';
-import {PlatformStore} from '../../platform/platform-store.js';
-import {PlatformStoreStandIn} from '../../stand-ins/platform-store-stand-in.js';
+import {startPlatformStore} from '../support/start-platform-store.js';
 
 const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
 	setTimeout(resolve, milliseconds);
 });
 
 test('DRAIN: a call that gets no answer does not abort a concurrent read of the target list, which would let the list grow stale', async t => {
-	const standIn = new PlatformStoreStandIn();
-	await standIn.start();
-	const store = new PlatformStore(standIn.address);
-	t.teardown(async () => {
-		await store.close();
-		standIn.stop();
-	});
+	const {standIn, store} = await startPlatformStore(t);
 	standIn.fault = 'silent';
 	const unansweredCall = store.readConfiguration();
 	await pause(500);
