Log crashes of targets, told from connections that break

The logs did not say that a target had crashed: attempts that ended together looked like a reset of connections. Now the address is probed once after attempts were lost, and one line names the requests lost and their shared parts. Ruled out as evidence: the list of targets (three heartbeats late) and failed cache polls (only the owner gateway polls).

No decision changed.

--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -6,6 +6,7 @@
 */
 import {Buffer} from 'node:buffer';
 import * as option from 'fp-ts/lib/Option.js';
+import {sharedParts} from '../decisions/entry/shared-parts.js';
 import {classifyAnswer} from '../decisions/entry/classify-answer.js';
 import type {AnswerFacts} from '../fleet/answer-facts.js';
 import type {RequestFacts} from '../fleet/request-facts.js';
@@ -47,6 +48,7 @@
 type RunningAttempt = {readonly outcome: Promise<AttemptOutcome>; readonly cancel: () => void};
 
 const cancelledReason = 'broken off by the gateway';
+const silentReason = 'silent';
 /** Interval at which an attempt checks whether its target is silent. */
 const silenceCheckMilliseconds = 200;
 /** Bytes of an answer that are buffered before it is passed on as it arrives. */
@@ -187,6 +189,10 @@
 						context.connections.discard(target.address, connection.value);
 					}
 
+					if (end.kind === 'broken') {
+						this.#recordBroken(plan, end.reason);
+					}
+
 					this.#recordOutcome(target, result);
 					resolve(result);
 					this.#onCapacity();
@@ -242,11 +248,18 @@
 		const {health, now} = this.#context;
 		return setInterval(() => {
 			if (now() - startedAt > answerDueMilliseconds && health.isSilent(target.incarnation, now())) {
-				abort('silent');
+				abort(silentReason);
 			}
 		}, silenceCheckMilliseconds);
 	}
 
+	/** Reports an attempt that its target broke off, not this gateway. */
+	#recordBroken({target, facts}: AttemptPlan, reason: string): void {
+		if (reason !== cancelledReason && reason !== silentReason) {
+			this.#context.crashMonitor.recordLost(target, {requestId: facts.requestId, parts: sharedParts(facts).map(({id}) => id)});
+		}
+	}
+
 	/** Records what the outcome says of the target: its health, and whether another target has its address. */
 	#recordOutcome(target: TargetRecord, result: AttemptOutcome): void {
 		const {targetRegistry, health, metrics, log, now} = this.#context;
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -20,16 +20,19 @@
 import {AttemptSender} from './attempt-sender.js';
 import {CallerServer} from './caller-server.js';
 import {EngineCachePollers} from './engine-cache-pollers.js';
+import {CrashMonitor} from './crash-monitor.js';
 import type {EntryContext} from './entry-context.js';
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetState} from './fleet-state.js';
 import {EventLoopMonitor} from './event-loop-monitor.js';
+import {logLoss} from './log-loss.js';
 import {LoadTracker} from './load-tracker.js';
 import {LoopActivity} from './loop-activity.js';
 import {PeerExchange} from './peer-exchange.js';
 import {Peers} from './peers.js';
 import {PrefillGrants} from './prefill-grants.js';
+import {probeAddress} from './probe-address.js';
 import {PromptQueues} from './prompt-queues.js';
 import {RequestRouter} from './request-router.js';
 import {TargetConnections} from './target-connections.js';
@@ -217,6 +220,7 @@
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
 			connections: new TargetConnections(),
+			crashMonitor: this.#createCrashMonitor(),
 			metrics,
 			log,
 			activity: new LoopActivity(clock),
@@ -229,6 +233,18 @@
 		};
 	}
 
+	#createCrashMonitor(): CrashMonitor {
+		return new CrashMonitor({
+			probe: probeAddress,
+			isUsable: target => this.#context.targetRegistry.isUsable(target),
+			onLost: loss => {
+				logLoss(this.#context, loss);
+			},
+			now: clock,
+			timers: systemTimers,
+		});
+	}
+
 	#retryBudgetOf(service: string): WindowedRetryBudget {
 		const {bounds: {retryShare, retryWindowMilliseconds, retryExtra}, isFirstStart} = this.#settings;
 		const window = this.#retryBudgets.get(service) ?? new WindowedRetryBudget({
@@ -327,7 +343,7 @@
 
 	/** Drops the state of targets that are gone, and updates pollers and gauges. */
 	#runMaintenance(): void {
-		const {targetRegistry, prefixCache, health, pauses, connections, metrics} = this.#context;
+		const {targetRegistry, prefixCache, health, pauses, connections, crashMonitor, metrics} = this.#context;
 		const records = targetRegistry.all();
 		const incarnations = new Set(records.map(record => record.incarnation));
 		for (const target of health.takeSilent(clock())) {
@@ -340,6 +356,7 @@
 		prefixCache.retainOnly(incarnations);
 		health.keepOnly(incarnations);
 		pauses.keepOnly(incarnations);
+		crashMonitor.forgetOld();
 		connections.keepOnly(new Set(records.map(({address}) => address)));
 		metrics.gauge('requests.open', this.#callerServer.open);
 		metrics.gauge('requests.waiting', this.#queues.waitingCount);
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -8,6 +8,7 @@
 import * as option from 'fp-ts/lib/Option.js';
 import {EventSplitter} from '../decisions/entry/event-splitter.js';
 import {placeDecode} from '../decisions/entry/place-decode.js';
+import {sharedParts} from '../decisions/entry/shared-parts.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {AnswerFacts} from '../fleet/answer-facts.js';
 import type {SendInstructions} from '../fleet/send-instructions.js';
@@ -67,7 +68,7 @@
 		this.#context = context;
 		this.#sender = sender;
 		this.#queues = queues;
-		const parts = request.facts.prompt?.parts.slice(0, -1) ?? [];
+		const parts = sharedParts(request.facts);
 		this.#sharedPrefix = {
 			parts,
 			key: parts.map(({id}) => id).join(','),
