--- a/source/entry/crash-monitor.ts
+++ b/source/entry/crash-monitor.ts
@@ -73,9 +73,7 @@
 			return;
 		}
 
-		const incident = isSameIncident ? known : {
-			target, at: now(), requests: [], isCrash: false, isScheduled: false, pauseMilliseconds: collectMilliseconds,
-		};
+		const incident = isSameIncident ? known : this.#startIncident(target);
 		this.#incidents.set(target.incarnation, incident);
 		incident.requests.push(request);
 		this.#schedule(incident);
@@ -90,6 +88,12 @@
 		}
 	}
 
+	#startIncident(target: TargetRecord): Incident {
+		return {
+			target, at: this.#options.now(), requests: [], isCrash: false, isScheduled: false, pauseMilliseconds: collectMilliseconds,
+		};
+	}
+
 	#schedule(incident: Incident): void {
 		if (incident.isScheduled) {
 			return;
--- /dev/null
+++ b/test/entry/part-that-crashes-engines.test.ts
@@ -0,0 +1,112 @@
+/**
+A part of prompts that crashes each engine which begins to answer it: the gateways find it
+out from the crashes, and hold back the requests with it and no others.
+*/
+import {test, type Test} from 'tap';
+import type {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
+import {EntryFleet} from '../support/entry-fleet.js';
+
+const engine = {
+	slots: 8, kvCapacityTokens: 100_000, kvBytes: 1000, linkMbps: 100_000, handleTtlS: 5, roleSwitchS: 3,
+};
+const crashingPart = 'dead';
+const engineCount = 8;
+/** Within this time of the fifth crash, every gateway must know of it. */
+const noticeMilliseconds = 3000;
+const crashesUntilNoticed = 5;
+/** Requests with the part that may still reach engines after that. */
+const maxSentOn = 3;
+const betweenCrashesMilliseconds = 700;
+
+const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, milliseconds);
+});
+
+const prompt = (middle: string, last: string): Readonly<Record<string, string>> => ({'x-model': 'm', 'x-token-count': '400,50', 'x-prompt-prefix': `aa:100,${middle}:100,${last}:200`});
+
+/** Engines that crash on the part and are replaced; `crashes` counts them, `sentOn` the requests with the part that reached one. */
+class CrashingEngines {
+	crashes = 0;
+	sentOn = 0;
+	readonly #fleet: EntryFleet;
+
+	constructor(fleet: EntryFleet) {
+		this.#fleet = fleet;
+	}
+
+	async add(id: string): Promise<void> {
+		const target = await this.#fleet.addTarget(id, 'models', {phase: 'decode'});
+		target.answer = (response, arrival) => {
+			if (String(arrival.headers['x-prompt-prefix']).includes(crashingPart)) {
+				this.sentOn++;
+				this.#crash(target, id);
+				return;
+			}
+
+			response.writeHead(200, {'x-request-id': arrival.requestId, 'x-response-signature': 'proof', 'content-type': 'text/event-stream'});
+			response.end('id: 1\ndata: piece\n\n');
+		};
+	}
+
+	#crash(target: PlatformTargetStandIn, id: string): void {
+		this.crashes++;
+		target.stop();
+		setTimeout(() => {
+			this.#fleet.store.remove(`servers/${id}`);
+			void this.add(`${id}-next`);
+		}, betweenCrashesMilliseconds);
+	}
+}
+
+const start = async (t: Test) => {
+	const fleet = await EntryFleet.start(t);
+	fleet.configure([
+		{
+			name: 'dossiers', pathPrefix: '/dossiers/', routeType: 'streaming', service: 'models', sessionAffinity: true, itlTargetMs: 300,
+		},
+		{
+			name: 'questions', pathPrefix: '/questions/', routeType: 'streaming', service: 'models', resumable: true, maxAttempts: 2, sessionAffinity: true, itlTargetMs: 300,
+		},
+	], [{name: 'models', engine}]);
+	const engines = new CrashingEngines(fleet);
+	await Promise.all(Array.from({length: engineCount}, async (_, index) => engines.add(`i-${index}`)));
+	const first = await fleet.addGateway();
+	const {host, port} = first.settings.listen.peers!;
+	const gateways = [first, await fleet.addGateway({peerSeeds: [`${host}:${port}`]})];
+	await fleet.until(() => fleet.logged('peer found').length === gateways.length);
+	const ask = async (path: string, number: number, middle: string): ReturnType<EntryFleet['ask']> => fleet.ask(gateways[number % gateways.length]!, {
+		path: `/${path}/1`, requestId: `${path}-${middle}-${number}`, headers: prompt(middle, `own${number}`),
+	});
+	return {fleet, engines, ask};
+};
+
+/** Crashes engines one after the other, each by one request, until everybody must have noticed. */
+const crashUntilNoticed = async ({engines, ask}: Awaited<ReturnType<typeof start>>, path: string): Promise<void> => {
+	for (let number = 0; engines.crashes < crashesUntilNoticed && number < 2 * crashesUntilNoticed; number++) {
+		await ask(path, number, `bb:10,${crashingPart}`); // eslint-disable-line no-await-in-loop
+		await ask('dossiers', number + 1, 'bb'); // eslint-disable-line no-await-in-loop
+		await pause(betweenCrashesMilliseconds); // eslint-disable-line no-await-in-loop
+	}
+
+	await pause(noticeMilliseconds);
+};
+
+for (const path of ['dossiers', 'questions']) {
+	test(`requests of ${path} with a part that crashes engines are held back after five crashes, and sound ones are served`, async t => {
+		const fleet = await start(t);
+		await crashUntilNoticed(fleet, path);
+		const {engines, ask} = fleet;
+		const sentBefore = engines.sentOn;
+		const replies = [];
+		for (let number = 100; number < 112; number++) {
+			replies.push(await ask(path, number, `bb:10,${crashingPart}`)); // eslint-disable-line no-await-in-loop
+		}
+
+		t.ok(engines.sentOn - sentBefore <= maxSentOn, `sent on ${engines.sentOn - sentBefore} more`);
+		const refused = replies.filter(({status}) => status === 503);
+		t.ok(refused.length >= replies.length - maxSentOn, `${refused.length} of ${replies.length} refused`);
+		t.ok(refused.every(({headers}) => Number(headers['retry-after']) > 0));
+		const sound = await Promise.all(Array.from({length: 20}, async (_, number) => ask(number % 2 === 0 ? 'dossiers' : 'questions', 200 + number, 'bb')));
+		t.ok(sound.filter(({status}) => status === 200).length >= sound.length / 2);
+	});
+}
