Hold back prompts with parts that crash engines

Cause: a crash told the gateways only about the target. Nothing was learnt of the requests that were lost in it, so each of them was sent to the next sound engine, by every gateway anew. Class: a failure that travels with the request is handled as one of the target.

A part in four crashes is held back, together with the parts that always came with it; gateways tell each other of crashes at once, of answers within 0.2 s, and repeat both to a random peer each second. Refused at once as not run, code 1021. A quarantine ends by an answer, by one trial after five minutes, by an operator, or ten minutes after the last crash.

--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -15,6 +15,7 @@
 import type {EntrySettings} from './entry-settings.js';
 import type {LoadTracker} from './load-tracker.js';
 import type {LoopActivity} from './loop-activity.js';
+import type {PromptQuarantine} from './prompt-quarantine.js';
 import type {TargetConnections} from './target-connections.js';
 
 /**
@@ -34,6 +35,8 @@
 	readonly crashMonitor: Pick<CrashMonitor, 'recordLost' | 'forgetOld'>;
 	readonly metrics: EntryMetrics;
 	readonly log: Logger;
+	/** Prompts that crash engines. */
+	readonly quarantine: PromptQuarantine;
 	/** What the event loop spends its time on. */
 	readonly activity: LoopActivity;
 	/** Decides which successful requests are logged, and counts the others. */
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -33,6 +33,7 @@
 import {Peers} from './peers.js';
 import {PrefillGrants} from './prefill-grants.js';
 import {probeAddress} from './probe-address.js';
+import {PromptQuarantine} from './prompt-quarantine.js';
 import {PromptQueues} from './prompt-queues.js';
 import {RequestRouter} from './request-router.js';
 import {TargetConnections} from './target-connections.js';
@@ -221,6 +222,16 @@
 			pauses: new TargetPauses(),
 			connections: new TargetConnections(),
 			crashMonitor: this.#createCrashMonitor(),
+			quarantine: new PromptQuarantine({
+				name: settings.name,
+				peers: () => this.#peers?.names ?? [],
+				onCrash: () => {
+					this.#exchange?.broadcastCrashes();
+				},
+				log,
+				metrics,
+				now: clock,
+			}),
 			metrics,
 			log,
 			activity: new LoopActivity(clock),
@@ -239,6 +250,7 @@
 			isUsable: target => this.#context.targetRegistry.isUsable(target),
 			onLost: loss => {
 				logLoss(this.#context, loss);
+				this.#context.quarantine.recordLoss(loss);
 			},
 			now: clock,
 			timers: systemTimers,
@@ -343,7 +355,7 @@
 
 	/** Drops the state of targets that are gone, and updates pollers and gauges. */
 	#runMaintenance(): void {
-		const {targetRegistry, prefixCache, health, pauses, connections, crashMonitor, metrics} = this.#context;
+		const {targetRegistry, prefixCache, health, pauses, connections, crashMonitor, quarantine, metrics} = this.#context;
 		const records = targetRegistry.all();
 		const incarnations = new Set(records.map(record => record.incarnation));
 		for (const target of health.takeSilent(clock())) {
@@ -357,6 +369,7 @@
 		health.keepOnly(incarnations);
 		pauses.keepOnly(incarnations);
 		crashMonitor.forgetOld();
+		quarantine.maintain();
 		connections.keepOnly(new Set(records.map(({address}) => address)));
 		metrics.gauge('requests.open', this.#callerServer.open);
 		metrics.gauge('requests.waiting', this.#queues.waitingCount);
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -18,10 +18,12 @@
 const fullDigestMilliseconds = 1000;
 /** Unchanged digests that are skipped in a row before one is sent nevertheless. */
 const maxSkippedDigests = 2;
+/** Ticks between two repetitions of what is known of crashes, each to one peer. */
+const crashReportTicks = 5;
 
 type PeerExchangeOptions = {
 	readonly context: EntryContext;
-	readonly peers: Pick<Peers, 'addresses' | 'addAddresses' | 'send' | 'broadcast'>;
+	readonly peers: Pick<Peers, 'names' | 'addresses' | 'addAddresses' | 'send' | 'broadcast'>;
 	readonly fleetState: FleetState;
 	/** Engines whose cache changes this gateway follows. */
 	readonly followedEngines: () => readonly string[];
@@ -78,6 +80,14 @@
 		this.#broadcastDigest();
 	}
 
+	/** Tells all peers at once of crashes that they do not know of. */
+	broadcastCrashes(): void {
+		const news = this.#options.context.quarantine.takeNews();
+		if (news !== undefined) {
+			this.#options.peers.broadcast(news);
+		}
+	}
+
 	/** Immediately sends the gateways that this one feeds the store data that they lack. */
 	feedDependents(): void {
 		this.#storeRelay.feedDependents();
@@ -99,6 +109,7 @@
 		switch (message.kind) {
 			case 'hello': {
 				this.#storeRelay.removePeer(peer);
+				this.#sendCrashReport(peer);
 				this.#options.peers.send(peer, this.#createDigest({sent: [], told: this.#options.context.prefixCache.allReported(this.#options.followedEngines())}, true, true));
 				return;
 			}
@@ -138,6 +149,11 @@
 				return;
 			}
 
+			case 'crashes': {
+				this.#options.context.quarantine.adopt(peer, message);
+				return;
+			}
+
 			case 'want': {
 				this.#storeRelay.sendRequested(peer, message);
 			}
@@ -187,11 +203,32 @@
 	#tick(): void {
 		this.#ticks++;
 		this.#storeRelay.tick();
+		this.broadcastCrashes();
+		if (this.#ticks % crashReportTicks === 0) {
+			this.#repeatCrashReport();
+		}
+
 		if (this.#ticks % digestPace(this.#options.context.gatewayCount()).ticks === 0) {
 			this.#broadcastDigest();
 		}
 	}
 
+	/** Repeats what is known of crashes to one peer, chosen at random, as it may have missed the news. */
+	#repeatCrashReport(): void {
+		const {context: {random}, peers} = this.#options;
+		const peer = peers.names[Math.floor(random() * peers.names.length)];
+		if (peer !== undefined) {
+			this.#sendCrashReport(peer);
+		}
+	}
+
+	#sendCrashReport(peer: string): void {
+		const report = this.#options.context.quarantine.report();
+		if (report !== undefined) {
+			this.#options.peers.send(peer, report);
+		}
+	}
+
 	#broadcastDigest(): void {
 		const {activity, gatewayCount} = this.#options.context;
 		activity.measure('digest to peers', gatewayCount(), () => {
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -31,6 +31,7 @@
 type Verdict =
 	| PlacedVerdict
 	| {readonly kind: 'no engine'}
+	| {readonly kind: 'quarantined'}
 	| {readonly kind: 'hopeless'; readonly waitMilliseconds: number};
 
 type QueueOrder = ReturnType<typeof promptQueue.order>;
@@ -41,7 +42,13 @@
 
 type GrantVerdict = Parameters<Parameters<PrefillGrants['ask']>[2]>[0];
 
-type Entry = {readonly prompt: WaitingPrompt; readonly decide: (verdict: Verdict) => void; readonly denials: number};
+type Entry = {
+	readonly prompt: WaitingPrompt;
+	readonly decide: (verdict: Verdict) => void;
+	readonly denials: number;
+	/** State of the quarantine for which the prompt was last checked. */
+	checkedChanges: number;
+};
 
 /**
 Holds one queue for each service. A prompt leaves its queue with a verdict, or when it is withdrawn.
@@ -80,7 +87,9 @@
 	enqueue(service: string, prompt: WaitingPrompt, decide: (verdict: Verdict) => void): () => void {
 		const queue = this.#queues.get(service) ?? new Map<WaitingPrompt, Entry>();
 		this.#queues.set(service, queue);
-		queue.set(prompt, {prompt, decide, denials: 0});
+		queue.set(prompt, {
+			prompt, decide, denials: 0, checkedChanges: this.#context.quarantine.changes,
+		});
 		if (queue.size === 1) {
 			this.#process(service, queue);
 		} else {
@@ -117,6 +126,7 @@
 	}
 
 	#placeOrReject(service: string, queue: Map<WaitingPrompt, Entry>): void {
+		this.#rejectQuarantined(queue);
 		const {views, record} = targetViews(this.#context, service);
 		if (views.some(({role}) => role === 'decode')) {
 			this.#placeAll(service, queue, views, record);
@@ -127,6 +137,20 @@
 		}
 	}
 
+	/** Rejects the waiting prompts that were quarantined after they arrived. */
+	#rejectQuarantined(queue: Map<WaitingPrompt, Entry>): void {
+		const {quarantine} = this.#context;
+		const held = [...queue.values()].filter(({checkedChanges, prompt: {id, sharedParts}}) => checkedChanges !== quarantine.changes
+			&& quarantine.check(id, sharedParts.map(part => part.id)) !== undefined);
+		for (const {prompt} of held) {
+			this.#decide(queue, prompt, {kind: 'quarantined'});
+		}
+
+		for (const entry of queue.values()) {
+			entry.checkedChanges = quarantine.changes;
+		}
+	}
+
 	/** Places prompts until the remaining ones have to wait. Each placement adds to the engine's load for the next choice. */
 	#placeAll(service: string, queue: Map<WaitingPrompt, Entry>, views: readonly EngineView[], record: (id: string) => TargetRecord): void {
 		const now = this.#context.now();
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -21,6 +21,7 @@
 import type {AttemptSender} from './attempt-sender.js';
 import type {CallerRequest} from './caller-request.js';
 import type {EntryContext} from './entry-context.js';
+import {QuarantineGate} from './quarantine-gate.js';
 import {RequestLifecycle} from './request-lifecycle.js';
 
 type Verdict = Parameters<Parameters<PromptQueues['enqueue']>[2]>[0];
@@ -54,6 +55,7 @@
 	readonly #context: EntryContext;
 	readonly #sender: AttemptSender;
 	readonly #lifecycle: RequestLifecycle;
+	readonly #gate: QuarantineGate;
 	#lastEventId: string | undefined;
 	#hasSentEvents = false;
 	#head: AnswerFacts | undefined;
@@ -61,7 +63,7 @@
 	#handleAttempts = 0;
 	#lane: 'onTime' | 'late' = 'onTime';
 	readonly #queues: PromptQueues;
-	readonly #sharedPrefix: {readonly parts: NonNullable<CallerRequest['facts']['prompt']>['parts']; readonly key: string; readonly tokens: number; readonly cacheTokens: number};
+	readonly #sharedPrefix: {readonly parts: ReturnType<typeof sharedParts>; readonly key: string; readonly tokens: number; readonly cacheTokens: number};
 
 	constructor(request: CallerRequest, context: EntryContext, sender: AttemptSender, queues: PromptQueues) {
 		this.#request = request;
@@ -76,6 +78,7 @@
 			cacheTokens: context.service(request.service)?.engine?.cacheTokens ?? 0,
 		};
 		this.#lifecycle = new RequestLifecycle(request, context, {isRepeatable: () => this.#isRepeatable, hasLiveAttempt: () => this.#hasLiveAttempt});
+		this.#gate = new QuarantineGate(context, this.#lifecycle, parts.map(({id}) => id));
 	}
 
 	get #isRepeatable(): boolean {
@@ -85,15 +88,15 @@
 	/** Relays the request; resolves once the caller has got its final answer. */
 	async run(): Promise<void> {
 		this.#lifecycle.begin();
-		await this.#relay();
-	}
-
-	async #relay(): Promise<void> {
 		await this.#runAttempts();
 		this.#releaseHandle();
 	}
 
 	async #runAttempts(): Promise<void> {
+		if (this.#gate.refuseHeld()) {
+			return;
+		}
+
 		const shouldContinue = this.#handle === undefined ? await this.#placePrompt() : await this.#decodeWithHandle(this.#handle);
 		if (shouldContinue && !this.#lifecycle.isEnded) {
 			await this.#runAttempts();
@@ -113,6 +116,10 @@
 				return false;
 			}
 
+			case 'quarantined': {
+				return !this.#gate.refuseHeld();
+			}
+
 			case 'hopeless': {
 				this.#lifecycle.refuse(resultCode.deadlineUnreachable, verdict.waitMilliseconds);
 				return false;
@@ -216,7 +223,7 @@
 			entry,
 			expectedMilliseconds: latency * 2,
 			answerDueMilliseconds: (latency * 2) + overdueMarginMilliseconds,
-			mayStart: () => this.#lifecycle.tryStartAttempt(),
+			mayStart: () => this.#gate.mayStartAttempt(),
 		});
 		this.#lifecycle.setCancelAttempt(cancel);
 		const result = await outcome;
@@ -227,14 +234,13 @@
 			this.#lifecycle.recordAcceptedPrefill();
 			this.#handle = handle.value;
 			this.#handleAttempts = 0;
-			return !this.#lifecycle.isEnded;
 		}
 
-		if (this.#lifecycle.isEnded) {
-			return false;
+		if (option.isSome(handle) || this.#lifecycle.isEnded) {
+			return !this.#lifecycle.isEnded;
 		}
 
-		return this.#lifecycle.handleUnansweredAttempt(target, result.kind === 'not sent' ? result : {kind: 'not run', isOtherTarget: false});
+		return result.kind === 'not sent' ? this.#handleUnsentAttempt(target, result) : this.#lifecycle.handleUnansweredAttempt(target, {kind: 'not run', isOtherTarget: false});
 	}
 
 	#parseHandle(result: AttemptOutcome, target: TargetRecord): option.Option<Handle> {
@@ -288,7 +294,7 @@
 			// Only a repeatable stream is aborted when its engine is silent.
 			answerDueMilliseconds: this.#isRepeatable ? (entry.readMilliseconds * 4) + overdueMarginMilliseconds : undefined,
 			mayStart: () => {
-				this.#hasLiveAttempt = this.#lifecycle.tryStartAttempt();
+				this.#hasLiveAttempt = this.#gate.mayStartAttempt();
 				return this.#hasLiveAttempt;
 			},
 			sink: {
@@ -331,18 +337,26 @@
 				return this.#lifecycle.handleUnansweredAttempt(target, result);
 			}
 
-			case 'not sent':
+			case 'not sent': {
+				return this.#handleUnsentAttempt(target, result);
+			}
+
 			case 'not run': {
 				return this.#lifecycle.handleUnansweredAttempt(target, result);
 			}
 		}
 	}
 
+	#handleUnsentAttempt(target: TargetRecord, outcome: Extract<AttemptOutcome, {readonly kind: 'not sent'}>): boolean {
+		return !this.#gate.refuseHeld() && this.#lifecycle.handleUnansweredAttempt(target, outcome);
+	}
+
 	#forwardEvents({events, lastId}: ReturnType<EventSplitter['push']>, flow: {readonly pause: () => void; readonly resume: () => void}): void {
 		if (events.length === 0 || this.#lifecycle.isEnded) {
 			return;
 		}
 
+		this.#gate.recordEvents();
 		this.#startAnswer();
 		for (const event of events) {
 			this.#request.answer.write(event, flow);
@@ -361,6 +375,7 @@
 	}
 
 	#finishAnswer(splitter: EventSplitter): void {
+		this.#gate.recordAnswered();
 		this.#startAnswer();
 		if (splitter.rest.length > 0) {
 			this.#request.answer.write(splitter.rest, {pause: () => undefined, resume: () => undefined});
--- a/test/entry/part-that-crashes-engines.test.ts
+++ b/test/entry/part-that-crashes-engines.test.ts
@@ -22,7 +22,7 @@
 	setTimeout(resolve, milliseconds);
 });
 
-const prompt = (middle: string, last: string): Readonly<Record<string, string>> => ({'x-model': 'm', 'x-token-count': '400,50', 'x-prompt-prefix': `aa:100,${middle}:100,${last}:200`});
+const prompt = (middle: string, last: string, tokens = '400,50'): Readonly<Record<string, string>> => ({'x-model': 'm', 'x-token-count': tokens, 'x-prompt-prefix': `aa:100,${middle}:100,${last}:200`});
 
 /** Engines that crash on the part and are replaced; `crashes` counts them, `sentOn` the requests with the part that reached one. */
 class CrashingEngines {
@@ -74,8 +74,8 @@
 	const {host, port} = first.settings.listen.peers!;
 	const gateways = [first, await fleet.addGateway({peerSeeds: [`${host}:${port}`]})];
 	await fleet.until(() => fleet.logged('peer found').length === gateways.length);
-	const ask = async (path: string, number: number, middle: string): ReturnType<EntryFleet['ask']> => fleet.ask(gateways[number % gateways.length]!, {
-		path: `/${path}/1`, requestId: `${path}-${middle}-${number}`, headers: prompt(middle, `own${number}`),
+	const ask = async (path: string, number: number, middle: string, tokens?: string): ReturnType<EntryFleet['ask']> => fleet.ask(gateways[number % gateways.length]!, {
+		path: `/${path}/1`, requestId: `${path}-${middle}-${number}`, headers: prompt(middle, `own${number}`, tokens),
 	});
 	return {fleet, engines, ask};
 };
@@ -110,3 +110,37 @@
 		t.ok(sound.filter(({status}) => status === 200).length >= sound.length / 2);
 	});
 }
+
+test('a prompt that is quarantined while it is prefilled is not sent on to an engine that would answer it', async t => {
+	const {fleet, engines, ask} = await start(t);
+	const prefillEngine = await fleet.addTarget('i-prefill', 'models', {phase: 'prefill'});
+	let endPrefill: (() => void) | undefined;
+	prefillEngine.answer = (response, {requestId, method}) => {
+		const end = (): void => {
+			response.writeHead(200, {'x-request-id': requestId, 'content-type': 'application/json'});
+			response.end('{"kvHandle":"h1","tokens":40000,"version":1}');
+		};
+
+		if (method === 'DELETE') {
+			end();
+		} else {
+			endPrefill = end;
+		}
+	};
+
+	await fleet.until(() => fleet.logged('target appeared').length === 2 * (engineCount + 1));
+	const reply = ask('dossiers', 900, `bb:39000,${crashingPart}`, '40000,50');
+	await fleet.until(() => endPrefill !== undefined);
+	for (let number = 0; fleet.logged('quarantine began').length < 2; number++) {
+		await ask('questions', number, `bb:10,${crashingPart}`); // eslint-disable-line no-await-in-loop
+		await pause(betweenCrashesMilliseconds); // eslint-disable-line no-await-in-loop
+	}
+
+	const sentBefore = engines.sentOn;
+	endPrefill!();
+	const {status, body} = await reply;
+	t.equal(status, 503);
+	t.match(JSON.parse(body), {error: {code: 1021, ran: 'not run'}});
+	t.equal(engines.sentOn, sentBefore);
+	await fleet.until(() => prefillEngine.arrivals.some(({method}) => method === 'DELETE'));
+});
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -17,6 +17,7 @@
 import {LoadTracker} from '../../source/entry/load-tracker.js';
 import {LoopActivity} from '../../source/entry/loop-activity.js';
 import {PlainRelay} from '../../source/entry/plain-relay.js';
+import type {PromptQuarantine} from '../../source/entry/prompt-quarantine.js';
 import type {PromptQueues} from '../../source/entry/prompt-queues.js';
 import {StreamRelay} from '../../source/entry/stream-relay.js';
 import type {Route} from '../../source/fleet/route.js';
@@ -231,6 +232,7 @@
 			gauge: () => undefined,
 		};
 		const context: Partial<EntryContext> = {
+			quarantine: {changes: 0, check: () => undefined, recordAnswered: () => undefined} as unknown as PromptQuarantine,
 			settings: () => ({name, availabilityZone: 'a'} as unknown as ReturnType<EntryContext['settings']>),
 			protocol: {writeRefusal: () => ({}), readPrefill: () => option.some({id: 'h', tokens: 13_400})} as unknown as TargetProtocol,
 			targetRegistry: beliefs,
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -11,6 +11,7 @@
 import {LoadTracker} from '../../source/entry/load-tracker.js';
 import {LoopActivity} from '../../source/entry/loop-activity.js';
 import {PeerExchange} from '../../source/entry/peer-exchange.js';
+import {PromptQuarantine} from '../../source/entry/prompt-quarantine.js';
 import type {PrefillGrants} from '../../source/entry/prefill-grants.js';
 import type {Timers} from '../../source/shared/timers.js';
 import type {StoreFault} from './store-fault.js';
@@ -87,6 +88,7 @@
 			followedEngines: () => [],
 			grants: {handleAnswer: () => undefined} as unknown as PrefillGrants,
 			peers: {
+				names: [],
 				addresses: [],
 				addAddresses: () => undefined,
 				send(peer, message) {
@@ -167,6 +169,9 @@
 			this.lines.push(JSON.stringify({at: Math.round(time.now), process: name, ...context as Record<string, unknown>}));
 		};
 
+		const logger = {
+			info: write, warn: write, error: write, debug: () => undefined,
+		} as unknown as Logger;
 		const settings: EntrySettings = {
 			name,
 			availabilityZone: 'a',
@@ -185,9 +190,10 @@
 			loadTracker: new LoadTracker(),
 			prefixCache: new PrefixCacheIndex(),
 			metrics: new EntryMetrics(name),
-			log: {
-				info: write, warn: write, error: write, debug: () => undefined,
-			} as unknown as Logger,
+			quarantine: new PromptQuarantine({
+				name, peers: () => links.peersOf(name), onCrash: () => undefined, log: logger, metrics: new EntryMetrics(name), now: () => time.now - this.#uncounted,
+			}),
+			log: logger,
 			activity: new LoopActivity(() => time.now),
 			now: () => time.now - this.#uncounted,
 			timers,
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -12,6 +12,7 @@
 import {LoadTracker} from '../../source/entry/load-tracker.js';
 import {LoopActivity} from '../../source/entry/loop-activity.js';
 import {PrefillGrants} from '../../source/entry/prefill-grants.js';
+import type {PromptQuarantine} from '../../source/entry/prompt-quarantine.js';
 import {PromptQueues} from '../../source/entry/prompt-queues.js';
 import type {ServiceDescription} from '../../source/fleet/service-description.js';
 import type {TargetRecord} from '../../source/fleet/target-record.js';
@@ -115,6 +116,7 @@
 			case 'hello':
 			case 'digest':
 			case 'fresh':
+			case 'crashes':
 			case 'want':
 			case 'targets':
 			case 'configuration': {
@@ -141,6 +143,7 @@
 			},
 		};
 		const context: Partial<EntryContext> = {
+			quarantine: {changes: 0, check: () => undefined, recordAnswered: () => undefined} as unknown as PromptQuarantine,
 			settings: () => ({name, availabilityZone: 'zone-a'} as unknown as ReturnType<EntryContext['settings']>),
 			targetRegistry,
 			loadTracker: this.loadTracker,
