Take a stream that ends inside an event for broken off

An answer may come with neither a length nor chunks and end with its connection. Such a stream that ended inside an event, or before one, was passed on as complete, with the torn event (both new tests showed 200 and a whole answer). Now the end of the connection completes an undelimited stream only after an event; else the attempt counts as broken off, is continued where the route allows it, and counts as a loss at its target. Ruled out: judging answers with a length or chunks by their events, as these end by their own framing.

--- a/source/decisions/entry/event-splitter.ts
+++ b/source/decisions/entry/event-splitter.ts
@@ -44,12 +44,18 @@
 */
 export class EventSplitter {
 	#rest: Uint8Array = new Uint8Array(0);
+	#hasEvents = false;
 
 	/** Bytes of an event that is not complete yet. */
 	get rest(): Uint8Array {
 		return this.#rest;
 	}
 
+	/** True when the stream may end here: after an event, and not inside one. */
+	get isBetweenEvents(): boolean {
+		return this.#hasEvents && this.#rest.length === 0;
+	}
+
 	push(chunk: Uint8Array): Split {
 		const events: Uint8Array[] = [];
 		let bytes: Uint8Array = this.#rest.length === 0 ? Uint8Array.from(chunk) : concatenate(this.#rest, chunk);
@@ -61,6 +67,7 @@
 		}
 
 		this.#rest = bytes;
+		this.#hasEvents ||= events.length > 0;
 		return {events, lastId: events.map(event => readId(event)).findLast(id => id !== undefined)};
 	}
 }
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -14,13 +14,19 @@
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {EntryContext} from './entry-context.js';
+import type {TargetConnection} from './target-connection.js';
 import {recordTargetState} from './record-target-state.js';
 import {targetListStatus} from './target-list-status.js';
 import type {LoadEntry} from './load-entry.js';
 
 type Flow = {readonly pause: () => void; readonly resume: () => void};
 
-type StreamSink = {readonly head: (facts: AnswerFacts) => void; readonly data: (chunk: Uint8Array, flow: Flow) => void};
+type StreamSink = {
+	readonly head: (facts: AnswerFacts) => void;
+	readonly data: (chunk: Uint8Array, flow: Flow) => void;
+	/** False when what has arrived cannot be a whole answer; asked when an answer without a length ends with its connection. */
+	readonly mayEnd?: () => boolean;
+};
 
 type AttemptPlan = {
 	readonly target: TargetRecord;
@@ -45,6 +51,8 @@
 	readonly spill?: () => StreamSink;
 };
 
+type ConnectionEnd = Parameters<Parameters<TargetConnection['send']>[1]['onEnd']>[0];
+
 type RunningAttempt = {readonly outcome: Promise<AttemptOutcome>; readonly cancel: () => void};
 
 const cancelledReason = 'broken off by the gateway';
@@ -74,6 +82,11 @@
 	}
 };
 
+/** The end of the connection does not complete an answer that breaks off inside one of its parts. */
+const checkEnd = ({facts, sink}: ReceivedAnswer, end: ConnectionEnd): ConnectionEnd => end.kind === 'complete' && facts?.isDelimited === false && sink?.mayEnd?.() === false
+	? {kind: 'broken', reason: 'ended inside the answer'}
+	: end;
+
 const toOutcome = (received: ReceivedAnswer, isWhole: boolean, reason: string): AttemptOutcome => {
 	const {facts, answerKind} = received;
 	if (received.sink !== undefined) {
@@ -176,7 +189,8 @@
 					context.health.recordReceived(target.incarnation, context.now());
 					handleChunk(received, chunk, flow, plan.spill);
 				},
-				onEnd: end => {
+				onEnd: connectionEnd => {
+					const end = checkEnd(received, connectionEnd);
 					clearInterval(silenceTimer);
 					context.loadTracker.remove(entry);
 					if (isSent) {
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -304,6 +304,7 @@
 				data: (chunk, flow) => {
 					this.#forwardEvents(splitter.push(chunk), flow);
 				},
+				mayEnd: () => splitter.isBetweenEvents,
 			},
 		});
 		this.#lifecycle.setCancelAttempt(cancel);
--- a/source/fleet/answer-facts.ts
+++ b/source/fleet/answer-facts.ts
@@ -15,6 +15,8 @@
 	/** True when the address belongs to another target than the one that was addressed. */
 	readonly isOtherTarget: boolean;
 	readonly isEncoded: boolean;
+	/** False when the answer carries neither a length nor chunks, so that only the end of its connection ends it. */
+	readonly isDelimited: boolean;
 	/** True when the target reports that it is leaving and wants no new work. */
 	readonly isLeaving: boolean;
 	/** How long the target wants nothing from this gateway, counted from its answer; undefined when it does not say. */
--- a/test/entry/stream-relay.test.ts
+++ b/test/entry/stream-relay.test.ts
@@ -156,3 +156,46 @@
 	const prefilledInPlace = decodeEngine.arrivals.filter(({headers}) => headers['x-kv-source'] === undefined);
 	t.equal(prefillEngine.arrivals.length + prefilledInPlace.length, 8, 'each prompt was prefilled once elsewhere');
 });
+
+/** Returns an answer with neither a length nor chunks, which ends with its connection. */
+const unframedAnswer = (text: string): PlatformTargetStandIn['answer'] => (response, {requestId}) => {
+	response.useChunkedEncodingByDefault = false;
+	response.writeHead(200, {
+		'x-request-id': requestId, 'x-response-signature': 'proof', 'content-type': 'text/event-stream', connection: 'close',
+	});
+	response.end(text);
+};
+
+test('a stream without a length or chunks is complete when its connection ends after an event', async t => {
+	const fleet = await start(t);
+	const target = await fleet.addTarget('i-1', 'models', {phase: 'decode'});
+	target.answer = unframedAnswer(event(1) + event(2));
+	const gateway = await fleet.addGateway();
+	t.match(await fleet.ask(gateway, {path: '/dossiers/1', requestId: 'r1', headers: prompt}), {status: 200, isWhole: true, body: event(1) + event(2)});
+});
+
+test('a stream without a length or chunks whose connection ends inside an event, or before one, does not look complete', async t => {
+	const fleet = await start(t);
+	const target = await fleet.addTarget('i-1', 'models', {phase: 'decode'});
+	const gateway = await fleet.addGateway();
+	target.answer = unframedAnswer(`${event(1)}id: 2\nda`);
+	t.match(await fleet.ask(gateway, {path: '/dossiers/1', requestId: 'r1', headers: prompt}), {status: 200, isWhole: false, body: event(1)});
+	target.answer = unframedAnswer('');
+	t.match(await fleet.ask(gateway, {path: '/dossiers/1', requestId: 'r2', headers: prompt}), {status: 502});
+});
+
+test('a resumable stream without a length or chunks that ends inside an event is continued at another engine', async t => {
+	const fleet = await start(t);
+	const targets = [await fleet.addTarget('i-1', 'models', {phase: 'decode'}), await fleet.addTarget('i-2', 'models', {phase: 'decode'})];
+	const answers = [unframedAnswer(`${event(1)}id: 2\nda`), streamAnswer([2, 3], 'whole')];
+	const answer: PlatformTargetStandIn['answer'] = (response, arrival, count) => {
+		answers.shift()!(response, arrival, count);
+	};
+
+	for (const target of targets) {
+		target.answer = answer;
+	}
+
+	const gateway = await fleet.addGateway();
+	t.match(await fleet.ask(gateway, {path: '/questions/1', requestId: 'r1', headers: prompt}), {status: 200, isWhole: true, body: event(1) + event(2) + event(3)});
+});
