Keep the quarantine in the store for gateways that start anew

When all gateways are killed at the same moment, what they had told each other of crashes is gone, and four more engines crash before the part is held again; killed twice, that is more than the three requests allowed. Shown by a test that stops both gateways and starts a new one (without the read the request crashes an engine).

Two gateways of all, chosen by hash, write what is held when it changes, and again after the store has come back from an older copy. Each gateway reads it once, when it starts. Weighed: a key for each gateway (as many writes as gateways), reading all the time (calls, and peers tell faster), evidence that holds nothing yet (a write for each ordinary crash).

--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -35,6 +35,7 @@
 import {probeAddress} from './probe-address.js';
 import {PromptQuarantine} from './prompt-quarantine.js';
 import {PromptQueues} from './prompt-queues.js';
+import {QuarantineStore} from './quarantine-store.js';
 import {RequestRouter} from './request-router.js';
 import {TargetConnections} from './target-connections.js';
 
@@ -91,6 +92,7 @@
 	readonly #cachePollers: EngineCachePollers;
 	readonly #grants: PrefillGrants;
 	readonly #knowledge: FleetState;
+	readonly #quarantineStore: QuarantineStore;
 	readonly #loopMonitor: EventLoopMonitor;
 
 	constructor(options: EntryOptions) {
@@ -112,6 +114,16 @@
 				this.#onTargets(changes);
 			},
 		});
+		this.#quarantineStore = new QuarantineStore({
+			name: this.#settings.name,
+			peers: () => this.#peers?.names ?? [],
+			store: () => this.#knowledge.store,
+			quarantine: this.#context.quarantine,
+			log: this.#log,
+			metrics: this.#context.metrics,
+			timers: systemTimers,
+			wallClock: Date.now,
+		});
 		this.#cachePollers = new EngineCachePollers(this.#context);
 		this.#grants = new PrefillGrants({
 			context: this.#context,
@@ -154,6 +166,7 @@
 		this.#peers?.start();
 		this.#exchange?.start();
 		this.#knowledge.start();
+		this.#quarantineStore.start();
 		this.#maintenanceTimer = setInterval(() => {
 			this.#context.activity.measure('maintenance', this.#context.targetRegistry.all().length, () => {
 				this.#runMaintenance();
@@ -189,6 +202,7 @@
 		clearInterval(this.#maintenanceTimer);
 		this.#loopMonitor.stop();
 		this.#cachePollers.stop();
+		this.#quarantineStore.stop();
 		this.#exchange?.stop();
 		this.#peers?.stop();
 		this.#context.connections.close();
@@ -228,6 +242,9 @@
 				onCrash: () => {
 					this.#exchange?.broadcastCrashes();
 				},
+				onChange: () => {
+					this.#quarantineStore.save();
+				},
 				log,
 				metrics,
 				now: clock,
@@ -370,6 +387,7 @@
 		pauses.keepOnly(incarnations);
 		crashMonitor.forgetOld();
 		quarantine.maintain();
+		this.#quarantineStore.recordEra(this.#knowledge.era);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
 		metrics.gauge('requests.open', this.#callerServer.open);
 		metrics.gauge('requests.waiting', this.#queues.waitingCount);
--- a/source/entry/fleet-state.ts
+++ b/source/entry/fleet-state.ts
@@ -67,6 +67,11 @@
 		return Math.min(this.#configurationReadAt, this.#targetsReadAt);
 	}
 
+	/** The store that is read now. */
+	get store(): FleetStore | undefined {
+		return this.#store;
+	}
+
 	get era(): number {
 		return this.#era;
 	}
--- a/source/entry/prompt-quarantine.ts
+++ b/source/entry/prompt-quarantine.ts
@@ -23,6 +23,8 @@
 	readonly peers: () => readonly string[];
 	/** Called when there is a crash that peers do not know of. */
 	readonly onCrash: () => void;
+	/** Called when parts come into quarantine or leave it, and when engines crash on parts in it. */
+	readonly onChange: () => void;
 	readonly log: Pick<Logger, 'info' | 'warn'>;
 	readonly metrics: Pick<EntryMetrics, 'count' | 'gauge'>;
 	readonly now: () => number;
@@ -57,6 +59,8 @@
 	#trial: {readonly requestId: string; readonly at: number} | undefined;
 	#loggedKeys: ReadonlySet<string> = new Set();
 	#changes = 0;
+	/** Crashes behind what is in quarantine, as one text. */
+	#heldCrashes = '';
 
 	constructor(options: QuarantineOptions) {
 		this.#options = options;
@@ -122,8 +126,14 @@
 		return this.#report(this.#evidence.crashes, this.#evidence.cleared(this.#options.now() - repeatClearedMilliseconds));
 	}
 
-	/** Adopts a peer's report. */
-	adopt(peer: string, {crashes, cleared}: Report): void {
+	/** Returns the crashes behind what is in quarantine. */
+	reportHeld(): Report {
+		const held = new Set(this.#evidence.quarantined.flatMap(({crashes}) => crashes));
+		return this.#createReport(this.#evidence.crashes.filter(({incarnation}) => held.has(incarnation)), []);
+	}
+
+	/** Adopts a report of a peer, or of the store. */
+	adopt(source: string, {crashes, cleared}: Report): void {
 		const now = this.#options.now();
 		for (const [index, part] of cleared.parts.entries()) {
 			this.#evidence.recordCleared(part, now - (cleared.ages[index] ?? 0));
@@ -133,7 +143,7 @@
 			this.#evidence.recordCrash(engine, prompts, now - age);
 		}
 
-		this.#logChanges(peer);
+		this.#logChanges(source);
 	}
 
 	/** Forgets what is too old to count, and updates gauges. */
@@ -172,10 +182,10 @@
 	}
 
 	#report(crashes: readonly ReportedCrash[], cleared: readonly ClearedPart[]): Report | undefined {
-		if (crashes.length === 0 && cleared.length === 0) {
-			return undefined;
-		}
+		return crashes.length === 0 && cleared.length === 0 ? undefined : this.#createReport(crashes, cleared);
+	}
 
+	#createReport(crashes: readonly ReportedCrash[], cleared: readonly ClearedPart[]): Report {
 		const now = this.#options.now();
 		const ageOf = ({at}: {readonly at: number}): number => Math.max(0, Math.round(now - at));
 		const named = cleared.slice(-maxReported);
@@ -212,5 +222,10 @@
 		}
 
 		this.#loggedKeys = keys;
+		const crashes = groups.flatMap(group => group.crashes).join(',');
+		if (crashes !== this.#heldCrashes) {
+			this.#heldCrashes = crashes;
+			this.#options.onChange();
+		}
 	}
 }
--- a/source/ports/fleet-store.ts
+++ b/source/ports/fleet-store.ts
@@ -8,12 +8,15 @@
 import type {StoreError} from './store-error.js';
 
 /**
-Reads configurations and targets. Every call has a timeout and never throws.
+Reads configurations and targets, and keeps one report of crashes. Every call has a timeout and never throws.
 */
 export type FleetStore = {
 	/** Returns the newest configuration, or none if none has been written yet, and the store's era (see `StorePosition`). */
 	readConfiguration(): Promise<Result<{readonly configuration: Option<FleetConfiguration>; readonly era: number}, StoreError>>;
 	/** Returns all targets. Entries that cannot be decoded are left out; `unreadable` is their number. */
 	listTargets(): Promise<Result<{readonly list: TargetList; readonly unreadable: number}, StoreError>>;
+	/** Returns the report as it was last written, or none if there is none. */
+	readCrashReport(): Promise<Result<Option<string>, StoreError>>;
+	writeCrashReport(text: string): Promise<Result<void, StoreError>>;
 	close(): Promise<void>;
 };
--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -1,9 +1,10 @@
 /**
-Stand-in of the users' platform's store: the reading calls that an entry gateway
+Stand-in of the users' platform's store: the calls that an entry gateway
 makes, with faults that can be switched on for all callers or for one.
 */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import {text} from 'node:stream/consumers';
 import {LoopbackServer} from './loopback-server.js';
 
 type Fault = 'none' | 'busy' | 'reset' | 'silent';
@@ -93,12 +94,31 @@
 
 			case 'none': {
 				setTimeout(() => {
-					this.#read(new URL(request.url ?? '/', 'http://store'), response);
+					const url = new URL(request.url ?? '/', 'http://store');
+					if (url.pathname === '/v1/kv-txn') {
+						void this.#write(request, response);
+					} else {
+						this.#read(url, response);
+					}
 				}, this.delayMilliseconds);
 			}
 		}
 	}
 
+	/** Writes and removes without conditions. */
+	async #write(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+		const {write, remove} = JSON.parse(await text(request)) as {readonly write: ReadonlyArray<{readonly key: string; readonly value: string}>; readonly remove: readonly string[]};
+		for (const {key, value} of write) {
+			this.put(key, Buffer.from(value, 'base64').toString('utf8'));
+		}
+
+		for (const key of remove) {
+			this.remove(key);
+		}
+
+		this.#send(response, 200, {revision: this.#revision});
+	}
+
 	#read(url: URL, response: http.ServerResponse): void {
 		if (url.pathname === '/v1/kv-key') {
 			const key = url.searchParams.get('key') ?? '';
--- a/test/entry/part-that-crashes-engines.test.ts
+++ b/test/entry/part-that-crashes-engines.test.ts
@@ -77,7 +77,9 @@
 	const ask = async (path: string, number: number, middle: string, tokens?: string): ReturnType<EntryFleet['ask']> => fleet.ask(gateways[number % gateways.length]!, {
 		path: `/${path}/1`, requestId: `${path}-${middle}-${number}`, headers: prompt(middle, `own${number}`, tokens),
 	});
-	return {fleet, engines, ask};
+	return {
+		fleet, engines, gateways, ask,
+	};
 };
 
 /** Crashes engines one after the other, each by one request, until everybody must have noticed. */
@@ -144,3 +146,20 @@
 	t.equal(engines.sentOn, sentBefore);
 	await fleet.until(() => prefillEngine.arrivals.some(({method}) => method === 'DELETE'));
 });
+
+test('gateways that all start anew know from the store which parts crash engines', async t => {
+	const {fleet, engines, gateways, ask} = await start(t);
+	for (let number = 0; fleet.logged('quarantine saved').length === 0; number++) {
+		await ask('dossiers', number, `bb:10,${crashingPart}`); // eslint-disable-line no-await-in-loop
+		await pause(betweenCrashesMilliseconds); // eslint-disable-line no-await-in-loop
+	}
+
+	await Promise.all(gateways.map(async ({gateway}) => gateway.stop()));
+	gateways.splice(0, 2, await fleet.addGateway());
+	await fleet.until(() => fleet.logged('quarantine read').length === 1);
+	const sentBefore = engines.sentOn;
+	const {status, body} = await ask('dossiers', 900, `bb:10,${crashingPart}`);
+	t.equal(status, 503);
+	t.match(JSON.parse(body), {error: {code: 1021}});
+	t.equal(engines.sentOn, sentBefore);
+});
--- a/test/entry/prompt-quarantine.test.ts
+++ b/test/entry/prompt-quarantine.test.ts
@@ -29,6 +29,7 @@
 			name,
 			peers: () => peers,
 			onCrash: () => undefined,
+			onChange: () => undefined,
 			log: Object.assign(logger.child({}), {info: write, warn: write}),
 			metrics: {count: () => undefined, gauge: () => undefined},
 			now: () => clock.now,
--- a/test/platform/platform-store.test.ts
+++ b/test/platform/platform-store.test.ts
@@ -2,6 +2,7 @@
 Tests that a store call without an answer does not abort calls in progress on
 other connections.
 */
+import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
 import {startPlatformStore} from '../support/start-platform-store.js';
 
@@ -9,6 +10,16 @@
 	setTimeout(resolve, milliseconds);
 });
 
+test('a crash report that was written is read back', async t => {
+	const {store} = await startPlatformStore(t);
+	const before = await store.readCrashReport();
+	t.ok(option.isNone(before._unsafeUnwrap()));
+	const written = await store.writeCrashReport('{"part":"é"}');
+	t.ok(written.isOk());
+	const after = await store.readCrashReport();
+	t.strictSame(after._unsafeUnwrap(), option.some('{"part":"é"}'));
+});
+
 test('DRAIN: a call that gets no answer does not abort a concurrent read of the target list, which would let the list grow stale', async t => {
 	const {standIn, store} = await startPlatformStore(t);
 	standIn.fault = 'silent';
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -191,7 +191,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			metrics: new EntryMetrics(name),
 			quarantine: new PromptQuarantine({
-				name, peers: () => links.peersOf(name), onCrash: () => undefined, log: logger, metrics: new EntryMetrics(name), now: () => time.now - this.#uncounted,
+				name, peers: () => links.peersOf(name), onCrash: () => undefined, onChange: () => undefined, log: logger, metrics: new EntryMetrics(name), now: () => time.now - this.#uncounted,
 			}),
 			log: logger,
 			activity: new LoopActivity(() => time.now),
--- a/test/support/virtual-store.ts
+++ b/test/support/virtual-store.ts
@@ -87,6 +87,8 @@
 		return {
 			readConfiguration: async () => this.#call(caller, () => ({configuration: option.some(configuration), era: this.era})),
 			listTargets: async () => this.#call(caller, () => ({list: {era: this.era, revision: this.revision, targets: [...this.#targets.values()]}, unreadable: 0})),
+			readCrashReport: async () => this.#call(caller, () => option.none),
+			writeCrashReport: async () => this.#call(caller, () => undefined),
 			close: async () => undefined,
 		};
 	}
