--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -2,7 +2,7 @@
 The entry gateway process: receives callers' requests and forwards each to targets
 of its service. Any number of gateways run side by side, without a leader.
 */
-import http from 'node:http';
+import type http from 'node:http';
 import type {Logger} from 'roarr';
 import {PrefixCacheIndex} from '../decisions/entry/prefix-cache-index.js';
 import {RateLimit} from '../decisions/entry/rate-limit.js';
@@ -37,6 +37,7 @@
 import {PromptQueues} from './prompt-queues.js';
 import {QuarantineStore} from './quarantine-store.js';
 import {RequestRouter} from './request-router.js';
+import {startStatusServer} from './status-server.js';
 import {TargetConnections} from './target-connections.js';
 
 type EntryOptions = {
@@ -156,9 +157,11 @@
 	async start(): Promise<void> {
 		const {settings, protocol, metricsPort} = this.#options;
 		this.#log.info({event: 'start', incarnation: this.#incarnation, settings}, 'entry gateway starts');
-		await this.#startServer(settings.listen.readiness, protocol.readinessPath, () => this.isReady ? {status: 200, text: 'ready'} : {status: 503, text: 'not ready'});
+		this.#servers.push(await startStatusServer(settings.listen.readiness, {
+			[`GET ${protocol.readinessPath}`]: () => this.isReady ? {status: 200, text: 'ready'} : {status: 503, text: 'not ready'},
+		}));
 		if (metricsPort !== undefined) {
-			await this.#startServer({host: settings.listen.callers.host, port: metricsPort}, '/metrics', () => ({status: 200, text: this.#context.metrics.render()}));
+			this.#servers.push(await this.#startOperatorServer({host: settings.listen.callers.host, port: metricsPort}));
 		}
 
 		this.#loopMonitor.start();
@@ -350,16 +353,15 @@
 		}
 	}
 
-	async #startServer(address: {readonly host: string; readonly port: number}, path: string, answer: () => {readonly status: number; readonly text: string}): Promise<void> {
-		const server = http.createServer((request, response) => {
-			const {status, text} = request.url === path ? answer() : {status: 404, text: 'not found'};
-			response.writeHead(status, {'content-type': 'text/plain'});
-			response.end(text);
-		});
-		this.#servers.push(server);
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(address, resolve);
+	async #startOperatorServer(address: {readonly host: string; readonly port: number}): Promise<http.Server> {
+		const {metrics, quarantine} = this.#context;
+		const list = (): string => JSON.stringify({quarantined: quarantine.list()});
+		return startStatusServer(address, {
+			'GET /metrics': () => ({status: 200, text: metrics.render()}),
+			'GET /quarantine': () => ({status: 200, text: list()}),
+			'POST /quarantine/lift': parameters => quarantine.lift(parameters.get('part') ?? '')
+				? {status: 200, text: list()}
+				: {status: 404, text: JSON.stringify({error: {code: 0, errors: ['this part is not in quarantine']}})},
 		});
 	}
 
