--- a/source/decisions/entry/answered-parts.ts
+++ b/source/decisions/entry/answered-parts.ts
@@ -8,7 +8,7 @@
 const maxParts = 4096;
 
 /**
-Counts the answers of this gateway by part.
+Counts by part the answers of this gateway, and those of peers that it was told of.
 
 @example
 ```
--- a/source/decisions/entry/crash-evidence.ts
+++ b/source/decisions/entry/crash-evidence.ts
@@ -113,12 +113,19 @@
 
 	/** Records that a prompt with these parts was answered; returns the parts against which crashes counted until then. */
 	recordAnswered(parts: readonly string[], at: number): readonly string[] {
-		this.#answered.record(parts.map(part => CrashRecords.nameOf(part)));
-		return parts.filter(part => this.#records.has(part) && this.recordCleared(part, at));
+		const names = parts.map(part => CrashRecords.nameOf(part));
+		const suspects = names.filter(part => this.#records.has(part));
+		this.#answered.record(names.filter(part => !suspects.includes(part)));
+		return suspects.filter(part => this.recordCleared(part, at));
 	}
 
 	/** Clears a part of the crashes up to a time, also of those that this gateway has yet to hear of; true when any counted until then. */
 	recordCleared(part: string, at: number): boolean {
+		const name = CrashRecords.nameOf(part);
+		if (at > this.#records.clearTime(name)) {
+			this.#answered.record([name]);
+		}
+
 		const isCleared = this.#records.clear(part, at);
 		this.#isOutdated ||= isCleared;
 		return isCleared;
--- a/source/decisions/entry/crash-records.ts
+++ b/source/decisions/entry/crash-records.ts
@@ -50,13 +50,13 @@
 	/** Number of crashes that count against each part. */
 	readonly #counts = new Map<string, number>();
 
-	/** Records lost prompts by their parts; true when that was not known yet. */
+	/** Records a crash and the prompts lost in it, by their parts; true when that was not known yet. */
 	add(incarnation: string, prompts: ReadonlyArray<readonly string[]>, at: number): boolean {
 		const known = this.#crashes.get(incarnation);
 		const since = Math.min(at, known?.at ?? at);
 		const named = prompts.map(parts => new Set(this.#mostSuspectParts(incarnation, parts.map(part => nameOf(part)))));
 		const crash = this.#withoutCleared({incarnation, at: since, prompts: [...known?.prompts ?? [], ...named]});
-		const isNew = crash.prompts.length > (known?.prompts.length ?? 0) || since < (known?.at ?? since);
+		const isNew = known === undefined || crash.prompts.length > known.prompts.length || since < known.at;
 		if (isNew) {
 			this.#set(crash);
 		}
@@ -67,7 +67,7 @@
 	/** Takes a part out of the crashes up to a time; true when any counted against it. */
 	clear(part: string, at: number): boolean {
 		const name = nameOf(part);
-		const clearedAt = Math.max(at, this.#clearTime(name));
+		const clearedAt = Math.max(at, this.clearTime(name));
 		this.#clearedAt.delete(name);
 		this.#clearedAt.set(name, clearedAt);
 		const [oldest] = this.#clearedAt.keys();
@@ -83,6 +83,11 @@
 		return concerned.length > 0;
 	}
 
+	/** When a prompt with a part was last known to be answered. */
+	clearTime(part: string): number {
+		return this.#clearedAt.get(part) ?? Number.NEGATIVE_INFINITY;
+	}
+
 	/** True when a crash counts against a part. */
 	has(part: string): boolean {
 		return this.#counts.has(nameOf(part));
@@ -150,12 +155,8 @@
 		}
 	}
 
-	#clearTime(part: string): number {
-		return this.#clearedAt.get(part) ?? Number.NEGATIVE_INFINITY;
-	}
-
 	#withoutCleared(crash: Crash): Crash {
-		const prompts = crash.prompts.map(prompt => new Set([...prompt].filter(part => this.#clearTime(part) < crash.at)));
+		const prompts = crash.prompts.map(prompt => new Set([...prompt].filter(part => this.clearTime(part) < crash.at)));
 		const uncleared = distinct(prompts.filter(prompt => prompt.size > 0));
 		return {...crash, prompts: this.#mostSuspect(uncleared)};
 	}
--- a/source/entry/prompt-quarantine.ts
+++ b/source/entry/prompt-quarantine.ts
@@ -80,7 +80,7 @@
 	/** Records requests that were lost in a crash which this gateway has noticed. */
 	recordLoss({target, requests, at, isCrash}: Loss): void {
 		const prompts = requests.map(({parts}) => parts).filter(parts => parts.length > 0);
-		if (isCrash && this.#evidence.recordCrash(target.incarnation, prompts, at)) {
+		if (isCrash && prompts.length > 0 && this.#evidence.recordCrash(target.incarnation, prompts, at)) {
 			this.#crashNews.push({incarnation: target.incarnation, at, prompts: prompts.map(parts => new Set(parts))});
 			this.#logChanges('own');
 			this.#options.onCrash();
@@ -197,7 +197,7 @@
 		});
 		return {
 			kind: 'crashes',
-			crashes: rows.filter(({prompts}) => prompts.length > 0),
+			crashes: rows,
 			cleared: {parts: named.map(({part}) => part), ages: named.map(row => ageOf(row))},
 		};
 	}
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -13,6 +13,7 @@
 import {PeerExchange} from '../../source/entry/peer-exchange.js';
 import {PromptQuarantine} from '../../source/entry/prompt-quarantine.js';
 import type {PrefillGrants} from '../../source/entry/prefill-grants.js';
+import {QuarantineStore} from '../../source/entry/quarantine-store.js';
 import type {Timers} from '../../source/shared/timers.js';
 import type {StoreFault} from './store-fault.js';
 import type {VirtualLinks} from './virtual-links.js';
@@ -48,6 +49,7 @@
 	cutUntil = 0;
 	readonly lines: string[] = [];
 	readonly beliefs = new TargetRegistry(1200);
+	readonly quarantine: PromptQuarantine;
 	readonly name: string;
 	readonly startedAt: number;
 	readonly #process: VirtualProcess;
@@ -56,6 +58,7 @@
 	readonly #options: GatewayOptions;
 	readonly #knowledge: FleetState;
 	readonly #exchange: PeerExchange;
+	readonly #quarantineStore: QuarantineStore;
 	readonly #stopSweep: () => void;
 
 	constructor(options: GatewayOptions) {
@@ -64,6 +67,7 @@
 		this.name = name;
 		this.#process = new VirtualProcess(time);
 		this.startedAt = time.now;
+		this.quarantine = this.#createQuarantine();
 		const context = this.#createContext();
 		this.#knowledge = new FleetState({
 			context,
@@ -88,7 +92,9 @@
 			followedEngines: () => [],
 			grants: {handleAnswer: () => undefined} as unknown as PrefillGrants,
 			peers: {
-				names: [],
+				get names() {
+					return links.peersOf(name);
+				},
 				addresses: [],
 				addAddresses: () => undefined,
 				send(peer, message) {
@@ -101,6 +107,16 @@
 				},
 			},
 		});
+		this.#quarantineStore = new QuarantineStore({
+			name,
+			peers: () => links.peersOf(name),
+			store: () => this.#knowledge.store,
+			quarantine: this.quarantine,
+			log: context.log,
+			metrics: context.metrics,
+			timers: context.timers,
+			wallClock: () => time.now,
+		});
 		links.add({
 			name,
 			incarnation: `${name} ${incarnation}`,
@@ -117,7 +133,10 @@
 		}, random() * 100);
 		this.#knowledge.start();
 		this.#exchange.start();
+		this.#quarantineStore.start();
 		this.#stopSweep = context.timers.every(sweepMilliseconds, () => {
+			this.quarantine.maintain();
+			this.#quarantineStore.recordEra(this.#knowledge.era);
 			this.#knowledge.updateFeed(links.peersOf(name).map(peer => ({name: peer, linkMegabits: 1000})));
 		});
 	}
@@ -132,6 +151,11 @@
 		return this.#knowledge.inForce.isFresh(this.#options.time.now - this.#uncounted);
 	}
 
+	/** Runs what is due now, once the process runs; never after its end. */
+	get run(): (act: () => void) => void {
+		return this.#process.run;
+	}
+
 	/** The gateway that reads the store for this one, empty while it reads itself. */
 	get reader(): string {
 		return this.#knowledge.feed.reader;
@@ -151,10 +175,38 @@
 		this.#process.kill();
 		this.#stopSweep();
 		this.#exchange.stop();
+		this.#quarantineStore.stop();
 		void this.#knowledge.stop();
 		this.#options.links.remove(this.name);
 	}
 
+	get #logger(): Logger {
+		const write = (context: unknown): void => {
+			this.lines.push(JSON.stringify({at: Math.round(this.#options.time.now), process: this.name, ...context as Record<string, unknown>}));
+		};
+
+		return {
+			info: write, warn: write, error: write, debug: () => undefined,
+		} as unknown as Logger;
+	}
+
+	#createQuarantine(): PromptQuarantine {
+		const {name, time, links} = this.#options;
+		return new PromptQuarantine({
+			name,
+			peers: () => links.peersOf(name),
+			onCrash: () => {
+				this.#exchange.broadcastCrashes();
+			},
+			onChange: () => {
+				this.#quarantineStore.save();
+			},
+			log: this.#logger,
+			metrics: new EntryMetrics(name),
+			now: () => time.now - this.#uncounted,
+		});
+	}
+
 	#createContext(): EntryContext {
 		const {name, time, links, random} = this.#options;
 		const timers: Timers = {
@@ -165,13 +217,6 @@
 				}
 			}),
 		};
-		const write = (context: unknown): void => {
-			this.lines.push(JSON.stringify({at: Math.round(time.now), process: name, ...context as Record<string, unknown>}));
-		};
-
-		const logger = {
-			info: write, warn: write, error: write, debug: () => undefined,
-		} as unknown as Logger;
 		const settings: EntrySettings = {
 			name,
 			availabilityZone: 'a',
@@ -190,10 +235,8 @@
 			loadTracker: new LoadTracker(),
 			prefixCache: new PrefixCacheIndex(),
 			metrics: new EntryMetrics(name),
-			quarantine: new PromptQuarantine({
-				name, peers: () => links.peersOf(name), onCrash: () => undefined, onChange: () => undefined, log: logger, metrics: new EntryMetrics(name), now: () => time.now - this.#uncounted,
-			}),
-			log: logger,
+			quarantine: this.quarantine,
+			log: this.#logger,
 			activity: new LoopActivity(() => time.now),
 			now: () => time.now - this.#uncounted,
 			timers,
--- a/test/support/virtual-store.ts
+++ b/test/support/virtual-store.ts
@@ -50,6 +50,7 @@
 	awayUntil = 0;
 	readonly #time: VirtualTime;
 	#targets = new Map<string, TargetRecord>();
+	#crashReport: string | undefined;
 
 	constructor(time: VirtualTime) {
 		this.#time = time;
@@ -71,14 +72,15 @@
 	}
 
 	/** What the store holds now, for `restore`. */
-	copy(): {readonly revision: number; readonly targets: ReadonlyMap<string, TargetRecord>} {
-		return {revision: this.revision, targets: new Map(this.#targets)};
+	copy(): {readonly revision: number; readonly targets: ReadonlyMap<string, TargetRecord>; readonly crashReport: string | undefined} {
+		return {revision: this.revision, targets: new Map(this.#targets), crashReport: this.#crashReport};
 	}
 
 	/** Comes back from a copy: what was written since is gone, and revisions are given out again. */
-	restore({revision, targets}: ReturnType<VirtualStore['copy']>): void {
+	restore({revision, targets, crashReport}: ReturnType<VirtualStore['copy']>): void {
 		this.revision = revision;
 		this.#targets = new Map(targets);
+		this.#crashReport = crashReport;
 		this.era++;
 	}
 
@@ -87,8 +89,10 @@
 		return {
 			readConfiguration: async () => this.#call(caller, () => ({configuration: option.some(configuration), era: this.era})),
 			listTargets: async () => this.#call(caller, () => ({list: {era: this.era, revision: this.revision, targets: [...this.#targets.values()]}, unreadable: 0})),
-			readCrashReport: async () => this.#call(caller, () => option.none),
-			writeCrashReport: async () => this.#call(caller, () => undefined),
+			readCrashReport: async () => this.#call(caller, () => option.fromNullable(this.#crashReport)),
+			writeCrashReport: async text => this.#call(caller, () => {
+				this.#crashReport = text;
+			}),
 			close: async () => undefined,
 		};
 	}
