--- a/test/entry/part-that-crashes-engines.test.ts
+++ b/test/entry/part-that-crashes-engines.test.ts
@@ -4,11 +4,9 @@
 */
 import {test, type Test} from 'tap';
 import type {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
-import {EntryFleet} from '../support/entry-fleet.js';
+import type {EntryFleet} from '../support/entry-fleet.js';
+import {startStreamFleet} from '../support/stream-fleet.js';
 
-const engine = {
-	slots: 8, kvCapacityTokens: 100_000, kvBytes: 1000, linkMbps: 100_000, handleTtlS: 5, roleSwitchS: 3,
-};
 const crashingPart = 'dead';
 const engineCount = 8;
 /** Within this time of the fifth crash, every gateway must know of it. */
@@ -59,15 +57,7 @@
 }
 
 const start = async (t: Test) => {
-	const fleet = await EntryFleet.start(t);
-	fleet.configure([
-		{
-			name: 'dossiers', pathPrefix: '/dossiers/', routeType: 'streaming', service: 'models', sessionAffinity: true, itlTargetMs: 300,
-		},
-		{
-			name: 'questions', pathPrefix: '/questions/', routeType: 'streaming', service: 'models', resumable: true, maxAttempts: 2, sessionAffinity: true, itlTargetMs: 300,
-		},
-	], [{name: 'models', engine}]);
+	const fleet = await startStreamFleet(t);
 	const engines = new CrashingEngines(fleet);
 	await Promise.all(Array.from({length: engineCount}, async (_, index) => engines.add(`i-${index}`)));
 	const first = await fleet.addGateway();
--- a/test/entry/stream-relay.test.ts
+++ b/test/entry/stream-relay.test.ts
@@ -1,28 +1,11 @@
 /**
 Streams of engines: the caller gets only complete events, also when another engine continues the stream.
 */
-import {test, type Test} from 'tap';
+import {test} from 'tap';
 import type {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
-import {EntryFleet} from '../support/entry-fleet.js';
+import {startStreamFleet} from '../support/stream-fleet.js';
 
 const prompt = {'x-model': 'm', 'x-token-count': '400,50', 'x-prompt-prefix': 'aa:300,bb:100'};
-const engine = {
-	slots: 8, kvCapacityTokens: 100_000, kvBytes: 1000, linkMbps: 100_000, handleTtlS: 5, roleSwitchS: 3,
-};
-
-const start = async (t: Test) => {
-	const fleet = await EntryFleet.start(t);
-	fleet.configure([
-		{
-			name: 'dossiers', pathPrefix: '/dossiers/', routeType: 'streaming', service: 'models', sessionAffinity: true, itlTargetMs: 300,
-		},
-		{
-			name: 'questions', pathPrefix: '/questions/', routeType: 'streaming', service: 'models', resumable: true, maxAttempts: 2, sessionAffinity: true, itlTargetMs: 300,
-		},
-	], [{name: 'models', engine}]);
-	return fleet;
-};
-
 const event = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
 
 /** Returns an answer with these events that ends normally, with a reset, or with a reset in the middle of one more event (`torn`). */
@@ -42,7 +25,7 @@
 };
 
 test('a complete stream is passed on', async t => {
-	const fleet = await start(t);
+	const fleet = await startStreamFleet(t);
 	const target = await fleet.addTarget('i-1', 'models', {phase: 'decode'});
 	target.answer = streamAnswer([1, 2, 3], 'whole');
 	const gateway = await fleet.addGateway();
@@ -51,7 +34,7 @@
 });
 
 test('a stream that breaks off and is not resumable does not look complete, and ends with a complete event', async t => {
-	const fleet = await start(t);
+	const fleet = await startStreamFleet(t);
 	const target = await fleet.addTarget('i-1', 'models', {phase: 'decode'});
 	const other = await fleet.addTarget('i-2', 'models', {phase: 'decode'});
 	target.answer = streamAnswer([1, 2], 'torn');
@@ -63,7 +46,7 @@
 });
 
 test('a resumable stream is continued at another engine after the last complete event, with the headers of the first answer', async t => {
-	const fleet = await start(t);
+	const fleet = await startStreamFleet(t);
 	const targets = [await fleet.addTarget('i-1', 'models', {phase: 'decode'}), await fleet.addTarget('i-2', 'models', {phase: 'decode'})];
 	let runs = 0;
 	const answer: PlatformTargetStandIn['answer'] = (response, arrival, count) => {
@@ -86,7 +69,7 @@
 });
 
 test('a prompt is prefilled at a prefill engine, and a decode engine fetches its KV cache', async t => {
-	const fleet = await start(t);
+	const fleet = await startStreamFleet(t);
 	const prefillEngine = await fleet.addTarget('i-1', 'models', {phase: 'prefill'});
 	const decodeEngine = await fleet.addTarget('i-2', 'models', {phase: 'decode'});
 	prefillEngine.answer = (response, {requestId}) => {
@@ -103,7 +86,7 @@
 });
 
 test('a KV handle that no decode engine has used is released when the caller disconnects', async t => {
-	const fleet = await start(t);
+	const fleet = await startStreamFleet(t);
 	const prefillEngine = await fleet.addTarget('i-1', 'models', {phase: 'prefill'});
 	const decodeEngine = await fleet.addTarget('i-2', 'models', {phase: 'decode'});
 	prefillEngine.answer = (response, {requestId, method}) => {
@@ -126,7 +109,7 @@
 });
 
 test('a stream for which there is no decode engine is refused as not run', async t => {
-	const fleet = await start(t);
+	const fleet = await startStreamFleet(t);
 	await fleet.addTarget('i-1', 'models', {phase: 'prefill'});
 	const gateway = await fleet.addGateway();
 	const reply = await fleet.ask(gateway, {path: '/dossiers/1', requestId: 'r1', headers: prompt});
@@ -135,7 +118,7 @@
 });
 
 test('a prompt at an engine that has silently stopped is prefilled elsewhere, and the attempts at that engine are aborted', async t => {
-	const fleet = await start(t);
+	const fleet = await startStreamFleet(t);
 	const silentEngine = await fleet.addTarget('i-1', 'models', {phase: 'prefill'});
 	const prefillEngine = await fleet.addTarget('i-2', 'models', {phase: 'prefill'});
 	const decodeEngine = await fleet.addTarget('i-3', 'models', {phase: 'decode'});
@@ -167,7 +150,7 @@
 };
 
 test('a stream without a length or chunks is complete when its connection ends after an event', async t => {
-	const fleet = await start(t);
+	const fleet = await startStreamFleet(t);
 	const target = await fleet.addTarget('i-1', 'models', {phase: 'decode'});
 	target.answer = unframedAnswer(event(1) + event(2));
 	const gateway = await fleet.addGateway();
@@ -175,7 +158,7 @@
 });
 
 test('a stream without a length or chunks whose connection ends inside an event, or before one, does not look complete', async t => {
-	const fleet = await start(t);
+	const fleet = await startStreamFleet(t);
 	const target = await fleet.addTarget('i-1', 'models', {phase: 'decode'});
 	const gateway = await fleet.addGateway();
 	target.answer = unframedAnswer(`${event(1)}id: 2\nda`);
@@ -185,7 +168,7 @@
 });
 
 test('a resumable stream without a length or chunks that ends inside an event is continued at another engine', async t => {
-	const fleet = await start(t);
+	const fleet = await startStreamFleet(t);
 	const targets = [await fleet.addTarget('i-1', 'models', {phase: 'decode'}), await fleet.addTarget('i-2', 'models', {phase: 'decode'})];
 	const answers = [unframedAnswer(`${event(1)}id: 2\nda`), streamAnswer([2, 3], 'whole')];
 	const answer: PlatformTargetStandIn['answer'] = (response, arrival, count) => {
