Take a part for established after one answer

A part with which one prompt was answered cannot crash every engine that begins to answer it, so one answer is enough.

--- a/source/decisions/entry/answered-parts.ts
+++ b/source/decisions/entry/answered-parts.ts
@@ -2,38 +2,35 @@
 Remembers with which parts prompts have been answered lately.
 */
 
-/** Answers after which a part counts as established. */
-const minAnswers = 3;
 /** Parts that are remembered; the one that was answered longest ago is forgotten first. */
 const maxParts = 4096;
 
 /**
-Counts by part the answers of this gateway, and those of peers that it was told of.
+Holds the parts of the prompts that this gateway answered, and those that peers report as cleared.
 
 @example
 ```
 answered.record(['5c1e07a2']);
-answered.isEstablished('5c1e07a2'); // false
+answered.isEstablished('5c1e07a2'); // true
 ```
 */
 export class AnsweredParts {
-	readonly #answers = new Map<string, number>();
+	readonly #parts = new Set<string>();
 
 	record(parts: readonly string[]): void {
 		for (const part of parts) {
-			const count = this.#answers.get(part) ?? 0;
-			this.#answers.delete(part);
-			this.#answers.set(part, count + 1);
+			this.#parts.delete(part);
+			this.#parts.add(part);
 		}
 
-		const excess = Math.max(0, this.#answers.size - maxParts);
-		for (const part of [...this.#answers.keys()].slice(0, excess)) {
-			this.#answers.delete(part);
+		const excess = Math.max(0, this.#parts.size - maxParts);
+		for (const part of [...this.#parts].slice(0, excess)) {
+			this.#parts.delete(part);
 		}
 	}
 
-	/** True when several prompts with the part have been answered. */
+	/** True when a prompt with the part has been answered. */
 	isEstablished(part: string): boolean {
-		return (this.#answers.get(part) ?? 0) >= minAnswers;
+		return this.#parts.has(part);
 	}
 }
--- a/source/decisions/entry/crash-evidence.ts
+++ b/source/decisions/entry/crash-evidence.ts
@@ -47,7 +47,7 @@
 	readonly weight: number;
 };
 
-/** For parts with which no prompt, or hardly any, is known to have been answered. */
+/** For parts with which no prompt is known to have been answered. */
 const newPart: Caution = {minCrashes: 4, maxPerOccurrence: 2, trialPauseMilliseconds: 300_000};
 /** For parts with which prompts have been answered. */
 const establishedPart: Caution = {minCrashes: 8, maxPerOccurrence: 1, trialPauseMilliseconds: 10_000};
@@ -114,18 +114,14 @@
 	/** Records that a prompt with these parts was answered; returns the parts against which crashes counted until then. */
 	recordAnswered(parts: readonly string[], at: number): readonly string[] {
 		const names = parts.map(part => CrashRecords.nameOf(part));
-		const suspects = names.filter(part => this.#records.has(part));
-		this.#answered.record(names.filter(part => !suspects.includes(part)));
-		return suspects.filter(part => this.recordCleared(part, at));
+		this.#answered.record(names);
+		return names.filter(part => this.#records.has(part) && this.recordCleared(part, at));
 	}
 
 	/** Clears a part of the crashes up to a time, also of those that this gateway has yet to hear of; true when any counted until then. */
 	recordCleared(part: string, at: number): boolean {
 		const name = CrashRecords.nameOf(part);
-		if (at > this.#records.clearTime(name)) {
-			this.#answered.record([name]);
-		}
-
+		this.#answered.record([name]);
 		const isCleared = this.#records.clear(part, at);
 		this.#isOutdated ||= isCleared;
 		return isCleared;
--- a/source/decisions/entry/crash-records.ts
+++ b/source/decisions/entry/crash-records.ts
@@ -67,7 +67,7 @@
 	/** Takes a part out of the crashes up to a time; true when any counted against it. */
 	clear(part: string, at: number): boolean {
 		const name = nameOf(part);
-		const clearedAt = Math.max(at, this.clearTime(name));
+		const clearedAt = Math.max(at, this.#clearTime(name));
 		this.#clearedAt.delete(name);
 		this.#clearedAt.set(name, clearedAt);
 		const [oldest] = this.#clearedAt.keys();
@@ -83,11 +83,6 @@
 		return concerned.length > 0;
 	}
 
-	/** When a prompt with a part was last known to be answered. */
-	clearTime(part: string): number {
-		return this.#clearedAt.get(part) ?? Number.NEGATIVE_INFINITY;
-	}
-
 	/** True when a crash counts against a part. */
 	has(part: string): boolean {
 		return this.#counts.has(nameOf(part));
@@ -155,8 +150,13 @@
 		}
 	}
 
+	/** When a prompt with a part was last known to be answered. */
+	#clearTime(part: string): number {
+		return this.#clearedAt.get(part) ?? Number.NEGATIVE_INFINITY;
+	}
+
 	#withoutCleared(crash: Crash): Crash {
-		const prompts = crash.prompts.map(prompt => new Set([...prompt].filter(part => this.clearTime(part) < crash.at)));
+		const prompts = crash.prompts.map(prompt => new Set([...prompt].filter(part => this.#clearTime(part) < crash.at)));
 		const uncleared = distinct(prompts.filter(prompt => prompt.size > 0));
 		return {...crash, prompts: this.#mostSuspect(uncleared)};
 	}
