--- a/source/decisions/entry/crash-evidence.ts
+++ b/source/decisions/entry/crash-evidence.ts
@@ -3,7 +3,7 @@
 
 Some content crashes every engine that begins to answer it. A prompt with it takes down one
 engine after another, and dozens of sound requests with each. Sound requests that are lost
-in the same crash share callers and parts with the guilty one, so a single crash proves
+in the same crash share callers and parts with the crashing one, so a single crash proves
 nothing. But a part that crashes engines is in a request that was lost in each of these
 crashes, and in none that was answered since. So each crash counts against all parts of the
 prompts that were lost in it, until a prompt with the part is answered anywhere.
@@ -30,7 +30,7 @@
 	readonly trialDueAt: number;
 };
 
-type Caution = {
+type Thresholds = {
 	/** Crashes in a row, without an answer, from which parts are quarantined. */
 	readonly minCrashes: number;
 	/** Crashes at the same moment that count. */
@@ -40,7 +40,7 @@
 };
 
 type Suspect = ReturnType<typeof suspectOf> & {
-	readonly caution: Caution;
+	readonly thresholds: Thresholds;
 	/** Crashes that are missing until the part is quarantined; negative when there are more than enough. */
 	readonly missing: number;
 	/** Crashes, with a bonus for parts that are held already. */
@@ -48,9 +48,9 @@
 };
 
 /** For parts with which no prompt is known to have been answered. */
-const newPart: Caution = {minCrashes: 4, maxPerOccurrence: 2, trialPauseMilliseconds: 300_000};
+const newPart: Thresholds = {minCrashes: 4, maxPerOccurrence: 2, trialPauseMilliseconds: 300_000};
 /** For parts with which prompts have been answered. */
-const establishedPart: Caution = {minCrashes: 8, maxPerOccurrence: 1, trialPauseMilliseconds: 10_000};
+const establishedPart: Thresholds = {minCrashes: 8, maxPerOccurrence: 1, trialPauseMilliseconds: 10_000};
 /** Crashes by which a part must exceed one that only ever comes with it, or that is held already, to take its place. */
 const minExcessCrashes = 2;
 /** How long a crash counts against parts; parts in quarantine stay there as long after their last crash. */
@@ -83,6 +83,7 @@
 	readonly #records = new CrashRecords();
 	readonly #answered = new AnsweredParts();
 	#quarantined: readonly QuarantinedParts[] = [];
+	/** True when crashes or clearances have changed since `#quarantined` was found. */
 	#isOutdated = false;
 
 	/** What is in quarantine, the parts with the most crashes first. */
@@ -152,7 +153,7 @@
 
 	/**
 	Finds the parts that explain the most crashes, then those that explain the most of the
-	rest, and so on. Parts that were lost beside guilty ones are left with few crashes or none.
+	rest, and so on. Parts that were lost beside crashing ones are left with few crashes or none.
 	Parts that are held already can cause no more crashes, so others replace them only with
 	clearly more, and they stay while some crashes have no other explanation.
 	*/
@@ -191,18 +192,18 @@
 
 	#assess(part: string, records: ReturnType<CrashRecords['newestFirst']>, isHeld: boolean): Suspect {
 		const suspect = suspectOf(part, records);
-		const caution = this.#answered.isEstablished(part) ? establishedPart : newPart;
+		const thresholds = this.#answered.isEstablished(part) ? establishedPart : newPart;
 		return {
 			...suspect,
-			caution,
-			missing: caution.minCrashes - countCrashes(suspect.crashes, crashOccurrences(records), caution.maxPerOccurrence),
+			thresholds,
+			missing: thresholds.minCrashes - countCrashes(suspect.crashes, crashOccurrences(records), thresholds.maxPerOccurrence),
 			weight: suspect.crashes.length + (isHeld ? minExcessCrashes - 1 : 0),
 		};
 	}
 
-	#quarantine({companions, crashes, lastCrashAt, caution}: Suspect): QuarantinedParts {
+	#quarantine({companions, crashes, lastCrashAt, thresholds}: Suspect): QuarantinedParts {
 		return {
-			parts: companions, crashes, lastCrashAt, trialDueAt: lastCrashAt + caution.trialPauseMilliseconds,
+			parts: companions, crashes, lastCrashAt, trialDueAt: lastCrashAt + thresholds.trialPauseMilliseconds,
 		};
 	}
 }
--- a/source/entry/log-loss.ts
+++ b/source/entry/log-loss.ts
@@ -1,5 +1,5 @@
 /**
-Counts and logs the attempts that a target broke off, and whether it has crashed.
+Counts and logs the attempts that a target broke off, and whether the target has crashed.
 */
 import type {CrashMonitor} from './crash-monitor.js';
 import type {EntryContext} from './entry-context.js';
--- a/test/decisions/entry/crash-evidence.test.ts
+++ b/test/decisions/entry/crash-evidence.test.ts
@@ -27,7 +27,7 @@
 	t.notOk(evidence.find(['system', 'other']));
 });
 
-test('a part that always came with the guilty one holds back only prompts with both, until it tells by itself', async t => {
+test('a part that always came with the crashing one holds back only prompts with both, until it tells by itself', async t => {
 	const evidence = new CrashEvidence();
 	crash(evidence, Array.from({length: 4}, () => ['caller', 'bad']));
 	t.strictSame(held(evidence), [['bad', 'caller']]);
@@ -36,7 +36,7 @@
 	t.strictSame(held(evidence), [['bad']]);
 });
 
-test('a shared part is not held back because it was lost once more than the guilty one', async t => {
+test('a shared part is not held back because it was lost once more than the crashing one', async t => {
 	const evidence = new CrashEvidence();
 	crash(evidence, [['caller', 'sound'], ...Array.from({length: 4}, () => ['caller', 'bad'])]);
 	t.strictSame(held(evidence), [['bad', 'caller']]);
@@ -63,7 +63,7 @@
 	t.strictSame(held(evidence), [['sound']]);
 });
 
-test('a guilty part stays held though another one explains some of its crashes', async t => {
+test('a crashing part stays held though another one explains some of its crashes', async t => {
 	const evidence = new CrashEvidence();
 	for (let index = 0; index < 4; index++) {
 		evidence.recordCrash(`engine-${index} 1`, [['bad'], ...index > 1 ? [['worse']] : []], index * second);
@@ -76,13 +76,13 @@
 	t.strictSame(held(evidence).flat().toSorted(), ['bad', 'worse']);
 });
 
-test('two guilty parts are both found', async t => {
+test('two crashing parts are both found', async t => {
 	const evidence = new CrashEvidence();
 	crash(evidence, Array.from({length: 9}, (_, index) => index % 2 === 0 ? ['system', 'bad'] : ['system', 'worse']));
 	t.strictSame(held(evidence).flat().toSorted(), ['bad', 'worse']);
 });
 
-test('parts that were lost beside a guilty one are explained by it', async t => {
+test('parts that were lost beside a crashing one are explained by it', async t => {
 	const evidence = new CrashEvidence();
 	for (let index = 0; index < 6; index++) {
 		evidence.recordCrash(`engine-${index} 1`, [['bad'], ...index < 5 ? [['rare']] : []], index * second);
@@ -122,7 +122,7 @@
 	t.strictSame(held(evidence), []);
 });
 
-test('a shared part that was lost in one crash more is not held back before the guilty one is', async t => {
+test('a shared part that was lost in one crash more is not held back before the crashing one is', async t => {
 	const evidence = new CrashEvidence();
 	crash(evidence, [['caller', 'sound'], ...Array.from({length: 3}, () => ['caller', 'bad'])]);
 	t.strictSame(held(evidence), [['bad', 'caller']]);
@@ -183,7 +183,7 @@
 	t.ok(evidence.crashes.every(({prompts}) => prompts.length <= 32 && prompts.every(prompt => prompt.size <= 24 && [...prompt].every(part => part.length <= 64))));
 });
 
-test('many new parts in the prompts of one caller do not crowd out the guilty one', async t => {
+test('many new parts in the prompts of one caller do not crowd out the crashing one', async t => {
 	const evidence = new CrashEvidence();
 	for (let index = 0; index < 8; index++) {
 		const filler = Array.from({length: 40}, (_, part) => `${index}-${part}`);
--- a/test/entry/crash-days.test.ts
+++ b/test/entry/crash-days.test.ts
@@ -1,8 +1,8 @@
 /**
 BUDGET and LOST: drawn days on which a part of prompts crashes engines, and days on which engines only crash.
 
-The days are drawn from seeds and played in virtual time. `SEEDS=50 node
-build/test/entry/crash-days.test.js` plays more of them.
+The days are drawn from seeds and played in virtual time. `TAP_TIMEOUT=0 SEEDS=50
+node build/test/entry/crash-days.test.js` plays more of them.
 */
 import process from 'node:process';
 import {test} from 'tap';
--- a/test/support/crash-judge.ts
+++ b/test/support/crash-judge.ts
@@ -7,11 +7,11 @@
 const crashesUntilNoticed = 5;
 /** Requests with the part that may still reach engines after that. */
 const maxSentOn = 3;
-/** Sound requests with the first part of the guilty ones, from which their share is judged. */
+/** Sound requests with the first part of the crashing ones, from which their share is judged. */
 const minJudged = 20;
 const minBegunShare = 0.5;
 
-type SoundRequest = {readonly at: number; readonly isHeld: boolean; readonly hasGuiltyFirstPart: boolean};
+type SoundRequest = {readonly at: number; readonly isHeld: boolean; readonly hasCrashingFirstPart: boolean};
 
 /**
 Collects what happened; `violations` is asked once the day has ended.
@@ -26,7 +26,7 @@
 	readonly crashes: number[] = [];
 	readonly #sentOn = new Set<string>();
 	readonly #sound: SoundRequest[] = [];
-	#lastGuiltyAt = Number.NEGATIVE_INFINITY;
+	#lastCrashingAt = Number.NEGATIVE_INFINITY;
 
 	recordCrash(at: number): void {
 		this.crashes.push(at);
@@ -40,8 +40,8 @@
 		}
 	}
 
-	recordGuiltyArrival(at: number): void {
-		this.#lastGuiltyAt = at;
+	recordCrashingArrival(at: number): void {
+		this.#lastCrashingAt = at;
 	}
 
 	recordSound(request: SoundRequest): void {
@@ -55,7 +55,7 @@
 
 	get violations(): readonly string[] {
 		const from = (this.crashes[crashesUntilNoticed - 1] ?? this.crashes.at(-1) ?? Number.POSITIVE_INFINITY) + (2 * noticeMilliseconds);
-		const judged = this.#sound.filter(({at, hasGuiltyFirstPart}) => hasGuiltyFirstPart && at >= from && at <= this.#lastGuiltyAt);
+		const judged = this.#sound.filter(({at, hasCrashingFirstPart}) => hasCrashingFirstPart && at >= from && at <= this.#lastCrashingAt);
 		const begun = judged.filter(({isHeld}) => !isHeld).length;
 		return [
 			...this.#sentOn.size > maxSentOn ? [`${this.#sentOn.size} requests with the part sent on after the fifth crash`] : [],
--- a/test/support/virtual-crash-day.ts
+++ b/test/support/virtual-crash-day.ts
@@ -28,7 +28,7 @@
 
 const dayMilliseconds = 40_000;
 const contactMilliseconds = 3000;
-const guiltyPart = 'guilty';
+const crashingPart = 'crashing';
 const firstParts = 6;
 const secondParts = 24;
 const wayMilliseconds = 1;
@@ -54,14 +54,14 @@
 	readonly #engines: Engine[];
 	readonly #members: Member[];
 	readonly #isResumable: boolean;
-	readonly #guiltyFirst: string;
+	readonly #crashingFirst: string;
 	#requests = 0;
 
 	constructor(options: DayOptions) {
 		this.#options = options;
 		this.#chance = new SeededChance(options.seed);
 		this.#isResumable = this.#chance.random() < 0.5;
-		this.#guiltyFirst = `first-${this.#chance.whole(firstParts)}`;
+		this.#crashingFirst = `first-${this.#chance.whole(firstParts)}`;
 		this.#engines = Array.from({length: 5 + this.#chance.whole(8)}, (_, index) => ({record: this.#record(index, 1), isUp: true, runs: new Set<Run>()}));
 		this.#members = Array.from({length: options.gateways}, (_, index) => this.#startMember(`gateway-${index}`, 1));
 	}
@@ -78,7 +78,7 @@
 		});
 		if (isTainted) {
 			this.#every(1000 / this.#chance.between(0.5, 3), 6000, 34_000, () => {
-				this.#arriveGuilty();
+				this.#arriveCrashing();
 			});
 		}
 
@@ -148,9 +148,9 @@
 		this.#take([first, second], this.#chance.between(150, 2500));
 	}
 
-	#arriveGuilty(): void {
-		this.judge.recordGuiltyArrival(this.#time.now);
-		this.#take(this.#chance.random() < 0.7 ? [this.#guiltyFirst, guiltyPart] : [this.#guiltyFirst, `second-${this.#chance.whole(secondParts)}`, guiltyPart], 0);
+	#arriveCrashing(): void {
+		this.judge.recordCrashingArrival(this.#time.now);
+		this.#take(this.#chance.random() < 0.7 ? [this.#crashingFirst, crashingPart] : [this.#crashingFirst, `second-${this.#chance.whole(secondParts)}`, crashingPart], 0);
 	}
 
 	#take(parts: readonly string[], runMilliseconds: number): void {
@@ -164,8 +164,8 @@
 
 		member.gateway.run(() => {
 			const isHeld = member.gateway.quarantine.check(requestId, parts) !== undefined;
-			if (isInTouch && !parts.includes(guiltyPart)) {
-				this.judge.recordSound({at: this.#time.now, isHeld, hasGuiltyFirstPart: parts[0] === this.#guiltyFirst});
+			if (isInTouch && !parts.includes(crashingPart)) {
+				this.judge.recordSound({at: this.#time.now, isHeld, hasCrashingFirstPart: parts[0] === this.#crashingFirst});
 			}
 
 			if (!isHeld) {
@@ -187,7 +187,7 @@
 	}
 
 	#recordReach(member: Member, requestId: string, parts: readonly string[]): void {
-		if (parts.includes(guiltyPart)) {
+		if (parts.includes(crashingPart)) {
 			this.judge.recordSent(requestId, this.#time.now, this.#isInTouch(member));
 		}
 	}
@@ -221,7 +221,7 @@
 		}
 
 		engine.runs.add(run);
-		if (run.parts.includes(guiltyPart)) {
+		if (run.parts.includes(crashingPart)) {
 			this.#time.after(this.#chance.between(30, 150), () => {
 				if (!run.isEnded) {
 					this.judge.recordCrash(this.#time.now);
