Bound the work and the objects that each byte of an answer costs, and the time that reading takes

Cause: the gateway made an object, a write and a call for each piece: the HTTP parser reports each chunk of a chunked body, the splitter made an array and a regular expression's match for each event, each event was a write of its own (three pieces in a chunked answer), and an answer that is kept was a list of its chunks. Beyond that, nothing limited the part of the event loop's time that reading may take.

Ruled out: memory held by answers (the counted bytes stayed under 1 MiB when the process ended).

Change: all that has arrived together is joined to one piece (AnswerReading); events are split once a piece, after the last complete one; what is kept is one buffer that doubles (ByteAccumulator); a slow caller's answer pauses by pieces too. Reading is charged by its time: answers that take much share half of the loop's time and are read by turns (decisions/entry/reading-share, AnswerPacer); those that take little are never paused.

--- a/experiments/soak/soak-gateway.ts
+++ b/experiments/soak/soak-gateway.ts
@@ -18,6 +18,8 @@
 };
 
 const program = 'build/source/binaries/cowsliprudder-entry.js';
+/** Limits of the heap, as the deploy file sets them. */
+const heapFlags = ['--max-old-space-size=128', '--max-semi-space-size=4'];
 const graceSeconds = 8;
 const readinessIntervalMilliseconds = 300;
 
@@ -81,6 +83,11 @@
 		return `127.0.0.1:${this.ports.control}`;
 	}
 
+	/** Undefined while it does not run. */
+	get processId(): number | undefined {
+		return this.#child?.pid;
+	}
+
 	get isRunning(): boolean {
 		return this.#child !== undefined;
 	}
@@ -91,7 +98,7 @@
 		this.#expectsEnd = false;
 		this.#writeSettings();
 		const log = fs.openSync(`${folder}/${name}.log`, 'a');
-		const child = spawn(process.execPath, [program, this.#settingsPath], {stdio: ['ignore', log, log]});
+		const child = spawn(process.execPath, [...heapFlags, program, this.#settingsPath], {stdio: ['ignore', log, log]});
 		fs.closeSync(log);
 		this.#child = child;
 		children.add(child);
--- a/source/decisions/entry/event-splitter.ts
+++ b/source/decisions/entry/event-splitter.ts
@@ -1,30 +1,41 @@
 /**
-Splits a byte stream of server-sent events into complete events.
+Splits a byte stream of server-sent events after its last complete event.
 
 A target may fail in the middle of an event. Only complete events are passed on,
 so that another target can continue the stream after the last one. The bytes are
-passed on unchanged; they are decoded only to find the `id` line.
+passed on unchanged; they are decoded only to find the last `id` line.
 
-A faulty target may send an event without end, in pieces of any size. Each byte is looked at
-once, and copied once when its event is complete.
+A faulty target may send an event without end, or events of a few bytes, in pieces of any size.
+Each byte is looked at a fixed number of times and copied a bounded number of times, and no
+object is made for an event or a piece.
 */
+import {ByteAccumulator} from '../../shared/byte-accumulator.js';
+
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
-type Split = {readonly events: readonly Uint8Array[]; readonly lastId: string | undefined};
+type Split = {
+	/** The events that this chunk has completed, joined; empty when it has completed none. */
+	readonly events: Uint8Array;
+	/** The id of the last of them that has one. */
+	readonly lastId: string | undefined;
+};
+
+const noEvents: Split = {events: new Uint8Array(0), lastId: undefined};
 
 const decoder = new TextDecoder('latin1');
 
-const concatenate = (pieces: readonly Uint8Array[], length: number): Uint8Array => {
-	const joined = new Uint8Array(length);
-	pieces.reduce((offset, piece) => {
-		joined.set(piece, offset);
-		return offset + piece.length;
-	}, 0);
-	return joined;
-};
+/** Returns the value of the last `id` line. */
+const readLastId = (events: Uint8Array): string | undefined => {
+	const text = decoder.decode(events);
+	const line = text.lastIndexOf('\nid:') + 1;
+	if (line === 0 && !text.startsWith('id:')) {
+		return undefined;
+	}
 
-const readId = (event: Uint8Array): string | undefined => /^id: ?([^\r\n]*)/m.exec(decoder.decode(event))?.[1];
+	const end = text.indexOf('\n', line);
+	return text.slice(line + 'id:'.length, end).replace(/^ /, '').replace(/\r+$/, '');
+};
 
 /**
 Keeps the bytes of one target's stream until their event is complete.
@@ -37,16 +48,20 @@
 ```
 */
 export class EventSplitter {
-	/** Pieces of an event that is not complete yet. */
-	#pieces: Uint8Array[] = [];
-	#heldBytes = 0;
+	/** The event that is not complete yet. */
+	readonly #unfinished = new ByteAccumulator();
 	/** True while nothing but a carriage return has come since the last line feed, so that the next line feed ends the event. */
 	#isAtLineStart = false;
 	#hasEvents = false;
 
 	/** Bytes of an event that is not complete yet. */
 	get heldBytes(): number {
-		return this.#heldBytes;
+		return this.#unfinished.length;
+	}
+
+	/** Bytes of memory that the unfinished event uses. */
+	get heldCapacity(): number {
+		return this.#unfinished.capacity;
 	}
 
 	/**
@@ -55,60 +70,50 @@
 	A stream without any event may be whole only if its body says where it ends, as a stream does that is continued after its last event.
 	*/
 	mayEnd(isDelimited: boolean): boolean {
-		return this.#heldBytes === 0 && (this.#hasEvents || isDelimited);
+		return this.heldBytes === 0 && (this.#hasEvents || isDelimited);
 	}
 
 	push(chunk: Uint8Array): Split {
-		const events: Uint8Array[] = [];
-		let from = 0;
-		let end = this.#endOfEvent(chunk, from);
-		while (end !== -1) {
-			this.#hold(chunk.subarray(from, end));
-			events.push(this.#takeEvent());
-			from = end;
-			end = this.#endOfEvent(chunk, from);
+		const end = this.#endOfLastEvent(chunk);
+		if (end === 0) {
+			this.#unfinished.append(chunk);
+			return noEvents;
 		}
 
-		if (from < chunk.length) {
-			this.#hold(Uint8Array.from(chunk.subarray(from)));
+		const events = this.#takeEvents(chunk.subarray(0, end));
+		this.#hasEvents = true;
+		if (end < chunk.length) {
+			this.#unfinished.append(chunk.subarray(end));
 		}
 
-		this.#hasEvents ||= events.length > 0;
-		return {events, lastId: events.map(event => readId(event)).findLast(id => id !== undefined)};
+		return {events, lastId: readLastId(events)};
 	}
 
-	/** Returns the index after the next blank line of a chunk, or -1; it goes on where the chunk before it ended. */
-	#endOfEvent(chunk: Uint8Array, from: number): number {
-		let index = from;
-		while (index < chunk.length) {
-			if (this.#isAtLineStart) {
-				const byte = chunk[index];
-				index++;
-				if (byte === lineFeed) {
-					this.#isAtLineStart = false;
-					return index;
-				}
-
-				this.#isAtLineStart = byte === carriageReturn;
+	/** Returns the index after the last blank line of a chunk, or 0; it goes on where the chunk before it ended. */
+	#endOfLastEvent(chunk: Uint8Array): number {
+		let isAtLineStart = this.#isAtLineStart;
+		let length = 0;
+		let end = 0;
+		for (const byte of chunk) {
+			length++;
+			if (byte === lineFeed) {
+				end = isAtLineStart ? length : end;
+				isAtLineStart = !isAtLineStart;
 			} else {
-				const feed = chunk.indexOf(lineFeed, index);
-				this.#isAtLineStart = feed !== -1;
-				index = feed === -1 ? chunk.length : feed + 1;
+				isAtLineStart &&= byte === carriageReturn;
 			}
 		}
 
-		return -1;
+		this.#isAtLineStart = isAtLineStart;
+		return end;
 	}
 
-	#hold(piece: Uint8Array): void {
-		this.#pieces.push(piece);
-		this.#heldBytes += piece.length;
-	}
+	#takeEvents(rest: Uint8Array): Uint8Array {
+		if (this.heldBytes === 0) {
+			return Uint8Array.from(rest);
+		}
 
-	#takeEvent(): Uint8Array {
-		const event = concatenate(this.#pieces, this.#heldBytes);
-		this.#pieces = [];
-		this.#heldBytes = 0;
-		return event;
+		this.#unfinished.append(rest);
+		return this.#unfinished.take();
 	}
 }
--- a/source/entry/caller-answer.ts
+++ b/source/entry/caller-answer.ts
@@ -10,6 +10,8 @@
 
 /** Bytes buffered for a slow caller from which on reading from its target is paused. */
 const maxBufferedBytes = 262_144;
+/** Pieces buffered for a slow caller from which on the same happens. Each costs memory beyond its bytes. */
+const maxBufferedPieces = 256;
 
 /**
 One instance a request. An incomplete answer never looks complete to the caller.
@@ -27,6 +29,8 @@
 	#isDone = false;
 	/** Paused until the caller has caught up. A stream that is continued has a flow for each of its attempts. */
 	#pausedFlow: Flow | undefined;
+	/** Pieces written since the connection could last take more. */
+	#bufferedPieces = 0;
 	#closesAfterAnswer = false;
 	#onDisconnect: (() => void) | undefined;
 	readonly #response: http.ServerResponse;
@@ -76,14 +80,15 @@
 		this.#response.flushHeaders();
 	}
 
-	/** Writes a chunk of the answer; pauses `flow` while too many bytes are buffered. */
+	/** Writes a chunk of the answer; pauses `flow` while too much is buffered. */
 	write(chunk: Uint8Array, flow: Flow): void {
 		if (this.#isDone) {
 			return;
 		}
 
-		this.#response.write(chunk);
-		if (this.#response.writableLength > maxBufferedBytes && this.#pausedFlow !== flow) {
+		this.#bufferedPieces = this.#response.write(chunk) ? 0 : this.#bufferedPieces + 1;
+		const isTooMuch = this.#response.writableLength > maxBufferedBytes || this.#bufferedPieces > maxBufferedPieces;
+		if (isTooMuch && this.#pausedFlow !== flow) {
 			this.#pauseUntilDrained(flow);
 		}
 	}
@@ -145,6 +150,7 @@
 		flow.pause();
 		this.#response.once('drain', () => {
 			this.#pausedFlow = undefined;
+			this.#bufferedPieces = 0;
 			flow.resume();
 		});
 	}
--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -10,6 +10,7 @@
 import type {ServiceDescription} from '../fleet/service-description.js';
 import type {TargetProtocol} from '../ports/target-protocol.js';
 import type {Timers} from '../shared/timers.js';
+import type {AnswerPacer} from './answer-pacer.js';
 import type {BufferedBytes} from './buffered-bytes.js';
 import type {CrashMonitor} from './crash-monitor.js';
 import type {EntryMetrics} from './entry-metrics.js';
@@ -32,6 +33,8 @@
 	/** Targets that have asked this gateway for a pause. */
 	readonly pauses: TargetPauses;
 	readonly connections: TargetConnections;
+	/** Keeps the reading of large answers from taking the event loop's time from everything else. */
+	readonly pacer: AnswerPacer;
 	/** Requests that have no final answer yet. */
 	readonly openRequests: Set<{readonly stop: () => void}>;
 	/** Bytes of answers that are held until they are whole. */
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -17,6 +17,7 @@
 import {newIdentifier} from '../shared/new-identifier.js';
 import {pause} from '../shared/pause.js';
 import {systemTimers} from '../shared/system-timers.js';
+import {AnswerPacer} from './answer-pacer.js';
 import {AttemptSender} from './attempt-sender.js';
 import {BufferedBytes} from './buffered-bytes.js';
 import {CallerServer} from './caller-server.js';
@@ -225,6 +226,7 @@
 		const {protocol, settings, log} = this.#options;
 		const metrics = new EntryMetrics(settings.name);
 		const logRateLimit = new RateLimit(maxLoggedRequestsPerSecond);
+		const pacer = new AnswerPacer({now: clock, timers: systemTimers, metrics});
 		return {
 			sampling: {
 				mayWrite: now => logRateLimit.tryTake(now),
@@ -241,7 +243,8 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
-			connections: new TargetConnections(),
+			connections: new TargetConnections(pacer),
+			pacer,
 			openRequests: new Set(),
 			bufferedAnswers: new BufferedBytes(maxBufferedAnswersBytes),
 			crashMonitor: this.#createCrashMonitor(),
@@ -361,7 +364,7 @@
 
 	/** Drops the state of targets that are gone, and updates pollers and gauges. */
 	#runMaintenance(): void {
-		const {targetRegistry, prefixCache, health, pauses, connections, bufferedAnswers, crashMonitor, quarantine, metrics} = this.#context;
+		const {targetRegistry, prefixCache, health, pauses, connections, bufferedAnswers, pacer, crashMonitor, quarantine, metrics} = this.#context;
 		const records = targetRegistry.all();
 		const incarnations = new Set(records.map(record => record.incarnation));
 		for (const target of health.takeSilent(clock())) {
@@ -381,6 +384,7 @@
 		metrics.gauge('requests.open', this.#callerServer.open);
 		metrics.gauge('requests.waiting', this.#queues.waitingCount);
 		metrics.gauge('answers.buffered-bytes', bufferedAnswers.total);
+		metrics.gauge('answers.paused', pacer.waitingCount);
 		metrics.gauge('peers', this.#peers?.names.length ?? 0);
 		metrics.gauge('connections.opened', connections.opened());
 	}
--- a/source/entry/received-answer.ts
+++ b/source/entry/received-answer.ts
@@ -7,9 +7,9 @@
 more memory for that. Any other is bounded, as is an event of a stream, and the sum of all that
 is held.
 */
-import {Buffer} from 'node:buffer';
 import type {classifyAnswer} from '../decisions/entry/classify-answer.js';
 import type {AnswerFacts} from '../fleet/answer-facts.js';
+import {ByteAccumulator} from '../shared/byte-accumulator.js';
 import type {AnswerSink} from './answer-sink.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {AttemptPlan} from './attempt-plan.js';
@@ -46,11 +46,12 @@
 export class ReceivedAnswer {
 	#facts: AnswerFacts | undefined;
 	#kind: AnswerKind | undefined;
-	#chunks: Uint8Array[] = [];
 	#bytes = 0;
 	/** Bytes of this answer that are counted in `#buffered`. */
 	#heldBytes = 0;
 	#sink: AnswerSink | undefined;
+	/** What has arrived of an answer that is kept until it is whole. */
+	readonly #kept = new ByteAccumulator();
 	readonly #sinks: Sinks;
 	readonly #buffered: BufferedBytes;
 
@@ -141,11 +142,11 @@
 		const isHeld = this.#tryHold(this.#bytes);
 		const spill = this.#kind === 'answer' ? this.#sinks.spill : undefined;
 		if (!isHeld && spill === undefined) {
-			this.#chunks = [];
+			this.#kept.take();
 			return false;
 		}
 
-		this.#chunks.push(Buffer.from(chunk));
+		this.#kept.append(chunk);
 		if (!isHeld) {
 			this.#passOn(spill!(), flow);
 		}
@@ -155,12 +156,10 @@
 
 	/** Passes on what is buffered, and what follows as it arrives. */
 	#passOn(sink: AnswerSink, flow: Flow): void {
-		const buffered = Buffer.concat(this.#chunks);
 		this.#sink = sink;
-		this.#chunks = [];
 		this.#tryHold(0);
 		sink.head(this.#facts!);
-		sink.data(buffered, flow);
+		sink.data(this.#kept.take(), flow);
 	}
 
 	/** Counts what is held now; false when that is too much, for this answer or for all. */
@@ -183,7 +182,7 @@
 
 			case 'answer':
 			case 'failure': {
-				return isWhole ? {kind: this.#kind, facts: this.#facts!, body: Buffer.concat(this.#chunks)} : {kind: 'unknown', reason};
+				return isWhole ? {kind: this.#kind, facts: this.#facts!, body: this.#kept.take()} : {kind: 'unknown', reason};
 			}
 
 			case 'foreign': {
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -297,7 +297,7 @@
 				data: (chunk, flow) => {
 					this.#forwardEvents(splitter.push(chunk), flow);
 				},
-				heldBytes: () => splitter.heldBytes,
+				heldBytes: () => splitter.heldCapacity,
 				mayEnd: isDelimited => splitter.mayEnd(isDelimited),
 			},
 		});
@@ -364,10 +364,7 @@
 
 		this.#gate.recordEvents();
 		this.#startAnswer();
-		for (const event of events) {
-			this.#request.answer.write(event, flow);
-		}
-
+		this.#request.answer.write(events, flow);
 		this.#hasSentEvents = true;
 		this.#lastEventId = lastId ?? this.#lastEventId;
 	}
--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -3,6 +3,8 @@
 */
 import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
+import type {AnswerPacer} from './answer-pacer.js';
+import {AnswerReading} from './answer-reading.js';
 
 /** Timeout for opening a connection, enough for a target that is reachable. */
 const connectTimeoutMilliseconds = 600;
@@ -15,6 +17,7 @@
 	/** Called just before the first byte is written; false stops the attempt from being sent. */
 	readonly mayStart: () => boolean;
 	readonly onHead: (status: number, headers: Readonly<Record<string, string | readonly string[] | undefined>>) => void;
+	/** Called for all bytes of the body that have arrived together. */
 	readonly onData: (chunk: Uint8Array, flow: {readonly pause: () => void; readonly resume: () => void}) => void;
 	readonly onEnd: (end: AttemptEnd) => void;
 };
@@ -42,9 +45,11 @@
 	#isBusy = false;
 	#hadError = false;
 	#opened = 0;
+	readonly #pacer: AnswerPacer;
 	readonly #client: Client;
 
-	constructor(address: string) {
+	constructor(address: string, pacer: AnswerPacer) {
+		this.#pacer = pacer;
 		const connect = buildConnector({timeout: connectTimeoutMilliseconds, keepAlive: true, keepAliveInitialDelay: 1000});
 		this.#client = new Client(`http://${address}`, {
 			pipelining: 1,
@@ -86,17 +91,26 @@
 		let isStarted = false;
 		let isEnded = false;
 		let isStopped = false;
+		let reading: AnswerReading | undefined;
 		let abort: (() => void) | undefined;
 		const end = (result: AttemptEnd): void => {
 			if (!isEnded) {
 				isEnded = true;
 				this.#isBusy = false;
+				reading?.close();
 				handlers.onEnd(result);
 			}
 		};
 
+		const breakOff = (reason: string): void => {
+			if (!isEnded) {
+				end({kind: isStarted ? 'broken' : 'not sent', reason});
+				abort?.();
+			}
+		};
+
 		const handler: Dispatcher.DispatchHandler = {
-			onRequestStart(controller) {
+			onRequestStart: controller => {
 				abort = () => {
 					controller.abort(new Error('attempt aborted'));
 				};
@@ -108,36 +122,35 @@
 				}
 
 				isStarted = true;
+				reading = new AnswerReading(controller, this.#pacer, {
+					onData: handlers.onData,
+					onError(error) {
+						breakOff(error.message);
+					},
+				});
 			},
 			onResponseStart(_controller, status, headers) {
 				if (!isEnded && status >= 200) {
 					handlers.onHead(status, headers);
 				}
 			},
-			onResponseData(controller, chunk) {
-				if (!isEnded) {
-					handlers.onData(chunk, controller);
-				}
+			onResponseData(_controller, chunk) {
+				reading?.receive(chunk);
 			},
 			onResponseEnd: () => {
+				reading?.flush();
 				// The end of the connection completes an answer without a length, but a reset does not.
 				end(this.#hadError ? {kind: 'broken', reason: 'connection reset'} : {kind: 'complete'});
 			},
 			onResponseError(_controller, error) {
+				reading?.flush();
 				end(isStarted && !isStopped ? {kind: 'broken', reason: error.message} : {kind: 'not sent', reason: isStopped ? 'no longer wanted' : error.message});
 			},
 		};
 		this.#client.dispatch({
 			method: request.method, path: request.path, headers: [...request.headers], body: request.body,
 		}, handler);
-		return reason => {
-			if (isEnded) {
-				return;
-			}
-
-			end({kind: isStarted ? 'broken' : 'not sent', reason});
-			abort?.();
-		};
+		return breakOff;
 	}
 
 	/** Closes the connection; an attempt in progress is aborted. */
--- a/source/entry/target-connections.ts
+++ b/source/entry/target-connections.ts
@@ -2,6 +2,7 @@
 Pools the connections of a gateway to its targets, with a limit for each target.
 */
 import * as option from 'fp-ts/lib/Option.js';
+import type {AnswerPacer} from './answer-pacer.js';
 import {TargetConnection} from './target-connection.js';
 
 /** Share of a target's connection limit that all gateways together use. */
@@ -21,6 +22,11 @@
 */
 export class TargetConnections {
 	readonly #byAddress = new Map<string, TargetConnection[]>();
+	readonly #pacer: AnswerPacer;
+
+	constructor(pacer: AnswerPacer) {
+		this.#pacer = pacer;
+	}
 
 	/** Returns a free connection; none when this gateway's share of the target's connections is in use. */
 	acquire(address: string, maxConnections: number, gateways: number, now: number): option.Option<TargetConnection> {
@@ -37,7 +43,7 @@
 			return option.none;
 		}
 
-		const added = new TargetConnection(address);
+		const added = new TargetConnection(address, this.#pacer);
 		added.lastUsedAt = now;
 		connections.push(added);
 		return option.some(added);
--- a/stand-ins/platform-target-stand-in.ts
+++ b/stand-ins/platform-target-stand-in.ts
@@ -4,6 +4,7 @@
 */
 import type http from 'node:http';
 import {LoopbackServer} from './loopback-server.js';
+import {targetEntry} from './target-entry.js';
 
 type Arrival = {readonly requestId: string; readonly method: string; readonly path: string; readonly headers: http.IncomingHttpHeaders; readonly body: string; isClosed: boolean};
 
@@ -49,9 +50,7 @@
 
 	/** The entry of this target in the platform's list. */
 	entry(service: string, more: Readonly<Record<string, unknown>> = {}): string {
-		return JSON.stringify({
-			service, address: this.address, zone: 'zone-a', version: 'v1', slots: 8, state: 'ready', coldRemainingMs: 0, sequence: 1, born: 1000, ...more,
-		});
+		return targetEntry({address: this.address, service}, more);
 	}
 
 	/** Questions on the cache are no arrivals. */
--- a/test/entry/target-connection.test.ts
+++ b/test/entry/target-connection.test.ts
@@ -4,7 +4,11 @@
 import {Buffer} from 'node:buffer';
 import net, {type AddressInfo} from 'node:net';
 import {test, type Test} from 'tap';
+import {AnswerPacer} from '../../source/entry/answer-pacer.js';
+import {EntryMetrics} from '../../source/entry/entry-metrics.js';
 import {TargetConnection} from '../../source/entry/target-connection.js';
+import {clock} from '../../source/shared/clock.js';
+import {systemTimers} from '../../source/shared/system-timers.js';
 
 type AttemptResult = {status: number | undefined; body: string; end: {readonly kind: string}};
 
@@ -30,6 +34,8 @@
 	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 };
 
+const createConnection = (address: string): TargetConnection => new TargetConnection(address, new AnswerPacer({now: clock, timers: systemTimers, metrics: new EntryMetrics('gateway')}));
+
 const send = async (connection: TargetConnection, mayStart = true): Promise<AttemptResult> => {
 	const result: AttemptResult = {status: undefined, body: '', end: {kind: 'none'}};
 	await new Promise<void>(resolve => {
@@ -58,7 +64,7 @@
 			answer(socket);
 		});
 	});
-	const connection = new TargetConnection(address);
+	const connection = createConnection(address);
 	t.teardown(() => {
 		connection.destroy();
 	});
@@ -77,7 +83,7 @@
 	await new Promise(resolve => {
 		closed.close(resolve);
 	});
-	const result = await send(new TargetConnection(`127.0.0.1:${free}`));
+	const result = await send(createConnection(`127.0.0.1:${free}`));
 	t.equal(result.end.kind, 'not sent');
 });
 
@@ -171,3 +177,30 @@
 	});
 	t.match(await send(connection), {body: 'two', end: {kind: 'complete'}});
 });
+
+// Guards against work and objects for each of the pieces into which a target cuts an answer.
+test('LOST: the chunks of a body that arrive together are handed over as one piece', async t => {
+	const pieces = 5000;
+	const connection = await connectToTarget(t, socket => {
+		socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(pieces)}0\r\n\r\n`);
+	});
+	let calls = 0;
+	let body = '';
+	await new Promise<void>(resolve => {
+		connection.send({
+			method: 'GET', path: '/x', headers: ['Host', 'a.example'], body: undefined,
+		}, {
+			mayStart: () => true,
+			onHead: () => undefined,
+			onData(chunk) {
+				calls++;
+				body += Buffer.from(chunk).toString('latin1');
+			},
+			onEnd() {
+				resolve();
+			},
+		});
+	});
+	t.equal(body, 'x'.repeat(pieces));
+	t.ok(calls < pieces / 100, `${calls} pieces`);
+});
--- a/test/support/entry-fleet.ts
+++ b/test/support/entry-fleet.ts
@@ -12,6 +12,7 @@
 import {targetProtocol} from '../../platform/target-protocol.js';
 import {PlatformStoreStandIn} from '../../stand-ins/platform-store-stand-in.js';
 import {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
+import {RawTargetStandIn} from '../../stand-ins/raw-target-stand-in.js';
 
 type Reply = {readonly status: number; readonly headers: http.IncomingHttpHeaders; readonly body: string; readonly isWhole: boolean};
 
@@ -60,7 +61,7 @@
 
 	readonly store = new PlatformStoreStandIn();
 	readonly lines: string[] = [];
-	readonly #targets: PlatformTargetStandIn[] = [];
+	readonly #targets: Array<PlatformTargetStandIn | RawTargetStandIn> = [];
 	readonly #gateways: EntryGateway[] = [];
 	#version = 0;
 
@@ -80,11 +81,12 @@
 	}
 
 	async addTarget(id: string, service: string, more: Readonly<Record<string, unknown>> = {}): Promise<PlatformTargetStandIn> {
-		const target = new PlatformTargetStandIn(id);
-		await target.start();
-		this.#targets.push(target);
-		this.store.put(`servers/${id}`, target.entry(service, more));
-		return target;
+		return this.#register(new PlatformTargetStandIn(id), service, more);
+	}
+
+	/** A target whose answers are written byte by byte. */
+	async addRawTarget(id: string, service: string, answer: RawTargetStandIn['answer'], more: Readonly<Record<string, unknown>> = {}): Promise<RawTargetStandIn> {
+		return this.#register(new RawTargetStandIn(id, answer), service, more);
 	}
 
 	/** A gateway that is ready, unless `isAwaited` is false. */
@@ -164,6 +166,13 @@
 		await until(condition);
 	}
 
+	async #register<Target extends PlatformTargetStandIn | RawTargetStandIn>(target: Target, service: string, more: Readonly<Record<string, unknown>>): Promise<Target> {
+		await target.start();
+		this.#targets.push(target);
+		this.store.put(`servers/${target.id}`, target.entry(service, more));
+		return target;
+	}
+
 	async #stop(): Promise<void> {
 		for (const target of this.#targets) {
 			target.stop();
