Break an attempt off that gets interim answers without end

Cause: interim answers are skipped, and nothing counted them. Memory was bounded already.

Change: after 16 of them the attempt is broken off; it may have run, so it is retried only where that is allowed. Counted as this gateway's own closing, not as a crash of the target.

Evidence: entry/target-connection, "interim answers without end", ran into its time limit on the code before; it passes now, and three interim answers before a final one still pass through.

--- a/source/entry/target-attempt.ts
+++ b/source/entry/target-attempt.ts
@@ -15,7 +15,7 @@
 import type {LoadEntry} from './load-entry.js';
 import {ReceivedAnswer} from './received-answer.js';
 import {recordTargetState} from './record-target-state.js';
-import type {TargetConnection} from './target-connection.js';
+import {TargetConnection} from './target-connection.js';
 import {targetListStatus} from './target-list-status.js';
 
 type Handlers = Parameters<TargetConnection['send']>[1];
@@ -27,7 +27,7 @@
 const foreignReason = 'answer of another request';
 const discardedReason = 'nobody waits for the body';
 /** Reasons for which this gateway closes the connection of an attempt. */
-const ownReasons: ReadonlySet<string> = new Set([cancelledReason, silentReason, tooLargeReason]);
+const ownReasons: ReadonlySet<string> = new Set([cancelledReason, silentReason, tooLargeReason, TargetConnection.interimReason]);
 /** Interval at which an attempt checks whether its target is silent. */
 const silenceCheckMilliseconds = 200;
 /** Time for a body that nobody waits for to end, so that its connection can be used again. */
--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -12,6 +12,8 @@
 const idleTimeoutMilliseconds = 4000;
 /** How long before the idle timeout that a target names its connection is closed. */
 const idleTimeoutMarginMilliseconds = 1000;
+/** Interim answers (1xx) to one request after which its connection is closed. */
+const maxInterimAnswers = 16;
 
 type AttemptHandlers = {
 	/** Called just before the first byte is written; false stops the attempt from being sent. */
@@ -41,6 +43,9 @@
 ```
 */
 export class TargetConnection {
+	/** Reason of an attempt that was broken off because only interim answers came. */
+	static readonly interimReason = 'too many interim answers';
+
 	lastUsedAt = 0;
 	#isBusy = false;
 	#hadError = false;
@@ -91,6 +96,7 @@
 		let isStarted = false;
 		let isEnded = false;
 		let isStopped = false;
+		let interimAnswers = 0;
 		let reading: AnswerReading | undefined;
 		let abort: (() => void) | undefined;
 		const end = (result: AttemptEnd): void => {
@@ -130,8 +136,18 @@
 				});
 			},
 			onResponseStart(_controller, status, headers) {
-				if (!isEnded && status >= 200) {
+				if (isEnded) {
+					return;
+				}
+
+				if (status >= 200) {
 					handlers.onHead(status, headers);
+					return;
+				}
+
+				interimAnswers++;
+				if (interimAnswers > maxInterimAnswers) {
+					breakOff(TargetConnection.interimReason);
 				}
 			},
 			onResponseData(_controller, chunk) {
--- a/test/entry/target-connection.test.ts
+++ b/test/entry/target-connection.test.ts
@@ -178,6 +178,24 @@
 	t.match(await send(connection), {body: 'two', end: {kind: 'complete'}});
 });
 
+// Guards against a call that waits for its whole timeout, while its target sends interim answers without end.
+test('CONFIG: interim answers without end break an attempt off, and a few of them do not', async t => {
+	const interim = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n';
+	const endless = await connectToTarget(t, socket => {
+		const timer = setInterval(() => {
+			socket.write(interim.repeat(100));
+		}, 5);
+		socket.once('close', () => {
+			clearInterval(timer);
+		});
+	});
+	t.match(await send(endless), {status: undefined, end: {kind: 'broken', reason: 'too many interim answers'}});
+	const sound = await connectToTarget(t, socket => {
+		socket.write(`${interim.repeat(3)}HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc`);
+	});
+	t.match(await send(sound), {status: 200, body: 'abc', end: {kind: 'complete'}});
+});
+
 // Guards against work and objects for each of the pieces into which a target cuts an answer.
 test('LOST: the chunks of a body that arrive together are handed over as one piece', async t => {
 	const pieces = 5000;
