Decide whose answer it is by what its connection has carried too, not by the id alone

Cause: a refusal without an id was taken for that of the request at hand, whatever the connection had carried; and two attempts of one request have the same id.

Ruled out: refusals that come while the connection is idle (it is closed), and those with another request's id (taken for foreign already).

Change: classifyAnswer, which has the table, gets the connection's history. A refusal without an id is believed only on a connection that has carried no other request. A request that goes to the same target again gets a connection that has not carried it; should it come on one that has, its answer is not attributed. An unattributed answer says nothing of whether the request has run, closes the connection, tells nothing of the target's state, and is counted (attempt.unattributed).

--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -35,7 +35,9 @@
 		const {target} = plan;
 		const entry = plan.entry ?? loadTracker.add(target.id, plan.readMilliseconds);
 		const maxConnections = service(target.service)?.mostConnections ?? 1;
-		const connection = connections.acquire(target.address, maxConnections, gatewayCount(), now());
+		const connection = connections.acquire({
+			address: target.address, requestId: plan.facts.requestId, maxConnections, gateways: gatewayCount(), now: now(),
+		});
 		if (option.isNone(connection)) {
 			loadTracker.remove(entry);
 			return {outcome: Promise.resolve({kind: 'not sent', reason: 'no free connection'}), cancel() {/* Nothing is in progress. */}};
--- a/source/entry/received-answer.ts
+++ b/source/entry/received-answer.ts
@@ -66,7 +66,12 @@
 
 	/** True when the head alone is the outcome, whatever the body. */
 	get isDecided(): boolean {
-		return this.#kind === 'not run' || this.#kind === 'other target' || this.#kind === 'foreign';
+		return this.#kind === 'not run' || this.#kind === 'other target' || this.isOfOther;
+	}
+
+	/** True when the answer is, or may be, that to another request or attempt. */
+	get isOfOther(): boolean {
+		return this.#kind === 'foreign' || this.#kind === 'unattributed';
 	}
 
 	/** True when the answer has a length or chunks, so that its body can end before its connection. */
@@ -106,6 +111,7 @@
 			case 'not run':
 			case 'other target':
 			case 'foreign':
+			case 'unattributed':
 			case undefined: {
 				return this.#bytes <= maxDiscardedBytes;
 			}
@@ -189,6 +195,10 @@
 				return {kind: 'unknown', reason: 'answer of another request'};
 			}
 
+			case 'unattributed': {
+				return {kind: 'unknown', reason: 'answer that may be of an earlier request'};
+			}
+
 			case undefined: {
 				return {kind: 'unknown', reason};
 			}
--- a/source/entry/target-attempt.ts
+++ b/source/entry/target-attempt.ts
@@ -76,11 +76,11 @@
 	start(connection: TargetConnection): void {
 		const {facts, instructions, method, path, body} = this.#plan;
 		this.#abort = connection.send({
-			method, path, headers: this.#context.protocol.writeAttempt(facts, instructions), body,
+			requestId: facts.requestId, method, path, headers: this.#context.protocol.writeAttempt(facts, instructions), body,
 		}, {
 			mayStart: () => this.#tryStart(),
-			onHead: (status, headers) => {
-				this.#receiveHead(status, headers);
+			onHead: (status, headers, history) => {
+				this.#receiveHead(status, headers, history);
 			},
 			onData: (chunk, flow) => {
 				this.#receiveData(chunk, flow);
@@ -150,19 +150,19 @@
 		}, silenceCheckMilliseconds);
 	}
 
-	#receiveHead(status: number, headers: Parameters<Handlers['onHead']>[1]): void {
+	#receiveHead(...[status, headers, history]: Parameters<Handlers['onHead']>): void {
 		const {target, facts: {requestId}, instructions} = this.#plan;
 		const {health, protocol, metrics, now} = this.#context;
 		clearInterval(this.#silenceTimer);
 		health.recordReceived(target.incarnation, now());
 		const facts = protocol.readAnswer(status, headers);
-		const kind = classifyAnswer(facts, requestId, !instructions.isPrefillOnly);
-		if (kind !== 'foreign' && kind !== 'other target') {
+		const kind = classifyAnswer(facts, {requestId, isForCaller: !instructions.isPrefillOnly, history});
+		metrics.record('target-head', now() - this.#startedAt);
+		this.#received.receiveHead(facts, kind);
+		if (!this.#received.isOfOther && kind !== 'other target') {
 			recordTargetState(this.#context, target, facts);
 		}
 
-		metrics.record('target-head', now() - this.#startedAt);
-		this.#received.receiveHead(facts, kind);
 		if (this.#received.isDecided) {
 			this.#settle({kind: 'complete'});
 			this.#discardBody();
@@ -171,7 +171,8 @@
 
 	/** Lets the body of a decided answer end for a moment. What follows another request's answer cannot be trusted, so that connection is closed. */
 	#discardBody(): void {
-		if (this.#received.kind === 'foreign') {
+		if (this.#received.isOfOther) {
+			this.#context.metrics.count(`attempt.${this.#received.kind}`);
 			this.#abort?.(foreignReason);
 			return;
 		}
--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -3,8 +3,10 @@
 */
 import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
+import type {ConnectionHistory} from '../fleet/connection-history.js';
 import type {AnswerPacer} from './answer-pacer.js';
 import {AnswerReading} from './answer-reading.js';
+import {CarriedRequests} from './carried-requests.js';
 
 /** Timeout for opening a connection, enough for a target that is reachable. */
 const connectTimeoutMilliseconds = 600;
@@ -18,7 +20,8 @@
 type AttemptHandlers = {
 	/** Called just before the first byte is written; false stops the attempt from being sent. */
 	readonly mayStart: () => boolean;
-	readonly onHead: (status: number, headers: Readonly<Record<string, string | readonly string[] | undefined>>) => void;
+	/** `history` says what the connection had carried before this attempt. */
+	readonly onHead: (status: number, headers: Readonly<Record<string, string | readonly string[] | undefined>>, history: ConnectionHistory) => void;
 	/** Called for all bytes of the body that have arrived together. */
 	readonly onData: (chunk: Uint8Array, flow: {readonly pause: () => void; readonly resume: () => void}) => void;
 	readonly onEnd: (end: AttemptEnd) => void;
@@ -29,7 +32,7 @@
 	| {readonly kind: 'not sent'; readonly reason: string}
 	| {readonly kind: 'broken'; readonly reason: string};
 
-type AttemptRequest = {readonly method: string; readonly path: string; readonly headers: readonly string[]; readonly body: Uint8Array | undefined};
+type AttemptRequest = {readonly requestId: string; readonly method: string; readonly path: string; readonly headers: readonly string[]; readonly body: Uint8Array | undefined};
 
 /**
 One instance for each connection of the pool; when it has been closed while idle, the next attempt opens it again.
@@ -39,7 +42,7 @@
 
 @example
 ```
-const abort = connection.send({method: 'GET', path: '/x', headers: [], body: undefined}, handlers);
+const abort = connection.send({requestId: '9c41', method: 'GET', path: '/x', headers: [], body: undefined}, handlers);
 ```
 */
 export class TargetConnection {
@@ -50,6 +53,7 @@
 	#isBusy = false;
 	#hadError = false;
 	#opened = 0;
+	readonly #carried = new CarriedRequests();
 	readonly #pacer: AnswerPacer;
 	readonly #client: Client;
 
@@ -78,6 +82,7 @@
 		});
 		this.#client.on('disconnect', () => {
 			this.#hadError = false;
+			this.#carried.clear();
 		});
 	}
 
@@ -90,6 +95,11 @@
 		return this.#opened;
 	}
 
+	/** True when an answer on this connection may be that to an earlier attempt of this request. */
+	hasCarried(requestId: string): boolean {
+		return this.#carried.has(requestId);
+	}
+
 	/** Sends an attempt. Returns a function that aborts it with a reason and closes the connection. */
 	send(request: AttemptRequest, handlers: AttemptHandlers): (reason: string) => void {
 		this.#isBusy = true;
@@ -97,6 +107,7 @@
 		let isEnded = false;
 		let isStopped = false;
 		let interimAnswers = 0;
+		let history: ConnectionHistory = {isUsed: false, hasCarriedRequest: false};
 		let reading: AnswerReading | undefined;
 		let abort: (() => void) | undefined;
 		const end = (result: AttemptEnd): void => {
@@ -128,6 +139,7 @@
 				}
 
 				isStarted = true;
+				history = this.#carried.add(request.requestId);
 				reading = new AnswerReading(controller, this.#pacer, {
 					onData: handlers.onData,
 					onError(error) {
@@ -141,7 +153,7 @@
 				}
 
 				if (status >= 200) {
-					handlers.onHead(status, headers);
+					handlers.onHead(status, headers, history);
 					return;
 				}
 
@@ -178,6 +190,7 @@
 	#trackErrors(socket: Socket): void {
 		this.#opened++;
 		this.#hadError = false;
+		this.#carried.clear();
 		socket.on('error', () => {
 			this.#hadError = true;
 		});
--- a/source/entry/target-connections.ts
+++ b/source/entry/target-connections.ts
@@ -8,6 +8,18 @@
 /** Share of a target's connection limit that all gateways together use. */
 const usableShare = 0.9;
 
+type Wanted = {
+	readonly address: string;
+	/** The request that is to be sent. */
+	readonly requestId: string;
+	/** Connections that the target accepts from all gateways together. */
+	readonly maxConnections: number;
+	readonly gateways: number;
+	readonly now: number;
+};
+
+const longestIdle = (connections: readonly TargetConnection[]): TargetConnection => connections.reduce((oldest, connection) => connection.lastUsedAt < oldest.lastUsedAt ? connection : oldest);
+
 /**
 Free connections by target address.
 
@@ -15,13 +27,17 @@
 twice, the second one then arrives while the connection is idle, which closes it, rather
 than being taken for the answer to the next request.
 
+A request that is sent to the same target again gets a connection that has not carried it before:
+the answer to the earlier attempt, written once more, has the same id as that to the new one.
+
 @example
 ```
-const connection = connections.acquire('10.0.0.9:8080', 370, gateways, now);
+const connection = connections.acquire({address: '10.0.0.9:8080', requestId: '9c41', maxConnections: 370, gateways, now});
 ```
 */
 export class TargetConnections {
 	readonly #byAddress = new Map<string, TargetConnection[]>();
+
 	readonly #pacer: AnswerPacer;
 
 	constructor(pacer: AnswerPacer) {
@@ -29,24 +45,24 @@
 	}
 
 	/** Returns a free connection; none when this gateway's share of the target's connections is in use. */
-	acquire(address: string, maxConnections: number, gateways: number, now: number): option.Option<TargetConnection> {
+	acquire({address, requestId, maxConnections, gateways, now}: Wanted): option.Option<TargetConnection> {
 		const connections = this.#byAddress.get(address) ?? [];
 		this.#byAddress.set(address, connections);
 		const free = connections.filter(connection => !connection.isBusy);
-		if (free.length > 0) {
-			const chosen = free.reduce((oldest, connection) => connection.lastUsedAt < oldest.lastUsedAt ? connection : oldest);
-			chosen.lastUsedAt = now;
-			return option.some(chosen);
+		const fitting = free.filter(connection => !connection.hasCarried(requestId));
+		if (fitting.length > 0) {
+			return this.#use(longestIdle(fitting), now);
 		}
 
-		if (connections.length >= Math.max(1, Math.floor(maxConnections * usableShare / Math.max(1, gateways)))) {
+		if (free.length > 0) {
+			this.#close(connections, longestIdle(free));
+		} else if (connections.length >= Math.max(1, Math.floor(maxConnections * usableShare / Math.max(1, gateways)))) {
 			return option.none;
 		}
 
 		const added = new TargetConnection(address, this.#pacer);
-		added.lastUsedAt = now;
 		connections.push(added);
-		return option.some(added);
+		return this.#use(added, now);
 	}
 
 	/** Closes connections to addresses that no target has any more; busy ones are closed by a later call, once they are free. */
@@ -87,4 +103,14 @@
 			connection.destroy();
 		}
 	}
+
+	#use(connection: TargetConnection, now: number): option.Option<TargetConnection> {
+		connection.lastUsedAt = now;
+		return option.some(connection);
+	}
+
+	#close(connections: TargetConnection[], connection: TargetConnection): void {
+		connections.splice(connections.indexOf(connection), 1);
+		connection.destroy();
+	}
 }
--- a/test/decisions/entry/small-decisions.test.ts
+++ b/test/decisions/entry/small-decisions.test.ts
@@ -10,6 +10,7 @@
 import {RouteTable} from '../../../source/decisions/entry/route-table.js';
 import {TargetHealth} from '../../../source/decisions/entry/target-health.js';
 import type {AnswerFacts} from '../../../source/fleet/answer-facts.js';
+import type {ConnectionHistory} from '../../../source/fleet/connection-history.js';
 import type {FleetConfiguration} from '../../../source/fleet/fleet-configuration.js';
 import type {Route} from '../../../source/fleet/route.js';
 
@@ -55,20 +56,48 @@
 	t.end();
 });
 
+const firstOnConnection: ConnectionHistory = {isUsed: false, hasCarriedRequest: false};
+
+/** What an answer means for the request `r1`. */
+const classify = (more: Partial<AnswerFacts>, history = firstOnConnection, isForCaller = true): string => classifyAnswer(facts(more), {requestId: 'r1', isForCaller, history});
+
 test('an answer is accepted only if it names the request', t => {
-	t.equal(classifyAnswer(facts({}), 'r1', true), 'answer');
-	t.equal(classifyAnswer(facts({requestId: 'r2'}), 'r1', true), 'foreign');
-	t.equal(classifyAnswer(facts({requestId: undefined}), 'r1', true), 'foreign');
-	t.equal(classifyAnswer(facts({isSigned: false}), 'r1', true), 'foreign');
-	t.equal(classifyAnswer(facts({isSigned: false}), 'r1', false), 'answer');
-	t.equal(classifyAnswer(facts({isEncoded: true}), 'r1', true), 'foreign');
-	t.equal(classifyAnswer(facts({status: 500}), 'r1', true), 'failure');
-	t.equal(classifyAnswer(facts({status: 404, isSigned: false}), 'r1', true), 'answer');
-	t.equal(classifyAnswer(facts({status: 503, isNotRun: true, requestId: undefined}), 'r1', true), 'not run');
-	t.equal(classifyAnswer(facts({status: 503, isNotRun: true, requestId: 'r2'}), 'r1', true), 'foreign');
-	t.equal(classifyAnswer(facts({
+	t.equal(classify({}), 'answer');
+	t.equal(classify({requestId: 'r2'}), 'foreign');
+	t.equal(classify({requestId: undefined}), 'foreign');
+	t.equal(classify({isSigned: false}), 'foreign');
+	t.equal(classify({isSigned: false}, firstOnConnection, false), 'answer');
+	t.equal(classify({isEncoded: true}), 'foreign');
+	t.equal(classify({status: 500}), 'failure');
+	t.equal(classify({status: 404, isSigned: false}), 'answer');
+	t.equal(classify({status: 503, isNotRun: true, requestId: undefined}), 'not run');
+	t.equal(classify({status: 503, isNotRun: true, requestId: 'r2'}), 'foreign');
+	t.equal(classify({
 		status: 421, isOtherTarget: true, isNotRun: true, requestId: undefined,
-	}), 'r1', true), 'other target');
+	}), 'other target');
+	t.equal(classify({
+		status: 421, isOtherTarget: true, isNotRun: true, requestId: 'r2',
+	}), 'foreign');
+	t.end();
+});
+
+// Guards against telling a caller that a request has not run because an earlier one was refused on the same connection.
+test('REFUSED: a refusal is taken for this request\'s only if it cannot be that of an earlier one', t => {
+	const used = {isUsed: true, hasCarriedRequest: false};
+	const again = {isUsed: true, hasCarriedRequest: true};
+	for (const more of [{status: 503, isNotRun: true}, {status: 429, isNotRun: true}, {status: 421, isNotRun: true, isOtherTarget: true}]) {
+		const own = more.status === 421 ? 'other target' : 'not run';
+		t.equal(classify({...more, requestId: undefined}), own);
+		t.equal(classify({...more, requestId: undefined}, used), 'unattributed');
+		t.equal(classify(more, used), own);
+		t.equal(classify(more, again), 'unattributed');
+		t.equal(classify({...more, requestId: 'r2'}, used), 'foreign');
+	}
+
+	t.equal(classify({}, used), 'answer');
+	t.equal(classify({}, again), 'unattributed');
+	t.equal(classify({status: 500}, again), 'unattributed');
+	t.equal(classify({requestId: undefined}, used), 'foreign');
 	t.end();
 });
 
--- a/test/entry/target-connection.test.ts
+++ b/test/entry/target-connection.test.ts
@@ -40,7 +40,7 @@
 	const result: AttemptResult = {status: undefined, body: '', end: {kind: 'none'}};
 	await new Promise<void>(resolve => {
 		connection.send({
-			method: 'GET', path: '/x', headers: ['Host', 'a.example'], body: undefined,
+			requestId: 'r1', method: 'GET', path: '/x', headers: ['Host', 'a.example'], body: undefined,
 		}, {
 			mayStart: () => mayStart,
 			onHead(status) {
@@ -206,7 +206,7 @@
 	let body = '';
 	await new Promise<void>(resolve => {
 		connection.send({
-			method: 'GET', path: '/x', headers: ['Host', 'a.example'], body: undefined,
+			requestId: 'r1', method: 'GET', path: '/x', headers: ['Host', 'a.example'], body: undefined,
 		}, {
 			mayStart: () => true,
 			onHead: () => undefined,
