--- a/source/entry/target-attempt.ts
+++ b/source/entry/target-attempt.ts
@@ -13,21 +13,18 @@
 import type {AttemptPlan} from './attempt-plan.js';
 import type {EntryContext} from './entry-context.js';
 import type {LoadEntry} from './load-entry.js';
+import {ownReasons} from './own-reasons.js';
 import {ReceivedAnswer} from './received-answer.js';
 import {recordTargetState} from './record-target-state.js';
-import {TargetConnection} from './target-connection.js';
+import type {TargetConnection} from './target-connection.js';
 import {targetListStatus} from './target-list-status.js';
 
 type Handlers = Parameters<TargetConnection['send']>[1];
 type ConnectionEnd = Parameters<Handlers['onEnd']>[0];
 
-const cancelledReason = 'broken off by the gateway';
-const silentReason = 'silent';
-const tooLargeReason = 'answer too large';
 const foreignReason = 'answer of another request';
 const discardedReason = 'nobody waits for the body';
-/** Reasons for which this gateway closes the connection of an attempt. */
-const ownReasons: ReadonlySet<string> = new Set([cancelledReason, silentReason, tooLargeReason, TargetConnection.interimReason]);
+const allOwnReasons: ReadonlySet<string> = new Set(Object.values(ownReasons));
 /** Interval at which an attempt checks whether its target is silent. */
 const silenceCheckMilliseconds = 200;
 /** Time for a body that nobody waits for to end, so that its connection can be used again. */
@@ -94,7 +91,7 @@
 	/** Aborts the attempt; without effect once its outcome is known. */
 	cancel(): void {
 		if (!this.#isSettled) {
-			this.#abort?.(cancelledReason);
+			this.#abort?.(ownReasons.cancelled);
 		}
 	}
 
@@ -145,7 +142,7 @@
 		const {health, now} = this.#context;
 		this.#silenceTimer = setInterval(() => {
 			if (now() - this.#startedAt > answerDueMilliseconds && health.isSilent(target.incarnation, now())) {
-				this.#abort?.(silentReason);
+				this.#abort?.(ownReasons.silent);
 			}
 		}, silenceCheckMilliseconds);
 	}
@@ -202,7 +199,7 @@
 		log.warn({
 			event: 'answer too large', request: facts.requestId, target: target.id, address: target.address, answerKind: this.#received.kind, bytes: this.#received.bytes, bufferedBytes: bufferedAnswers.total,
 		}, 'answer given up because it is too large to be kept');
-		this.#abort?.(tooLargeReason);
+		this.#abort?.(ownReasons.tooLarge);
 	}
 
 	#handleEnd(end: ConnectionEnd): void {
@@ -236,7 +233,7 @@
 	/** Reports an attempt that its target broke off, not this gateway. */
 	#recordBroken(reason: string): void {
 		const {target, facts} = this.#plan;
-		if (!ownReasons.has(reason)) {
+		if (!allOwnReasons.has(reason)) {
 			this.#context.crashMonitor.recordLost(target, {requestId: facts.requestId, parts: sharedParts(facts).map(({id}) => id)});
 		}
 	}
@@ -248,8 +245,8 @@
 		const {incarnation} = target;
 		const kind = outcome.kind === 'streamed' && !outcome.isWhole ? 'broken' : outcome.kind;
 		metrics.count(`attempt.${kind}`);
-		const isFailure = kind === 'unknown' || kind === 'broken' || kind === 'failure' || (outcome.kind === 'not sent' && outcome.reason !== 'no longer wanted' && outcome.reason !== cancelledReason);
-		const isCancelled = 'reason' in outcome && outcome.reason === cancelledReason;
+		const isFailure = kind === 'unknown' || kind === 'broken' || kind === 'failure' || (outcome.kind === 'not sent' && outcome.reason !== 'no longer wanted' && outcome.reason !== ownReasons.cancelled);
+		const isCancelled = 'reason' in outcome && outcome.reason === ownReasons.cancelled;
 		if (outcome.kind === 'not run' && outcome.isOtherTarget && targetRegistry.markLeaving(incarnation, now())) {
 			log.info({
 				event: 'target leaving', target: target.id, address: target.address, source: 'target',
--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -7,6 +7,7 @@
 import type {AnswerPacer} from './answer-pacer.js';
 import {AnswerReading} from './answer-reading.js';
 import {CarriedRequests} from './carried-requests.js';
+import {ownReasons} from './own-reasons.js';
 
 /** Timeout for opening a connection, enough for a target that is reachable. */
 const connectTimeoutMilliseconds = 600;
@@ -46,9 +47,6 @@
 ```
 */
 export class TargetConnection {
-	/** Reason of an attempt that was broken off because only interim answers came. */
-	static readonly interimReason = 'too many interim answers';
-
 	lastUsedAt = 0;
 	#isBusy = false;
 	#hadError = false;
@@ -159,7 +157,7 @@
 
 				interimAnswers++;
 				if (interimAnswers > maxInterimAnswers) {
-					breakOff(TargetConnection.interimReason);
+					breakOff(ownReasons.interim);
 				}
 			},
 			onResponseData(_controller, chunk) {
--- a/test/entry/incomplete-heads.test.ts
+++ b/test/entry/incomplete-heads.test.ts
@@ -2,6 +2,7 @@
 Targets that stop inside the head of their answer.
 */
 import {test} from 'tap';
+import type {RawTargetStandIn} from '../../stand-ins/raw-target-stand-in.js';
 import {EntryFleet} from '../support/entry-fleet.js';
 
 const prompt = {'x-model': 'm', 'x-token-count': '400,50', 'x-prompt-prefix': 'aa:300,bb:100'};
@@ -36,18 +37,18 @@
 	]);
 	let cut = 0;
 	let isReset = false;
-	for (const [id, service] of [['i-1', 'floor'], ['i-2', 'models']] as const) {
-		// eslint-disable-next-line no-await-in-loop
-		await fleet.addRawTarget(id, service, (socket, {requestId}) => {
-			socket.write(headOf(requestId).slice(0, cut), () => {
-				if (isReset) {
-					socket.resetAndDestroy();
-				} else {
-					socket.end();
-				}
-			});
-		}, {phase: 'decode'});
-	}
+	const answer: RawTargetStandIn['answer'] = (socket, {requestId}) => {
+		socket.write(headOf(requestId).slice(0, cut), () => {
+			if (isReset) {
+				socket.resetAndDestroy();
+			} else {
+				socket.end();
+			}
+		});
+	};
+
+	await fleet.addRawTarget('i-1', 'floor', answer);
+	await fleet.addRawTarget('i-2', 'models', answer, {phase: 'decode'});
 
 	const gateway = await fleet.addGateway();
 	for (const kind of ['bids', 'prices', 'dossiers']) {
--- a/test/entry/repeated-answers.test.ts
+++ b/test/entry/repeated-answers.test.ts
@@ -38,7 +38,9 @@
 };
 
 const questions = {
-	floor: {path: '/bids/1', headers: {}, type: 'text/plain', body: 'done'},
+	floor: {
+		path: '/bids/1', headers: {}, type: 'text/plain', body: 'done',
+	},
 	models: {
 		path: '/dossiers/1', headers: {'x-model': 'm', 'x-token-count': '400,50', 'x-prompt-prefix': 'aa:300,bb:100'}, type: 'text/event-stream', body: 'id: 1\ndata: piece\n\n',
 	},
