--- a/test/decisions/entry/event-splitter.test.ts
+++ b/test/decisions/entry/event-splitter.test.ts
@@ -86,3 +86,17 @@
 	t.equal(splitter.push(Buffer.from('data: id:\n\n')).lastId, undefined);
 	t.end();
 });
+
+// Guards against passing on, as one more event, the head of an error that an engine writes into its stream.
+test('MIXED: nothing from the head of another answer on is an event, wherever the chunks begin and end', async t => {
+	const whole = 'data: HTTP/1.1 200 OK\n\nid: 1\ndata: a\n\n';
+	const bytes = Buffer.from(`${whole}id: 2\nHTTP/1.1 500 Internal Server Error\r\n\r\nfailed\n\nid: 3\n\n`);
+	fc.assert(fc.property(fc.array(fc.integer({min: 0, max: bytes.length}), {maxLength: 6}), cuts => {
+		const splitter = new EventSplitter();
+		const boundaries = [0, ...cuts.toSorted((first, second) => first - second), bytes.length];
+		const splits = boundaries.slice(1).map((boundary, index) => splitter.push(bytes.subarray(boundaries[index], boundary)));
+		const passedOn = Buffer.concat(splits.map(split => split.events)).toString();
+		return passedOn === whole && !splitter.mayEnd(true) && splitter.heldBytes === 0;
+	}), {seed: 9, numRuns: 300});
+	t.pass('300 runs');
+});
