Continue a stream only with an answer that says it is a stream, if the first one did

Cause: an answer without a content type counts as a stream, which is right for a first one.

Change: where the first engine has named its type, one that goes on names it too. And a stream that comes from the second engine before any event was sent has that engine's head and signature, not those of the one that was lost.

Evidence: entry/stream-relay, "anything but a stream does not look complete" with a row for it, and "has the head and signature of that engine"; both failed on the code before, and pass now.

--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -9,6 +9,7 @@
 import {engineRank} from '../decisions/entry/engine-rank.js';
 import {EventSplitter} from '../decisions/entry/event-splitter.js';
 import {isEventStream} from '../decisions/entry/is-event-stream.js';
+import {mayContinueStream} from '../decisions/entry/may-continue-stream.js';
 import {placeDecode} from '../decisions/entry/place-decode.js';
 import {sharedPrefix} from '../decisions/entry/shared-prefix.js';
 import {resultCode} from '../generated/result-codes.js';
@@ -290,9 +291,10 @@
 				return this.#hasLiveAttempt;
 			},
 			sink: {
-				accepts: isEventStream,
+				accepts: head => isEventStream(head) && (!this.#request.answer.isStarted || mayContinueStream(this.#head!, head)),
 				head: head => {
-					this.#head ??= head;
+					// A stream that is continued keeps the head of its first engine, with which its caller's answer was started.
+					this.#head = this.#request.answer.isStarted ? this.#head : head;
 				},
 				data: (chunk, flow) => {
 					this.#forwardEvents(splitter.push(chunk), flow);
--- a/test/entry/stream-relay.test.ts
+++ b/test/entry/stream-relay.test.ts
@@ -273,12 +273,15 @@
 	{status: 204, type: 'text/plain', isSigned: true},
 	{status: 200, type: 'application/json', isSigned: true},
 	{status: 200, type: 'text/event-stream', isSigned: false},
+	{status: 200, type: undefined, isSigned: true},
 ] as const;
 
-const errorBody = (status: number): string => status === 204 ? '' : '{"error": "not here"}';
+const errorBody = (status: number): string => status === 204 ? '' : '{"error": "not here"}\n\n';
 
 const otherAnswer = ({status, type, isSigned}: (typeof otherAnswers)[number]): PlatformTargetStandIn['answer'] => (response, {requestId}) => {
-	response.writeHead(status, {'x-request-id': requestId, 'content-type': type, ...isSigned ? {'x-response-signature': 'proof of other'} : {}});
+	response.writeHead(status, {
+		'x-request-id': requestId, ...type === undefined ? {} : {'content-type': type}, ...isSigned ? {'x-response-signature': 'proof of other'} : {},
+	});
 	response.end(errorBody(status));
 };
 
@@ -324,6 +327,29 @@
 	}
 });
 
+// Guards against the head of an engine that was lost before the first event being sent with the stream of another one.
+test('MIXED: a stream of the second engine before any event has the head and signature of that engine', async t => {
+	const {askInTurn} = await startTwoEngines(t);
+	const reply = await askInTurn('r1', [streamAnswer([], 'torn'), streamAnswer([1, 2], 'whole')]);
+	t.match(reply, {
+		status: 200, isWhole: true, body: event(1) + event(2), headers: {'x-response-signature': 'proof of 1'},
+	});
+});
+
+const errorHead = 'HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n';
+
+// Guards against the head of an error that an engine writes into its own stream, which looked like one more event.
+test('MIXED: a stream without a length or chunks into which its engine writes the head of another answer is broken off before it', async t => {
+	const fleet = await startStreamFleet(t);
+	const target = await fleet.addTarget('i-1', 'models', {phase: 'decode'});
+	const gateway = await fleet.addGateway();
+	for (const text of [`${errorHead}failed\n\n`, `id: 2\n${errorHead}`, `${errorHead}failed`]) {
+		target.answer = unframedAnswer(event(1) + text);
+		const reply = await fleet.ask(gateway, {path: '/dossiers/1', requestId: `r ${text.length}`, headers: prompt}); // eslint-disable-line no-await-in-loop
+		t.match(reply, {status: 200, isWhole: false, body: event(1)}, JSON.stringify(text));
+	}
+});
+
 // Guards against an internal error in place of a decision when the second engine fails.
 test('a stream whose second engine fails is broken off without an internal error', async t => {
 	const {fleet, askInTurn} = await startTwoEngines(t);
