Read the reports of engines' caches through the connection code of attempts

An engine is asked for the changes of its cache all the time, and an answer to that cut into chunks of one byte was kept as a list of its chunks, up to 4 MiB of them.

Change: the poller uses TargetConnection and readWholeAnswer: joined pieces, one buffer, paced reading, a bound on interim answers, and the same limits of bytes and time as before.

--- a/experiments/doors/cuts.ts
+++ b/experiments/doors/cuts.ts
@@ -5,8 +5,8 @@
 
 type Cut = {
 	readonly name: string;
-	/** Whom the answer is of: an engine, which streams, or a target of a plain service. */
-	readonly from: 'engine' | 'plain target';
+	/** Whose answer it is: of an engine to a prompt, of an engine to a question on its cache, or of a target of a plain service. */
+	readonly from: 'engine' | 'cache of an engine' | 'plain target';
 	readonly status: '200 OK' | '500 Internal Server Error';
 	/** Bytes that are repeated without end, framed already. */
 	readonly block: Uint8Array;
@@ -48,6 +48,9 @@
 	ofEngine('chunks of one line feed', chunksOf('1\r\n\n\r\n')),
 	ofEngine('chunks with an extension', chunksOf('1;a=b\r\nx\r\n')),
 	ofEngine('chunks with a long extension', chunksOf(`1;a=${'b'.repeat(1000)}\r\nx\r\n`)),
+	{
+		name: 'chunks of one byte, a report of the cache', from: 'cache of an engine', status: '200 OK', block: chunksOf('1\r\nx\r\n'),
+	},
 	{
 		name: 'chunks of one byte, plain', from: 'plain target', status: '200 OK', block: chunksOf('1\r\nx\r\n'),
 	},
--- a/experiments/doors/play-cut.ts
+++ b/experiments/doors/play-cut.ts
@@ -49,6 +49,7 @@
 const kilobytesPerMegabyte = 1024;
 const bytesPerMegabyte = 1_000_000;
 
+const contentTypes = {engine: 'text/event-stream', 'cache of an engine': 'application/json', 'plain target': 'text/plain'} as const;
 const prompt = {'x-model': 'm', 'x-token-count': '400,50', 'x-prompt-prefix': 'aa:300,bb:100'};
 
 const configuration = (bidTimeoutMilliseconds: number): string => JSON.stringify({
@@ -167,14 +168,20 @@
 	store.put('op/config', configuration(bidTimeoutMilliseconds));
 	let sentBytes = 0;
 	let begun = 0;
-	const faulty = new RawTargetStandIn('faulty', (socket, {requestId}) => {
+	const answerWithoutEnd: RawTargetStandIn['answer'] = (socket, {requestId}) => {
 		begun++;
-		const type = cut.from === 'engine' ? 'text/event-stream' : 'text/plain';
+		const type = contentTypes[cut.from];
 		socket.write(`HTTP/1.1 ${cut.status}\r\nX-Request-Id: ${requestId}\r\nX-Response-Signature: proof\r\nContent-Type: ${type}\r\nTransfer-Encoding: chunked\r\n\r\n`);
 		writeWithoutEnd(socket, cut.block, bytes => {
 			sentBytes += bytes;
 		});
-	});
+	};
+
+	const faulty = Array.from({length: cut.from === 'cache of an engine' ? endlessAnswers : 1}, (_, index) => new RawTargetStandIn(`faulty-${index}`, answerWithoutEnd));
+	for (const target of faulty.filter(() => cut.from === 'cache of an engine' && hasTrouble)) {
+		target.cacheAnswer = answerWithoutEnd;
+	}
+
 	const sound = new PlatformTargetStandIn('sound');
 	sound.answer = (response, {requestId}) => {
 		setTimeout(() => {
@@ -182,8 +189,11 @@
 		}, bidRunMilliseconds);
 	};
 
-	await Promise.all([faulty.start(), sound.start()]);
-	store.put('servers/faulty', faulty.entry(cut.from === 'engine' ? 'models' : 'prices', {slots: 64, ...cut.from === 'engine' ? {phase: 'decode'} : {}}));
+	await Promise.all([...faulty, sound].map(async target => target.start()));
+	for (const target of faulty) {
+		store.put(`servers/${target.id}`, target.entry(cut.from === 'plain target' ? 'prices' : 'models', {slots: 64, ...cut.from === 'plain target' ? {} : {phase: 'decode'}}));
+	}
+
 	store.put('servers/sound', sound.entry('floor', {slots: 64}));
 	const gateway = await SoakGateway.create({
 		name: 'gateway-1', storeAddress: store.address, seeds: () => [], folder, record,
@@ -203,7 +213,7 @@
 	const bids = Promise.all(Array.from({length: bidders}, async (_, index) => bidRepeatedly(port, `bid-${index}`, () => isGoing)));
 	const startedAt = performance.now();
 	const question = cut.from === 'engine' ? {path: '/dossiers/1', headers: prompt} : {path: '/prices/1'};
-	const endless = Array.from({length: hasTrouble ? endlessAnswers : 0}, async (_, index) => ask(port, {...question, requestId: `endless-${index}`}));
+	const endless = Array.from({length: hasTrouble && cut.from !== 'cache of an engine' ? endlessAnswers : 0}, async (_, index) => ask(port, {...question, requestId: `endless-${index}`}));
 	await pause(seconds * 1000);
 	isGoing = false;
 	const megabytesPerSecond = sentBytes / bytesPerMegabyte / ((performance.now() - startedAt) / 1000);
@@ -212,7 +222,7 @@
 	clearInterval(memoryTimer);
 	const problems = record.problems();
 	gateway.end();
-	for (const target of [faulty, sound]) {
+	for (const target of [...faulty, sound]) {
 		target.stop();
 	}
 
--- a/source/entry/engine-cache-poller.ts
+++ b/source/entry/engine-cache-poller.ts
@@ -1,12 +1,14 @@
 /**
 Polls one engine for the changes of its prefix cache.
 */
+import {Buffer} from 'node:buffer';
 import * as option from 'fp-ts/lib/Option.js';
-import {Agent, request} from 'undici';
 import type {CacheChanges} from '../fleet/cache-changes.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {EntryContext} from './entry-context.js';
+import {readWholeAnswer} from './read-whole-answer.js';
 import {recordTargetState} from './record-target-state.js';
+import {TargetConnection} from './target-connection.js';
 
 /** An engine answers a poll at once when there are changes, otherwise after this time. */
 const longPollMilliseconds = 1000;
@@ -36,14 +38,12 @@
 	#epoch: string | undefined;
 	#next = 0;
 	#mustListAll = false;
-	readonly #agent = new Agent({
-		connections: 1, pipelining: 1, connect: {timeout: callTimeoutMilliseconds}, maxResponseSize: maxAnswerBytes,
-	});
-
+	readonly #connection: TargetConnection;
 	readonly #context: EntryContext;
 	readonly #target: TargetRecord;
 
 	constructor(context: EntryContext, target: TargetRecord) {
+		this.#connection = new TargetConnection(target.address, context.pacer);
 		this.#context = context;
 		this.#target = target;
 	}
@@ -55,7 +55,7 @@
 	stop(): void {
 		this.#isStopped = true;
 		clearTimeout(this.#timer);
-		void this.#agent.destroy();
+		this.#connection.destroy();
 	}
 
 	async #poll(): Promise<void> {
@@ -110,17 +110,21 @@
 	}
 
 	async #call({path, headers}: {readonly path: string; readonly headers: Readonly<Record<string, string>>}): Promise<option.Option<CacheChanges>> {
-		try {
-			const answer = await request(`http://${this.#target.address}${path}`, {dispatcher: this.#agent, headers, signal: AbortSignal.timeout(callTimeoutMilliseconds)});
-			const body = await answer.body.text();
-			recordTargetState(this.#context, this.#target, this.#context.protocol.readAnswer(answer.statusCode, answer.headers));
-			this.#context.metrics.count(`engine.asked.${answer.statusCode}`);
-			return answer.statusCode === 200 ? this.#context.protocol.readCacheChanges(body) : option.none;
-		} catch (error) {
-			this.#context.metrics.count('engine.asked.failed');
-			this.#context.log.debug({event: 'engine not heard', target: this.#target.id, detail: (error as Error).message}, 'poll of the engine cache failed');
+		const {protocol, metrics, log, timers} = this.#context;
+		const {id, address} = this.#target;
+		const answer = await readWholeAnswer(this.#connection, {
+			requestId: '', method: 'GET', path, headers: ['Host', address, ...Object.entries(headers).flat()], body: undefined,
+		}, {maxBytes: maxAnswerBytes, timeoutMilliseconds: callTimeoutMilliseconds, timers});
+		if (answer.isErr()) {
+			metrics.count('engine.asked.failed');
+			log.debug({event: 'engine not heard', target: id, detail: answer.error}, 'poll of the engine cache failed');
 			return option.none;
 		}
+
+		const {status, body} = answer.value;
+		recordTargetState(this.#context, this.#target, protocol.readAnswer(status, answer.value.headers));
+		metrics.count(`engine.asked.${status}`);
+		return status === 200 ? protocol.readCacheChanges(Buffer.from(body).toString('utf8')) : option.none;
 	}
 
 	/** Writes one log line when an engine begins or ceases to answer. */
