Bound the answers of the store that are read as a whole

Related path of the answers without end: a read of the store took all that came for 0.7 s, whatever its size.

--- a/experiments/doors/measure-doors.ts
+++ b/experiments/doors/measure-doors.ts
@@ -10,7 +10,13 @@
 const bidTimeoutMilliseconds = 800;
 
 const print = (name: string, {bids, answered, begun, megabytesPerSecond, p99, longest, memoryMegabytes, problems}: Awaited<ReturnType<typeof playCut>>): void => {
-	console.log(`${name}: ${answered} of ${bids} bids answered, p99 ${Math.round(p99)} ms, longest ${Math.round(longest)} ms; ${begun} answers begun, ${megabytesPerSecond.toFixed(1)} MB/s sent; ${Math.round(memoryMegabytes)} MB${problems.map(problem => `; ${problem}`).join('')}`);
+	const facts = [
+		`${answered} of ${bids} bids answered, p99 ${Math.round(p99)} ms, longest ${Math.round(longest)} ms`,
+		`${begun} answers begun, ${megabytesPerSecond.toFixed(1)} MB/s sent`,
+		`${Math.round(memoryMegabytes)} MB`,
+		...problems,
+	];
+	console.log(`${name}: ${facts.join('; ')}`);
 };
 
 print('none', await playCut(cuts[0]!, {seconds, hasTrouble: false, bidTimeoutMilliseconds}));
--- a/source/entry/read-whole-answer.ts
+++ b/source/entry/read-whole-answer.ts
@@ -30,9 +30,9 @@
 export const readWholeAnswer = async (connection: TargetConnection, request: Request, {maxBytes, timeoutMilliseconds, timers}: Bounds): Promise<Result<WholeAnswer, string>> => new Promise(resolve => {
 	const body = new ByteAccumulator();
 	let head: {readonly status: number; readonly headers: Headers} | undefined;
-	let abort: ((reason: string) => void) | undefined;
+	let abort: (reason: string) => void = () => undefined;
 	const cancelTimeout = timers.after(timeoutMilliseconds, () => {
-		abort?.(timeoutReason);
+		abort(timeoutReason);
 	});
 	abort = connection.send(request, {
 		mayStart: () => true,
@@ -42,7 +42,7 @@
 		onData(bytes) {
 			body.append(bytes);
 			if (body.length > maxBytes) {
-				abort?.(tooLargeReason);
+				abort(tooLargeReason);
 			}
 		},
 		onEnd(end) {
--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -6,8 +6,9 @@
 import type http from 'node:http';
 import {text} from 'node:stream/consumers';
 import {LoopbackServer} from './loopback-server.js';
+import {writeWithoutEnd} from './write-without-end.js';
 
-type Fault = 'none' | 'busy' | 'reset' | 'silent';
+type Fault = 'none' | 'busy' | 'reset' | 'silent' | 'endless';
 
 type Item = {readonly value: string; readonly revision: number; readonly created: number};
 
@@ -92,6 +93,11 @@
 				return;
 			}
 
+			case 'endless': {
+				writeWithoutEnd(response);
+				return;
+			}
+
 			case 'none': {
 				setTimeout(() => {
 					const url = new URL(request.url ?? '/', 'http://store');
--- a/test/entry/answers-without-end.test.ts
+++ b/test/entry/answers-without-end.test.ts
@@ -5,7 +5,7 @@
 import {test, type Test} from 'tap';
 import type {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
 import {EntryFleet} from '../support/entry-fleet.js';
-import {writeWithoutEnd} from '../support/write-without-end.js';
+import {writeWithoutEnd} from '../../stand-ins/write-without-end.js';
 
 type Case = {
 	readonly name: string;
--- a/test/entry/caller-answer.test.ts
+++ b/test/entry/caller-answer.test.ts
@@ -8,7 +8,7 @@
 import {CallerAnswer} from '../../source/entry/caller-answer.js';
 import type {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
 import {EntryFleet} from '../support/entry-fleet.js';
-import {writeWithoutEnd} from '../support/write-without-end.js';
+import {writeWithoutEnd} from '../../stand-ins/write-without-end.js';
 
 const soundBytes = 4_000_000;
 const timeoutMilliseconds = 600;
--- a/test/platform/platform-store.test.ts
+++ b/test/platform/platform-store.test.ts
@@ -20,6 +20,17 @@
 	t.strictSame(after._unsafeUnwrap(), option.some('{"part":"é"}'));
 });
 
+// Guards against keeping all that a store sends whose answer has no end.
+test('LOST: an answer of the store without end is given up', async t => {
+	const {standIn, store} = await startPlatformStore(t);
+	standIn.fault = 'endless';
+	const answer = await store.readConfiguration();
+	t.match(answer._unsafeUnwrapErr(), {kind: 'unknown', detail: /^more than \d+ bytes$/});
+	standIn.fault = 'none';
+	const next = await store.readConfiguration();
+	t.ok(next.isOk());
+});
+
 test('DRAIN: a call that gets no answer does not abort a concurrent read of the target list, which would let the list grow stale', async t => {
 	const {standIn, store} = await startPlatformStore(t);
 	standIn.fault = 'silent';
