--- a/source/entry/answer-pacer.ts
+++ b/source/entry/answer-pacer.ts
@@ -4,12 +4,15 @@
 import {ReadingShare} from '../decisions/entry/reading-share.js';
 import type {Timers} from '../shared/timers.js';
 import type {EntryMetrics} from './entry-metrics.js';
+import type {LoopActivity} from './loop-activity.js';
 import type {ReadingGate} from './reading-gate.js';
 
 type PacerOptions = {
 	readonly now: () => number;
 	readonly timers: Timers;
 	readonly metrics: Pick<EntryMetrics, 'count'>;
+	/** Told how long each piece took, so that a stall of the loop can be explained. */
+	readonly activity: Pick<LoopActivity, 'record'>;
 };
 
 /**
@@ -17,7 +20,7 @@
 
 @example
 ```
-pacer.recordRead(gate, 3.2);
+pacer.recordRead(gate, 65_536, 3.2);
 pacer.remove(gate);
 ```
 */
@@ -40,8 +43,9 @@
 		return this.#share.waitingCount;
 	}
 
-	/** Records that a piece of an answer has been read in this time, in milliseconds. */
-	recordRead(gate: ReadingGate, milliseconds: number): void {
+	/** Records that a piece of an answer, of this many bytes, has been read in this time. */
+	recordRead(gate: ReadingGate, bytes: number, milliseconds: number): void {
+		this.#options.activity.record('answer', bytes, milliseconds);
 		if (!this.#share.mustPause(gate, milliseconds, this.now())) {
 			return;
 		}
--- a/source/entry/answer-reading.ts
+++ b/source/entry/answer-reading.ts
@@ -69,15 +69,16 @@
 		}
 
 		const startedAt = this.#readsSince;
+		const bytes = this.#arrived.take();
 		this.#readsSince = undefined;
 		try {
-			this.#handlers.onData(this.#arrived.take(), this.#flow);
+			this.#handlers.onData(bytes, this.#flow);
 		} catch (error) {
 			this.#handlers.onError(error as Error);
 		}
 
 		if (!this.#isClosed) {
-			this.#pacer.recordRead(this.#gate, this.#pacer.now() - startedAt);
+			this.#pacer.recordRead(this.#gate, bytes.length, this.#pacer.now() - startedAt);
 		}
 	}
 
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -226,7 +226,10 @@
 		const {protocol, settings, log} = this.#options;
 		const metrics = new EntryMetrics(settings.name);
 		const logRateLimit = new RateLimit(maxLoggedRequestsPerSecond);
-		const pacer = new AnswerPacer({now: clock, timers: systemTimers, metrics});
+		const activity = new LoopActivity(clock);
+		const pacer = new AnswerPacer({
+			now: clock, timers: systemTimers, metrics, activity,
+		});
 		return {
 			sampling: {
 				mayWrite: now => logRateLimit.tryTake(now),
@@ -263,7 +266,7 @@
 			}),
 			metrics,
 			log,
-			activity: new LoopActivity(clock),
+			activity,
 			now: clock,
 			timers: systemTimers,
 			random: Math.random,
--- a/test/entry/target-connection.test.ts
+++ b/test/entry/target-connection.test.ts
@@ -6,6 +6,7 @@
 import {test, type Test} from 'tap';
 import {AnswerPacer} from '../../source/entry/answer-pacer.js';
 import {EntryMetrics} from '../../source/entry/entry-metrics.js';
+import {LoopActivity} from '../../source/entry/loop-activity.js';
 import {TargetConnection} from '../../source/entry/target-connection.js';
 import {clock} from '../../source/shared/clock.js';
 import {systemTimers} from '../../source/shared/system-timers.js';
@@ -34,7 +35,9 @@
 	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 };
 
-const createConnection = (address: string): TargetConnection => new TargetConnection(address, new AnswerPacer({now: clock, timers: systemTimers, metrics: new EntryMetrics('gateway')}));
+const createConnection = (address: string): TargetConnection => new TargetConnection(address, new AnswerPacer({
+	now: clock, timers: systemTimers, metrics: new EntryMetrics('gateway'), activity: new LoopActivity(clock),
+}));
 
 const send = async (connection: TargetConnection, mayStart = true): Promise<AttemptResult> => {
 	const result: AttemptResult = {status: undefined, body: '', end: {kind: 'none'}};
