Soak with leaving targets, slow, lossy and silent connections, changing routes and more gateways

Each target is behind a relay (SoakWire) that delays, loses packets or loses track of its connections; targets leave as planned and come back; each second version of the configuration has one route more; the store may answer without end; targets also write an earlier refusal once more without an id, cut answers finely and send interim answers. DRAIN and CONFIG are judged in calm only (SoakCalm).

--- a/experiments/soak/run-soak.ts
+++ b/experiments/soak/run-soak.ts
@@ -6,7 +6,9 @@
 import path from 'node:path';
 import {pause} from '../../source/shared/pause.js';
 import {PlatformStoreStandIn} from '../../stand-ins/platform-store-stand-in.js';
+import {SoakCalm} from './soak-calm.js';
 import {SoakCaller} from './soak-caller.js';
+import {SoakConfiguration} from './soak-configuration.js';
 import {SoakGateway} from './soak-gateway.js';
 import {SoakRandom} from './soak-random.js';
 import {SoakRecord} from './soak-record.js';
@@ -14,132 +16,162 @@
 
 type SoakResult = {readonly problems: readonly string[]; readonly summary: string; readonly folder: string};
 
-type Fleet = {readonly gateways: readonly SoakGateway[]; readonly targets: readonly SoakTarget[]; readonly store: PlatformStoreStandIn; readonly random: SoakRandom};
+type Fleet = {
+	readonly gateways: readonly SoakGateway[];
+	readonly targets: readonly SoakTarget[];
+	readonly store: PlatformStoreStandIn;
+	readonly configuration: SoakConfiguration;
+	readonly random: SoakRandom;
+};
+
+type Trouble = {
+	/** Troubles of one group do not overlap: a gateway that is being stopped is not started in between. */
+	readonly group: 'gateway' | 'target' | 'store fault' | 'store delay' | 'store copy' | 'configuration' | 'wire';
+	/** True when bounds in time do not hold meanwhile. */
+	readonly isDisturbing: boolean;
+	/** Returns once it is healed. */
+	readonly act: (fleet: Fleet) => Promise<void>;
+};
 
-const gatewayCount = 3;
-const kinds = ['bid', 'bid', 'price', 'question', 'question', 'dossier'] as const;
+const defaultGateways = 3;
+/** Addresses of other gateways in the settings of each. */
+const mostSeeds = 3;
+const kinds = ['bid', 'bid', 'price', 'question', 'question', 'dossier', 'extra'] as const;
 const callersPerKind = 4;
 const storeSettleMilliseconds = 3000;
-const timeoutMilliseconds = 3000;
+const calmMilliseconds = 8000;
+const pickTarget = ({targets, random}: Fleet): SoakTarget => random.pick(targets);
 
-const routes = [
+const troubles: readonly Trouble[] = [
 	{
-		name: 'bids', pathPrefix: '/bids/', routeType: 'non_idempotent', service: 'floor',
+		group: 'gateway', isDisturbing: true, async act({gateways, random}) {
+			const gateway = random.pick(gateways);
+			if (gateway.isRunning) {
+				await gateway.stop();
+				await pause(random.between(0, 1000));
+				gateway.start();
+			}
+		},
 	},
 	{
-		name: 'prices', pathPrefix: '/prices/', routeType: 'idempotent', service: 'floor', maxAttempts: 3,
+		group: 'gateway', isDisturbing: true, async act({gateways, random}) {
+			const gateway = random.pick(gateways);
+			if (gateway.isRunning) {
+				gateway.kill();
+				await pause(random.between(300, 1500));
+				gateway.start();
+			}
+		},
 	},
 	{
-		name: 'questions', pathPrefix: '/questions/', routeType: 'streaming', service: 'models', resumable: true, maxAttempts: 2, sessionAffinity: true, itlTargetMs: 300,
+		group: 'gateway', isDisturbing: true, async act({gateways, random}) {
+			const gateway = random.pick(gateways);
+			gateway.signal('SIGSTOP');
+			await pause(random.between(100, 2500));
+			gateway.signal('SIGCONT');
+		},
 	},
 	{
-		name: 'dossiers', pathPrefix: '/dossiers/', routeType: 'streaming', service: 'models', sessionAffinity: true, itlTargetMs: 300,
+		group: 'target', isDisturbing: false, act: async fleet => pickTarget(fleet).crash(fleet.random.between(500, 3000)),
 	},
-].map(route => ({
-	host: 'a.example', timeoutMs: timeoutMilliseconds, targetLatencyMs: 800, priority: 0, maxAttempts: 1, ...route,
-}));
-
-const configuration = (version: number): string => JSON.stringify({
-	version,
-	routes,
-	services: [
-		{name: 'floor', healthPath: '/healthz', maxConnections: 200},
-		{
-			name: 'models', healthPath: '/healthz', maxConnections: 200, engine: {
-				slots: 16, kvCapacityTokens: 400_000, kvBytes: 1000, linkMbps: 100_000, handleTtlS: 5, roleSwitchS: 3,
-			},
-		},
-	],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 5000, idleTimeoutMs: 20_000,
+	{
+		group: 'target', isDisturbing: false, act: async fleet => pickTarget(fleet).leave(fleet.random.between(500, 3000)),
 	},
-});
-
-/** What happens to the fleet; each returns once it is healed. */
-const troubles: ReadonlyArray<(fleet: Fleet, count: number) => Promise<void>> = [
-	async ({gateways, random}) => {
-		const gateway = random.pick(gateways);
-		if (gateway.isRunning) {
-			await gateway.stop();
-			await pause(random.between(0, 1000));
-			gateway.start();
-		}
+	{
+		group: 'store fault', isDisturbing: true, async act({store, random}) {
+			store.fault = random.pick(['busy', 'reset', 'silent', 'endless']);
+			await pause(random.between(500, 4000));
+			store.fault = 'none';
+		},
 	},
-	async ({gateways, random}) => {
-		const gateway = random.pick(gateways);
-		if (gateway.isRunning) {
-			gateway.kill();
-			await pause(random.between(300, 1500));
-			gateway.start();
-		}
+	{
+		group: 'store delay', isDisturbing: true, async act({store, random}) {
+			store.delayMilliseconds = random.between(100, 900);
+			await pause(random.between(500, 3000));
+			store.delayMilliseconds = 4;
+		},
 	},
-	async ({gateways, random}) => {
-		const gateway = random.pick(gateways);
-		gateway.signal('SIGSTOP');
-		await pause(random.between(100, 2500));
-		gateway.signal('SIGCONT');
+	{
+		group: 'store copy', isDisturbing: true, async act({store, random}) {
+			const copy = store.copy();
+			await pause(random.between(500, 2500));
+			const configuration = store.read('op/config');
+			store.restore(copy);
+			store.put('op/config', configuration);
+		},
 	},
-	async ({targets, random}) => random.pick(targets).crash(random.between(500, 3000)),
-	async ({store, random}) => {
-		store.fault = random.pick(['busy', 'reset', 'silent']);
-		await pause(random.between(500, 4000));
-		store.fault = 'none';
+	{
+		group: 'configuration', isDisturbing: false, async act({store, gateways, configuration, random}) {
+			configuration.write(text => {
+				store.put('op/config', text);
+			});
+			// A process that has just been started may not have come to its handler yet; entry/early-hang-up is the test for that.
+			for (const gateway of gateways.filter(({isReady}) => isReady && random.chance(0.5))) {
+				gateway.signal('SIGHUP');
+			}
+		},
 	},
-	async ({store, random}) => {
-		store.delayMilliseconds = random.between(100, 900);
-		await pause(random.between(500, 3000));
-		store.delayMilliseconds = 4;
+	{
+		group: 'wire', isDisturbing: true, async act(fleet) {
+			const {wire} = pickTarget(fleet);
+			wire.delayMilliseconds = fleet.random.between(20, 400);
+			await pause(fleet.random.between(500, 3000));
+			wire.delayMilliseconds = 0;
+		},
 	},
-	async ({store, random}) => {
-		const copy = store.copy();
-		await pause(random.between(500, 2500));
-		store.restore(copy);
+	{
+		group: 'wire', isDisturbing: true, async act(fleet) {
+			const {wire} = pickTarget(fleet);
+			wire.isLossy = true;
+			await pause(fleet.random.between(500, 3000));
+			wire.isLossy = false;
+		},
 	},
-	async ({store, gateways, random}, count) => {
-		store.put('op/config', configuration(10 + (count * 3)));
-		// A process that has just been started may not have come to its handler yet; entry/early-hang-up is the test for that.
-		for (const gateway of gateways.filter(({isReady}) => isReady && random.chance(0.5))) {
-			gateway.signal('SIGHUP');
-		}
+	{
+		group: 'wire', isDisturbing: true, async act(fleet) {
+			pickTarget(fleet).wire.silence();
+		},
 	},
 ];
 
 /** Starts troubles until the time is up, so that several overlap; resolves once all are healed. */
-const makeTrouble = async (fleet: Fleet, until: number): Promise<void> => {
+const makeTrouble = async (fleet: Fleet, calm: SoakCalm, until: number): Promise<void> => {
 	const running: Array<Promise<void>> = [];
-	const busy = new Set<number>();
-	for (let count = 0; performance.now() < until; count++) {
-		const index = Math.floor(fleet.random.next() * troubles.length);
-		// The same trouble does not overlap with itself: a gateway that is being stopped is not started in between.
-		if (!busy.has(index) && !(index < 3 && [0, 1, 2].some(other => busy.has(other)))) {
-			busy.add(index);
-			running.push((async () => {
-				await troubles[index]!(fleet, count);
-				busy.delete(index);
-			})());
+	const busy = new Set<Trouble['group']>();
+	const run = async ({group, isDisturbing, act}: Trouble): Promise<void> => {
+		busy.add(group);
+		await (isDisturbing ? calm.disturb(async () => act(fleet)) : act(fleet));
+		busy.delete(group);
+	};
+
+	while (performance.now() < until) {
+		const trouble = fleet.random.pick(troubles);
+		if (!busy.has(trouble.group)) {
+			running.push(run(trouble));
 		}
 
-		await pause(fleet.random.between(200, 1200)); // eslint-disable-line no-await-in-loop
+		// Between two series there is a time of calm, in which what is promised for it is judged.
+		await pause(fleet.random.chance(0.1) ? calmMilliseconds : fleet.random.between(200, 1200)); // eslint-disable-line no-await-in-loop
 	}
 
 	await Promise.all(running);
 };
 
-const addTargets = async (store: PlatformStoreStandIn, record: SoakRecord, seed: number): Promise<readonly SoakTarget[]> => {
+const addTargets = async ({store, record, calm, seed}: Pick<ConstructorParameters<typeof SoakTarget>[0], 'store' | 'record' | 'calm'> & {readonly seed: number}): Promise<readonly SoakTarget[]> => {
 	const roles = ['plain', 'plain', 'plain', 'plain', 'prefill', 'prefill', 'decode', 'decode', 'decode', 'decode'] as const;
 	const targets = roles.map((role, index) => new SoakTarget({
-		id: `${role}-${index}`, service: role === 'plain' ? 'floor' : 'models', role, store, record, random: new SoakRandom(seed + 100 + index),
+		id: `${role}-${index}`, service: role === 'plain' ? 'floor' : 'models', role, store, record, calm, random: new SoakRandom(seed + 100 + index),
 	}));
 	await Promise.all(targets.map(async target => target.start()));
 	return targets;
 };
 
-const addGateways = async (store: PlatformStoreStandIn, record: SoakRecord, folder: string): Promise<readonly SoakGateway[]> => {
+const addGateways = async ({store, record, folder, count}: {readonly store: PlatformStoreStandIn; readonly record: SoakRecord; readonly folder: string; readonly count: number}): Promise<readonly SoakGateway[]> => {
 	const gateways: SoakGateway[] = [];
-	for (let index = 1; index <= gatewayCount; index++) {
+	for (let index = 1; index <= count; index++) {
 		// eslint-disable-next-line no-await-in-loop
 		gateways.push(await SoakGateway.create({
-			name: `gateway-${index}`, storeAddress: store.address, seeds: () => gateways.map(({controlAddress}) => controlAddress), folder, record,
+			name: `gateway-${index}`, storeAddress: store.address, seeds: () => gateways.slice(0, mostSeeds).map(({controlAddress}) => controlAddress), folder, record,
 		}));
 	}
 
@@ -154,14 +186,22 @@
 const {problems, summary} = await runSoak({seconds: 30, seed: 7});
 ```
 */
-export const runSoak = async ({seconds, seed}: {readonly seconds: number; readonly seed: number}): Promise<SoakResult> => {
+export const runSoak = async ({seconds, seed, gatewayCount = defaultGateways}: {readonly seconds: number; readonly seed: number; readonly gatewayCount?: number}): Promise<SoakResult> => {
 	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'soak-'));
 	const record = new SoakRecord();
 	const store = new PlatformStoreStandIn();
 	await store.start();
-	store.put('op/config', configuration(3));
-	const targets = await addTargets(store, record, seed);
-	const gateways = await addGateways(store, record, folder);
+	const calm = new SoakCalm();
+	const configuration = new SoakConfiguration(calm);
+	configuration.write(text => {
+		store.put('op/config', text);
+	});
+	const targets = await addTargets({
+		store, record, calm, seed,
+	});
+	const gateways = await addGateways({
+		store, record, folder, count: gatewayCount,
+	});
 	for (const gateway of gateways) {
 		gateway.start();
 	}
@@ -169,11 +209,11 @@
 	await pause(storeSettleMilliseconds);
 	let isGoing = true;
 	const callers = kinds.flatMap((kind, group) => Array.from({length: callersPerKind}, async (_, index) => new SoakCaller({
-		name: `${kind}-${group}-${index}`, kind, gateways, record, random: new SoakRandom(seed + 1000 + (group * 50) + index),
+		name: `${kind}-${group}-${index}`, kind, gateways, record, configuration, random: new SoakRandom(seed + 1000 + (group * 50) + index),
 	}).run(() => isGoing)));
 	await makeTrouble({
-		gateways, targets, store, random: new SoakRandom(seed),
-	}, performance.now() + (seconds * 1000));
+		gateways, targets, store, configuration, random: new SoakRandom(seed),
+	}, calm, performance.now() + (seconds * 1000));
 	isGoing = false;
 	await Promise.all(callers);
 	for (const gateway of gateways) {
--- a/experiments/soak/soak-caller.ts
+++ b/experiments/soak/soak-caller.ts
@@ -3,6 +3,7 @@
 */
 import http from 'node:http';
 import {pause} from '../../source/shared/pause.js';
+import type {SoakConfiguration} from './soak-configuration.js';
 import type {SoakGateway} from './soak-gateway.js';
 import type {SoakRandom} from './soak-random.js';
 import type {SoakRecord} from './soak-record.js';
@@ -15,13 +16,14 @@
 	readonly gateways: readonly SoakGateway[];
 	readonly record: SoakRecord;
 	readonly random: SoakRandom;
+	readonly configuration: SoakConfiguration;
 };
 
 const paths = {
-	bid: '/bids/1', price: '/prices/1', question: '/questions/1', dossier: '/dossiers/1',
+	bid: '/bids/1', price: '/prices/1', question: '/questions/1', dossier: '/dossiers/1', extra: '/extra/1',
 } as const;
 const promptHeaders = {
-	bid: {}, price: {}, question: {'x-model': 'm', 'x-token-count': '400,50', 'x-prompt-prefix': 'aa:300,bb:100'}, dossier: {'x-model': 'm', 'x-token-count': '17000,50', 'x-prompt-prefix': 'cc:13300,dd:3700'},
+	bid: {}, price: {}, extra: {}, question: {'x-model': 'm', 'x-token-count': '400,50', 'x-prompt-prefix': 'aa:300,bb:100'}, dossier: {'x-model': 'm', 'x-token-count': '17000,50', 'x-prompt-prefix': 'cc:13300,dd:3700'},
 } as const;
 const leastPauseMilliseconds = 20;
 const mostPauseMilliseconds = 120;
@@ -74,10 +76,11 @@
 	}
 
 	async #ask(gateway: SoakGateway): Promise<void> {
-		const {name, kind, record, random} = this.#options;
+		const {name, kind, record, random, configuration} = this.#options;
 		this.#count++;
 		const requestId = `${name}-${this.#count}`;
 		const {losses} = gateway;
+		const sentAt = performance.now();
 		const isSlow = random.chance(slowShare);
 		const chunks: string[] = [];
 		return new Promise(resolve => {
@@ -88,6 +91,10 @@
 
 				// The end of a process is noticed a moment after the end of its connections.
 				setTimeout(() => {
+					if (kind === 'extra' && isWhole && configuration.isFalse(status, sentAt)) {
+						record.report(`CONFIG: ${requestId} got ${status}, which only an older version allows`);
+					}
+
 					record.replied({
 						requestId, kind, status, isWhole, body: chunks.join(''), isGatewayGone: gateway.losses > losses,
 					});
--- a/experiments/soak/soak-record.ts
+++ b/experiments/soak/soak-record.ts
@@ -2,7 +2,7 @@
 What targets and callers saw in a soak, and what of it may not happen.
 */
 
-type Kind = 'bid' | 'price' | 'question' | 'dossier';
+type Kind = 'bid' | 'price' | 'extra' | 'question' | 'dossier';
 
 /** What a caller got; `status` is 0 when no answer came. */
 type Reply = {
@@ -19,6 +19,7 @@
 const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const resumable: ReadonlySet<Kind> = new Set(['question']);
 const streams: ReadonlySet<Kind> = new Set(['question', 'dossier']);
+const idempotent: ReadonlySet<Kind> = new Set(['price', 'extra']);
 
 /**
 One instance a soak.
@@ -83,7 +84,7 @@
 		const facts = `${requestId}, status ${status}, run at [${runs.join(', ')}]`;
 		return [
 			...isOnce && runs.length > 1 ? [`TWICE: ${facts}`] : [],
-			...kind !== 'price' && promises.has(status) && runs.length > 0 ? [`REFUSED: ${facts}`] : [],
+			...!idempotent.has(kind) && promises.has(status) && runs.length > 0 ? [`REFUSED: ${facts}`] : [],
 			...status === 0 && runs.length > 0 && !isGatewayGone ? [`LOST: ${facts}`] : [],
 			...status === 200 && isWhole ? this.#problemsOfBody(reply) : [],
 			...status === 200 && !isWhole && !streams.has(kind) && !isGatewayGone ? [`LOST: ${facts}, cut`] : [],
--- a/experiments/soak/soak-target.ts
+++ b/experiments/soak/soak-target.ts
@@ -5,8 +5,10 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {pause} from '../../source/shared/pause.js';
 import type {PlatformStoreStandIn} from '../../stand-ins/platform-store-stand-in.js';
+import type {SoakCalm} from './soak-calm.js';
 import type {SoakRandom} from './soak-random.js';
 import {SoakRecord} from './soak-record.js';
+import {SoakWire} from './soak-wire.js';
 
 type Role = 'plain' | 'prefill' | 'decode';
 
@@ -17,17 +19,23 @@
 	readonly store: PlatformStoreStandIn;
 	readonly record: SoakRecord;
 	readonly random: SoakRandom;
+	readonly calm: SoakCalm;
 };
 
 /** What a target does to one answer. */
-type Fault = 'none' | 'not run' | 'lost' | 'failure' | 'torn by reset' | 'torn in a whole body' | 'cut between events' | 'stalled' | 'without length' | 'second answer' | 'unknown model';
+type Fault = 'none' | 'not run' | 'lost' | 'failure' | 'torn by reset' | 'torn in a whole body' | 'cut between events' | 'stalled' | 'without length' | 'second answer' | 'unknown model' | 'refusal again' | 'finely cut' | 'interim answers';
 
-const faults: readonly Fault[] = ['not run', 'lost', 'failure', 'torn by reset', 'torn in a whole body', 'cut between events', 'stalled', 'without length', 'second answer', 'unknown model'];
+const faults: readonly Fault[] = ['not run', 'lost', 'failure', 'torn by reset', 'torn in a whole body', 'cut between events', 'stalled', 'without length', 'second answer', 'unknown model', 'refusal again', 'finely cut', 'interim answers'];
 const faultShare = 0.2;
 const heartbeatMilliseconds = 1200;
 const eventMilliseconds = 25;
 const plainMilliseconds = 30;
 const firstBorn = 1_700_000_000_000;
+/** Time after the store has accepted that a target leaves, from which on it gets no requests of a fleet in calm. */
+const drainMilliseconds = 2000;
+/** Time that a request may be under way. */
+const transitMilliseconds = 300;
+const manyInterimAnswers = 40;
 
 /**
 One instance a target. `crash` resets all connections; the target comes back at its address as a new incarnation.
@@ -39,10 +47,16 @@
 ```
 */
 export class SoakTarget {
+	/** The network before it; its address is the one in the list. */
+	readonly wire: SoakWire;
 	#incarnation = 0;
+	#lastPort = 0;
 	#sequence = 0;
 	#handles = 0;
 	#timer: NodeJS.Timeout | undefined;
+	/** Since when it says that it leaves. */
+	#leavesSince: number | undefined;
+	readonly #refusedOn = new WeakSet<Socket>();
 	readonly #options: SoakTargetOptions;
 	readonly #sockets = new Set<Socket>();
 	readonly #server = http.createServer({keepAliveTimeout: 5000}, (request, response) => {
@@ -51,6 +65,7 @@
 
 	constructor(options: SoakTargetOptions) {
 		this.#options = options;
+		this.wire = new SoakWire(() => this.#port, options.random);
 		this.#server.on('connection', socket => {
 			this.#sockets.add(socket);
 			socket.once('close', () => {
@@ -59,22 +74,16 @@
 		});
 	}
 
-	get address(): string {
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	get #port(): number {
+		return (this.#server.address() as AddressInfo | undefined)?.port ?? this.#lastPort;
 	}
 
-	async start(port = 0): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(port, '127.0.0.1', resolve);
-		});
-		this.#register();
-		this.#timer = setInterval(() => {
-			this.#register();
-		}, heartbeatMilliseconds);
+	async start(): Promise<void> {
+		await this.wire.start();
+		await this.#listen(0);
 	}
 
 	async crash(milliseconds: number): Promise<void> {
-		const {port} = this.#server.address() as AddressInfo;
 		clearInterval(this.#timer);
 		for (const socket of this.#sockets) {
 			socket.resetAndDestroy();
@@ -85,20 +94,41 @@
 		});
 		await pause(milliseconds);
 		this.#incarnation++;
-		await this.start(port);
+		await this.#listen(this.#lastPort);
+	}
+
+	/** Leaves as planned: says so, goes on serving, ends, and comes back as a new incarnation. */
+	async leave(milliseconds: number): Promise<void> {
+		this.#leavesSince = performance.now();
+		this.#register();
+		await pause(drainMilliseconds + milliseconds);
+		this.#leavesSince = undefined;
+		await this.crash(milliseconds);
 	}
 
 	stop(): void {
 		clearInterval(this.#timer);
+		this.wire.stop();
 		this.#server.closeAllConnections();
 		this.#server.close();
 	}
 
+	async #listen(port: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(port, '127.0.0.1', resolve);
+		});
+		this.#lastPort = this.#port;
+		this.#register();
+		this.#timer = setInterval(() => {
+			this.#register();
+		}, heartbeatMilliseconds);
+	}
+
 	#register(): void {
 		const {id, service, role, store} = this.#options;
 		this.#sequence++;
 		store.put(`servers/${id}`, JSON.stringify({
-			service, address: this.address, zone: 'zone-a', version: 'v1', slots: 16, state: 'ready', coldRemainingMs: 0, sequence: this.#sequence, born: firstBorn + this.#incarnation, ...role === 'plain' ? {} : {phase: role, models: [{name: 'm', version: 1, adapters: []}]},
+			service, address: this.wire.address, zone: 'zone-a', version: 'v1', slots: 16, state: this.#leavesSince === undefined ? 'ready' : 'draining', coldRemainingMs: 0, sequence: this.#sequence, born: firstBorn + this.#incarnation, ...role === 'plain' ? {} : {phase: role, models: [{name: 'm', version: 1, adapters: []}]},
 		}));
 	}
 
@@ -130,19 +160,53 @@
 			return;
 		}
 
+		this.#checkLeaving(requestId);
+		if (this.#leavesSince !== undefined) {
+			response.setHeader('server-leaving', '1');
+		}
+
+		const isPrefill = request.headers['x-inference-phase'] === 'prefill';
+		if (this.#refusedOn.has(response.socket!) && random.chance(faultShare)) {
+			this.#refuseAgain(response, requestId, isPrefill);
+			return;
+		}
+
 		const fault = random.chance(faultShare) ? random.pick(faults) : 'none';
 		this.#checkHandle(request, requestId);
-		if (fault === 'not run') {
+		if (fault === 'not run' || fault === 'refusal again') {
+			if (fault === 'refusal again') {
+				this.#refusedOn.add(response.socket!);
+			}
+
 			response.writeHead(503, {'x-request-id': requestId, 'x-not-executed': '1', 'content-length': '4'}).end('full');
 		} else if (role === 'plain') {
 			this.#runPlain(response, requestId, fault);
-		} else if (request.headers['x-inference-phase'] === 'prefill') {
+		} else if (isPrefill) {
 			this.#prefill(response, requestId, fault);
 		} else {
 			this.#runStream(request, response, requestId, fault);
 		}
 	}
 
+	/** Reports a request that comes although the target has long been leaving. */
+	#checkLeaving(requestId: string): void {
+		const {id, record, calm} = this.#options;
+		const since = this.#leavesSince;
+		if (since !== undefined && performance.now() > since + drainMilliseconds + transitMilliseconds && calm.isCalmSince(since)) {
+			record.report(`DRAIN: ${requestId} came to ${id} ${Math.round(performance.now() - since)} ms after it began to leave`);
+		}
+	}
+
+	/** Runs a request, unless it is a prefill only, and writes an earlier refusal, which names none, where its answer is expected. */
+	#refuseAgain({socket}: http.ServerResponse, requestId: string, isPrefill: boolean): void {
+		const {id, record} = this.#options;
+		if (!isPrefill) {
+			record.ran(requestId, id);
+		}
+
+		socket?.write('HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull');
+	}
+
 	/** Changes of the cache, and the release of handles. */
 	#answerQuestion(path: string, request: http.IncomingMessage, response: http.ServerResponse): void {
 		const send = (value: unknown): void => {
@@ -193,7 +257,17 @@
 				return;
 			}
 
+			if (fault === 'interim answers') {
+				this.#writeInterimAnswers(response);
+			}
+
 			this.#writeHead(response, requestId, fault, 'text/plain');
+			if (fault === 'finely cut') {
+				this.#writeFinely(response, SoakRecord.plainBody(requestId));
+				response.end();
+				return;
+			}
+
 			response.end(SoakRecord.plainBody(requestId), () => {
 				if (fault === 'second answer') {
 					this.#writeSecondAnswer(response, requestId);
@@ -202,6 +276,17 @@
 		}, plainMilliseconds + (fault === 'stalled' ? random.between(500, 2000) : 0));
 	}
 
+	#writeInterimAnswers({socket}: http.ServerResponse): void {
+		socket?.write('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(manyInterimAnswers));
+	}
+
+	/** Writes each character as a chunk of its own. */
+	#writeFinely(response: http.ServerResponse, text: string): void {
+		for (const character of text) {
+			response.write(character);
+		}
+	}
+
 	#writeHead(response: http.ServerResponse, requestId: string, fault: Fault, type: string): void {
 		response.useChunkedEncodingByDefault = fault !== 'without length';
 		response.writeHead(200, {
@@ -250,7 +335,12 @@
 				response.socket?.resetAndDestroy();
 			});
 		} else {
-			response.write(event);
+			if (fault === 'finely cut') {
+				this.#writeFinely(response, event);
+			} else {
+				response.write(event);
+			}
+
 			setTimeout(() => {
 				this.#writeEvents(response, rest, fault);
 			}, eventMilliseconds + (isFaultDue && fault === 'stalled' ? random.between(300, 1500) : 0));
--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -64,6 +64,11 @@
 		this.#items.delete(key);
 	}
 
+	/** The value of a key that is there. */
+	read(key: string): string {
+		return Buffer.from(this.#items.get(key)!.value, 'base64').toString('utf8');
+	}
+
 	/** A copy of what the store holds now. */
 	copy(): Copy {
 		return {revision: this.#revision, items: new Map(this.#items)};
