--- a/experiments/soak/soak-gateway.ts
+++ b/experiments/soak/soak-gateway.ts
@@ -62,8 +62,9 @@
 	/** Times that the process was killed, or ended by itself. */
 	losses = 0;
 	#child: ChildProcess | undefined;
-	#expectsEnd = false;
 	#starts = 0;
+	/** Processes that were told to end; the news of their end may come after the next one has started. */
+	readonly #told = new WeakSet<ChildProcess>();
 	readonly #timer: NodeJS.Timeout;
 	readonly #options: SoakGatewayOptions;
 
@@ -95,7 +96,6 @@
 	start(): void {
 		const {folder, name, record} = this.#options;
 		this.#starts++;
-		this.#expectsEnd = false;
 		this.#writeSettings();
 		const log = fs.openSync(`${folder}/${name}.log`, 'a');
 		const child = spawn(process.execPath, [...heapFlags, program, this.#settingsPath], {stdio: ['ignore', log, log]});
@@ -104,9 +104,12 @@
 		children.add(child);
 		child.once('exit', (code, signal) => {
 			children.delete(child);
-			this.#child = undefined;
-			this.isReady = false;
-			if (!this.#expectsEnd || (signal === null && code !== 0)) {
+			if (this.#child === child) {
+				this.#child = undefined;
+				this.isReady = false;
+			}
+
+			if (!this.#told.has(child) || (signal === null && code !== 0)) {
 				this.losses++;
 				record.report(`FAULT: ${name} ended by itself: ${signal ?? code}`);
 			}
@@ -120,7 +123,7 @@
 			return;
 		}
 
-		this.#expectsEnd = true;
+		this.#told.add(child);
 		const exited = new Promise<void>(resolve => {
 			child.once('exit', () => {
 				resolve();
@@ -138,7 +141,7 @@
 
 	kill(): void {
 		if (this.#child !== undefined) {
-			this.#expectsEnd = true;
+			this.#told.add(this.#child);
 			this.losses++;
 			this.#child.kill('SIGKILL');
 		}
@@ -151,8 +154,10 @@
 	/** Ends what is left when the soak is over. */
 	end(): void {
 		clearInterval(this.#timer);
-		this.#expectsEnd = true;
-		this.#child?.kill('SIGKILL');
+		if (this.#child !== undefined) {
+			this.#told.add(this.#child);
+			this.#child.kill('SIGKILL');
+		}
 	}
 
 	get #settingsPath(): string {
