--- a/experiments/soak/soak-gateway.ts
+++ b/experiments/soak/soak-gateway.ts
@@ -4,8 +4,8 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import fs from 'node:fs';
 import http from 'node:http';
-import net, {type AddressInfo} from 'node:net';
 import process from 'node:process';
+import {freePort} from '../../stand-ins/free-port.js';
 import type {SoakRecord} from './soak-record.js';
 
 type SoakGatewayOptions = {
@@ -32,16 +32,6 @@
 	}
 });
 
-const freePort = async (): Promise<number> => new Promise(resolve => {
-	const server = net.createServer();
-	server.listen(0, '127.0.0.1', () => {
-		const {port} = server.address() as AddressInfo;
-		server.close(() => {
-			resolve(port);
-		});
-	});
-});
-
 /**
 One instance a gateway, with the same ports in all its lives.
 
--- a/experiments/soak/soak-target.ts
+++ b/experiments/soak/soak-target.ts
@@ -2,8 +2,9 @@
 A target of a soak: runs requests, and is faulty in as many ways as a target may be.
 */
 import http from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import {pause} from '../../source/shared/pause.js';
+import {listenOnLoopback} from '../../stand-ins/listen-on-loopback.js';
 import type {PlatformStoreStandIn} from '../../stand-ins/platform-store-stand-in.js';
 import type {SoakCalm} from './soak-calm.js';
 import type {SoakRandom} from './soak-random.js';
@@ -50,7 +51,7 @@
 	/** The network before it; its address is the one in the list. */
 	readonly wire: SoakWire;
 	#incarnation = 0;
-	#lastPort = 0;
+	#port = 0;
 	#sequence = 0;
 	#handles = 0;
 	#timer: NodeJS.Timeout | undefined;
@@ -74,10 +75,6 @@
 		});
 	}
 
-	get #port(): number {
-		return (this.#server.address() as AddressInfo | undefined)?.port ?? this.#lastPort;
-	}
-
 	async start(): Promise<void> {
 		await this.wire.start();
 		await this.#listen(0);
@@ -94,7 +91,7 @@
 		});
 		await pause(milliseconds);
 		this.#incarnation++;
-		await this.#listen(this.#lastPort);
+		await this.#listen(this.#port);
 	}
 
 	/** Leaves as planned: says so, goes on serving, ends, and comes back as a new incarnation. */
@@ -114,10 +111,7 @@
 	}
 
 	async #listen(port: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(port, '127.0.0.1', resolve);
-		});
-		this.#lastPort = this.#port;
+		this.#port = await listenOnLoopback(this.#server, port);
 		this.#register();
 		this.#timer = setInterval(() => {
 			this.#register();
--- a/experiments/soak/soak-wire.ts
+++ b/experiments/soak/soak-wire.ts
@@ -3,6 +3,7 @@
 packets, or lose track of its open connections.
 */
 import net, {type AddressInfo} from 'node:net';
+import {listenOnLoopback} from '../../stand-ins/listen-on-loopback.js';
 import type {SoakRandom} from './soak-random.js';
 
 /** Time after which a lost packet is sent again. */
@@ -44,9 +45,7 @@
 	}
 
 	async start(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
-		});
+		await listenOnLoopback(this.#server);
 	}
 
 	stop(): void {
--- a/stand-ins/loopback-server.ts
+++ b/stand-ins/loopback-server.ts
@@ -3,6 +3,7 @@
 */
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {listenOnLoopback} from './listen-on-loopback.js';
 
 /**
 An HTTP server on a free port of the loopback address.
@@ -26,9 +27,7 @@
 	}
 
 	async start(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
-		});
+		await listenOnLoopback(this.#server);
 	}
 
 	/** Breaks off what is open. */
--- a/stand-ins/raw-target-stand-in.ts
+++ b/stand-ins/raw-target-stand-in.ts
@@ -3,6 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import net, {type AddressInfo} from 'node:net';
+import {listenOnLoopback} from './listen-on-loopback.js';
 import {targetEntry} from './target-entry.js';
 
 type RawRequest = {
@@ -86,9 +87,7 @@
 	}
 
 	async start(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
-		});
+		await listenOnLoopback(this.#server);
 	}
 
 	stop(): void {
--- a/test/support/entry-fleet.ts
+++ b/test/support/entry-fleet.ts
@@ -2,7 +2,6 @@
 Entry gateways on loopback before a store and targets of our own.
 */
 import http from 'node:http';
-import net from 'node:net';
 import type {Test} from 'tap';
 import {logger} from '../../source/shared/logger.js';
 import {setLogOutput} from '../../source/shared/set-log-output.js';
@@ -10,22 +9,13 @@
 import type {EntrySettings} from '../../source/entry/entry-settings.js';
 import {PlatformStore} from '../../platform/platform-store.js';
 import {targetProtocol} from '../../platform/target-protocol.js';
+import {freePort} from '../../stand-ins/free-port.js';
 import {PlatformStoreStandIn} from '../../stand-ins/platform-store-stand-in.js';
 import {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
 import {RawTargetStandIn} from '../../stand-ins/raw-target-stand-in.js';
 
 type Reply = {readonly status: number; readonly headers: http.IncomingHttpHeaders; readonly body: string; readonly isWhole: boolean};
 
-const freePort = async (): Promise<number> => new Promise(resolve => {
-	const server = net.createServer();
-	server.listen(0, '127.0.0.1', () => {
-		const {port} = server.address() as net.AddressInfo;
-		server.close(() => {
-			resolve(port);
-		});
-	});
-});
-
 /** Waits until a condition holds; the runner's own time limit ends a test in which it never does. */
 const until = async (condition: () => boolean): Promise<void> => {
 	while (!condition()) {
