Pause the reading of a target's socket, not the parser, so that its end does not end the process

What was seen (our soak beside other tests): a gateway ended by itself with an assertion of the HTTP client, assert(!this.paused) in Parser.finish.

Cause: the client asserts that its parser is not paused when a connection ends, or is reset, whose answer ends with it.

Change: SocketReading returns nothing to the parser while the answer is paused; the end then comes after all bytes have been read. A gate that closes while it holds the connection lets it go.

Evidence: entry/target-connection, ends and resets in a pause for three framings: the test's process ended with that assertion on the code before; all pass now.

--- a/source/entry/answer-reading.ts
+++ b/source/entry/answer-reading.ts
@@ -21,7 +21,7 @@
 
 @example
 ```
-const reading = new AnswerReading(controller, pacer, {onData, onError});
+const reading = new AnswerReading(socketReading, pacer, {onData, onError});
 reading.receive(chunk);
 reading.flush();
 reading.close();
@@ -36,7 +36,7 @@
 	readonly #pacer: AnswerPacer;
 	readonly #handlers: ReadingHandlers;
 
-	/** `reading` pauses and resumes the parser. */
+	/** `reading` pauses and resumes the connection. */
 	constructor(reading: Flow, pacer: AnswerPacer, handlers: ReadingHandlers) {
 		this.#gate = new ReadingGate(reading);
 		this.#pacer = pacer;
--- a/source/entry/reading-gate.ts
+++ b/source/entry/reading-gate.ts
@@ -14,7 +14,7 @@
 
 @example
 ```
-const gate = new ReadingGate(controller);
+const gate = new ReadingGate(socketReading);
 gate.hold('caller');
 gate.release('caller');
 ```
@@ -46,8 +46,11 @@
 		this.#reading.resume();
 	}
 
-	/** The answer has ended: its connection may carry another one, which this gate does not concern. */
+	/** The answer has ended: its connection is read on, and may carry another one, which this gate does not concern. */
 	close(): void {
 		this.#isClosed = true;
+		if (this.#holders.size > 0) {
+			this.#reading.resume();
+		}
 	}
 }
--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -8,6 +8,7 @@
 import {AnswerReading} from './answer-reading.js';
 import {CarriedRequests} from './carried-requests.js';
 import {ownReasons} from './own-reasons.js';
+import {SocketReading} from './socket-reading.js';
 
 /** Timeout for opening a connection, enough for a target that is reachable. */
 const connectTimeoutMilliseconds = 600;
@@ -51,6 +52,7 @@
 	#isBusy = false;
 	#hadError = false;
 	#opened = 0;
+	#socketReading: SocketReading | undefined;
 	readonly #carried = new CarriedRequests();
 	readonly #pacer: AnswerPacer;
 	readonly #client: Client;
@@ -138,7 +140,7 @@
 
 				isStarted = true;
 				history = this.#carried.add(request.requestId);
-				reading = new AnswerReading(controller, this.#pacer, {
+				reading = new AnswerReading(this.#socketReading!, this.#pacer, {
 					onData: handlers.onData,
 					onError(error) {
 						breakOff(error.message);
@@ -186,6 +188,7 @@
 
 	/** Counts the new connection and notes whether it ends with an error. */
 	#trackErrors(socket: Socket): void {
+		this.#socketReading = new SocketReading(socket);
 		this.#opened++;
 		this.#hadError = false;
 		this.#carried.clear();
--- a/test/entry/answer-pacer.test.ts
+++ b/test/entry/answer-pacer.test.ts
@@ -58,6 +58,7 @@
 	pacer.recordRead(ended, 1, 30);
 	ended.close();
 	pacer.remove(ended);
+	t.strictSame(events.splice(0), ['slow paused', 'slow paused', 'ended paused', 'ended resumed'], 'what ends is read on, for the next answer');
 	await time.run(200);
 	t.notOk(events.includes('slow resumed'));
 	slow.release('caller');
--- a/test/entry/target-connection.test.ts
+++ b/test/entry/target-connection.test.ts
@@ -225,3 +225,75 @@
 	t.equal(body, 'x'.repeat(pieces));
 	t.ok(calls < pieces / 100, `${calls} pieces`);
 });
+
+/** Sends one request, pauses its answer at the first piece, and resumes it once `isOver` says so. */
+const readPaused = async (connection: TargetConnection, isOver: Promise<unknown>): Promise<AttemptResult> => {
+	const result: AttemptResult = {status: undefined, body: '', end: {kind: 'none'}};
+	let isPaused = false;
+	await new Promise<void>(resolve => {
+		connection.send({
+			requestId: 'r1', method: 'GET', path: '/x', headers: ['Host', 'a.example'], body: undefined,
+		}, {
+			mayStart: () => true,
+			onHead(status) {
+				result.status = status;
+			},
+			onData(chunk, flow) {
+				result.body += Buffer.from(chunk).toString('latin1');
+				if (!isPaused) {
+					isPaused = true;
+					flow.pause();
+					void isOver.then(() => { // eslint-disable-line promise/prefer-await-to-then
+						flow.resume();
+					});
+				}
+			},
+			onEnd(end) {
+				result.end = end;
+				resolve();
+			},
+		});
+	});
+	return result;
+};
+
+const pieces = ['first ', 'second ', 'third'];
+
+// Guards against a process that ends by itself because a connection ends, or is reset, while its answer is paused.
+for (const ending of ['end', 'reset'] as const) {
+	for (const head of ['', 'Content-Length: 18\r\nConnection: close\r\n', 'Transfer-Encoding: chunked\r\nConnection: close\r\n']) {
+		test(`FAULT: a connection may ${ending} while its answer is paused: ${JSON.stringify(head)}`, async t => {
+			const isChunked = head.startsWith('Transfer');
+			const isOver = new Promise(resolve => {
+				setTimeout(resolve, 150);
+			});
+			const connection = await connectToTarget(t, socket => {
+				socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n`);
+				for (const [index, piece] of pieces.entries()) {
+					setTimeout(() => {
+						socket.write(isChunked ? `${piece.length.toString(16)}\r\n${piece}\r\n` : piece);
+					}, 10 + (index * 20));
+				}
+
+				setTimeout(() => {
+					if (ending === 'end') {
+						socket.end(isChunked ? '0\r\n\r\n' : '');
+					} else {
+						socket.resetAndDestroy();
+					}
+				}, 90);
+			});
+			const result = await readPaused(connection, isOver);
+			t.match(result, ending === 'end' ? {status: 200, body: pieces.join(''), end: {kind: 'complete'}} : {status: 200, end: {kind: 'broken'}});
+		});
+	}
+}
+
+test('a connection whose answer ended while it was paused carries the next one', async t => {
+	const connection = await connectToTarget(t, socket => {
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc');
+	});
+	const never = new Promise(() => undefined);
+	t.match(await readPaused(connection, never), {body: 'abc', end: {kind: 'complete'}});
+	t.match(await send(connection), {body: 'abc', end: {kind: 'complete'}});
+});
