--- a/test/entry/target-connection.test.ts
+++ b/test/entry/target-connection.test.ts
@@ -293,7 +293,9 @@
 	const connection = await connectToTarget(t, socket => {
 		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc');
 	});
-	const never = new Promise(() => undefined);
+	const never = new Promise(() => {
+		// The caller never catches up.
+	});
 	t.match(await readPaused(connection, never), {body: 'abc', end: {kind: 'complete'}});
 	t.match(await send(connection), {body: 'abc', end: {kind: 'complete'}});
 });
