--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -299,7 +299,7 @@
 				data: (chunk, flow) => {
 					this.#forwardEvents(splitter.push(chunk), flow);
 				},
-				heldBytes: () => splitter.heldCapacity,
+				heldBytes: () => splitter.heldBytes,
 				mayEnd: isDelimited => splitter.mayEnd(isDelimited),
 			},
 		});
--- a/test/entry/stream-relay.test.ts
+++ b/test/entry/stream-relay.test.ts
@@ -140,6 +140,25 @@
 	t.equal(prefillEngine.arrivals.length + prefilledInPlace.length, 8, 'each prompt was prefilled once elsewhere');
 });
 
+// Guards against giving up an event within the bound because the buffer that holds it, which doubles, is beyond it.
+test('a stream with an event of 900 KB that comes in two parts is passed on', async t => {
+	const fleet = await startStreamFleet(t);
+	const target = await fleet.addTarget('i-1', 'models', {phase: 'decode'});
+	const large = `id: 1\ndata: ${'x'.repeat(900_000)}\n\n`;
+	target.answer = (response, {requestId}) => {
+		response.writeHead(200, {'x-request-id': requestId, 'x-response-signature': 'proof', 'content-type': 'text/event-stream'});
+		response.write(large.slice(0, 50_000));
+		setTimeout(() => {
+			response.end(large.slice(50_000));
+		}, 50);
+	};
+
+	const gateway = await fleet.addGateway();
+	const reply = await fleet.ask(gateway, {path: '/dossiers/1', requestId: 'r1', headers: prompt});
+	t.match(reply, {status: 200, isWhole: true});
+	t.ok(reply.body === large);
+});
+
 /** Returns an answer with neither a length nor chunks, which ends with its connection. */
 const unframedAnswer = (text: string): PlatformTargetStandIn['answer'] => (response, {requestId}) => {
 	response.useChunkedEncodingByDefault = false;
