--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -224,7 +224,7 @@
 
 	#createContext(): EntryContext {
 		const {protocol, settings, log} = this.#options;
-		const metrics = new EntryMetrics(settings.name);
+		const metrics = new EntryMetrics();
 		const logRateLimit = new RateLimit(maxLoggedRequestsPerSecond);
 		const activity = new LoopActivity(clock);
 		const pacer = new AnswerPacer({
--- a/source/entry/entry-metrics.ts
+++ b/source/entry/entry-metrics.ts
@@ -1,16 +1,21 @@
 /**
 Counters, gauges and latency histograms of an entry gateway, rendered as text.
 */
-import {build, type Histogram} from 'hdr-histogram-js';
-import {Metrics} from '../shared/metrics.js';
+// The package's index also loads its encodings and WebAssembly, which cost each start processor time and memory.
+import histogramModule from 'hdr-histogram-js/dist/Int32Histogram.js';
+import {Counters} from '../shared/counters.js';
 
+type Histogram = InstanceType<typeof histogramModule.default>;
+
+const lowestMilliseconds = 1;
 const highestMilliseconds = 60_000;
+const significantDigits = 2;
 const quantiles = [50, 90, 95, 99];
 
 const metricName = (name: string): string => `cowsliprudder_${name.replaceAll(/\W/g, '_')}`;
 
 /**
-Counts through the shared `Metrics` class and adds histograms.
+Counts through the shared `Counters` class and adds histograms.
 
 @example
 ```
@@ -20,13 +25,9 @@
 ```
 */
 export class EntryMetrics {
-	readonly #counters: Metrics;
+	readonly #counters = new Counters();
 	readonly #histograms = new Map<string, Histogram>();
 
-	constructor(process: string) {
-		this.#counters = new Metrics(undefined, process);
-	}
-
 	count(name: string, amount = 1): void {
 		this.#counters.count(name, amount);
 	}
@@ -37,9 +38,9 @@
 
 	/** Records a duration in milliseconds. */
 	record(name: string, milliseconds: number): void {
-		const histogram = this.#histograms.get(name) ?? build({lowestDiscernibleValue: 1, highestTrackableValue: highestMilliseconds, numberOfSignificantValueDigits: 2});
+		const histogram = this.#histograms.get(name) ?? new histogramModule.default(lowestMilliseconds, highestMilliseconds, significantDigits); // eslint-disable-line new-cap
 		this.#histograms.set(name, histogram);
-		histogram.recordValue(Math.min(highestMilliseconds, Math.max(1, Math.round(milliseconds))));
+		histogram.recordValue(Math.min(highestMilliseconds, Math.max(lowestMilliseconds, Math.round(milliseconds))));
 	}
 
 	/** Renders all metrics as the text that `/metrics` returns. */
--- a/source/shared/metrics.ts
+++ b/source/shared/metrics.ts
@@ -5,6 +5,7 @@
 without a metrics server.
 */
 import {StatsD} from 'hot-shots';
+import {Counters} from './counters.js';
 
 type MetricsAddress = {readonly host: string; readonly port: number};
 
@@ -17,12 +18,12 @@
 metrics.count('refused.queue-full');
 ```
 */
-export class Metrics {
-	readonly counts = new Map<string, number>();
+export class Metrics extends Counters {
 	readonly #client: StatsD | undefined;
 
 	/** Without an address, values are only kept in memory. */
 	constructor(address: MetricsAddress | undefined, process: string) {
+		super();
 		this.#client = address === undefined
 			? undefined
 			: new StatsD({
@@ -30,15 +31,13 @@
 			});
 	}
 
-	/** Adds `amount` to the counter `name`. */
-	count(name: string, amount = 1): void {
-		this.counts.set(name, (this.counts.get(name) ?? 0) + amount);
+	override count(name: string, amount = 1): void {
+		super.count(name, amount);
 		this.#client?.increment(name, amount);
 	}
 
-	/** Records the current value of `name`. */
-	gauge(name: string, value: number): void {
-		this.counts.set(name, value);
+	override gauge(name: string, value: number): void {
+		super.gauge(name, value);
 		this.#client?.gauge(name, value);
 	}
 
--- a/test/entry/attempt-sender.test.ts
+++ b/test/entry/attempt-sender.test.ts
@@ -40,7 +40,7 @@
 	};
 	const connections: Pick<TargetConnections, 'acquire'> = {acquire: () => option.some(connection as TargetConnection)};
 	const parts: Partial<EntryContext> = {
-		targetRegistry: beliefs, protocol: targetProtocol, loadTracker: new LoadTracker(), health: new TargetHealth(), pauses: new TargetPauses(), metrics: new EntryMetrics('gateway'),
+		targetRegistry: beliefs, protocol: targetProtocol, loadTracker: new LoadTracker(), health: new TargetHealth(), pauses: new TargetPauses(), metrics: new EntryMetrics(),
 		connections: connections as TargetConnections,
 		log: {info: write, warn: write, debug: () => undefined} as unknown as Logger, now: () => 100, gatewayCount: () => 20, service: () => undefined,
 	};
--- a/test/entry/event-loop-monitor.test.ts
+++ b/test/entry/event-loop-monitor.test.ts
@@ -13,7 +13,7 @@
 const createMonitor = () => {
 	const lines: Line[] = [];
 	const time = {now: 0, processor: 0};
-	const metrics = new EntryMetrics('gateway-1');
+	const metrics = new EntryMetrics();
 	const activity = new LoopActivity(() => time.now);
 	let probe = (): void => undefined;
 	const monitor = new EventLoopMonitor({
--- a/test/entry/target-connection.test.ts
+++ b/test/entry/target-connection.test.ts
@@ -36,7 +36,7 @@
 };
 
 const createConnection = (address: string): TargetConnection => new TargetConnection(address, new AnswerPacer({
-	now: clock, timers: systemTimers, metrics: new EntryMetrics('gateway'), activity: new LoopActivity(clock),
+	now: clock, timers: systemTimers, metrics: new EntryMetrics(), activity: new LoopActivity(clock),
 }));
 
 const send = async (connection: TargetConnection, mayStart = true): Promise<AttemptResult> => {
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -202,7 +202,7 @@
 				this.#quarantineStore.save();
 			},
 			log: this.#logger,
-			metrics: new EntryMetrics(name),
+			metrics: new EntryMetrics(),
 			now: () => time.now - this.#uncounted,
 		});
 	}
@@ -234,7 +234,7 @@
 			targetRegistry: this.beliefs,
 			loadTracker: new LoadTracker(),
 			prefixCache: new PrefixCacheIndex(),
-			metrics: new EntryMetrics(name),
+			metrics: new EntryMetrics(),
 			quarantine: this.quarantine,
 			log: this.#logger,
 			activity: new LoopActivity(() => time.now),
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -150,7 +150,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
-			metrics: new EntryMetrics(name),
+			metrics: new EntryMetrics(),
 			log: {info: () => undefined, warn: () => undefined} as unknown as Logger,
 			activity: new LoopActivity(() => time.now),
 			now: () => time.now,
