--- a/source/decisions/entry/digest-pace.ts
+++ b/source/decisions/entry/digest-pace.ts
@@ -6,9 +6,10 @@
 bytes of requests; with thirty they exceed them. Urgent information does not wait
 for a digest: it is sent in separate messages to the one gateway that needs it.
 */
+import {isLargeFleet} from '../load/is-large-fleet.js';
 
-/** Up to this many gateways, a digest is sent on every tick. */
-const smallFleetGateways = 8;
+/** Gateways for each tick between two digests. */
+const gatewaysPerTick = 8;
 /** Upper bound of the interval, because what a peer has reported is valid for 1.5 s. */
 const maxTicks = 5;
 
@@ -28,6 +29,6 @@
 ```
 */
 export const digestPace = (gateways: number): Pace => ({
-	ticks: Math.min(maxTicks, Math.max(1, Math.ceil(gateways / smallFleetGateways))),
-	isPlacementBroadcast: gateways <= smallFleetGateways,
+	ticks: Math.min(maxTicks, Math.max(1, Math.ceil(gateways / gatewaysPerTick))),
+	isPlacementBroadcast: !isLargeFleet(gateways),
 });
--- /dev/null
+++ b/source/decisions/load/is-large-fleet.ts
@@ -0,0 +1,14 @@
+/**
+Tells in which fleets gateways no longer send every digest to all others on every tick.
+*/
+
+/** Up to this many gateways, a digest is sent on every tick. */
+const smallFleetGateways = 8;
+
+/**
+@example
+```
+isLargeFleet(31); // true
+```
+*/
+export const isLargeFleet = (gateways: number): boolean => gateways > smallFleetGateways;
--- a/source/entry/engine-cache-pollers.ts
+++ b/source/entry/engine-cache-pollers.ts
@@ -2,6 +2,7 @@
 Runs a cache poller for each engine that this gateway owns.
 */
 import {engineOwner} from '../decisions/entry/engine-owner.js';
+import {ownerCandidates, type Gateway} from '../decisions/load/owner-candidates.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import {EngineCachePoller} from './engine-cache-poller.js';
 import type {EntryContext} from './entry-context.js';
@@ -11,7 +12,7 @@
 
 @example
 ```
-pollers.update(targetRegistry.all(), 'gateway-1', peers.names);
+pollers.update(targetRegistry.all(), {name: 'gateway-1', availabilityZone: 'zone-a'}, peers.members);
 ```
 */
 export class EngineCachePollers {
@@ -28,11 +29,14 @@
 	}
 
 	/** Starts and stops pollers after a change of the targets or the peers. */
-	update(records: readonly TargetRecord[], ownName: string, peers: readonly string[]): void {
+	update(records: readonly TargetRecord[], own: Gateway, peers: readonly Gateway[]): void {
 		const engines = new Map(records
 			.filter(record => record.role !== undefined && this.#context.targetRegistry.isUsable(record))
 			.map(record => [record.incarnation, record]));
-		const ownedEngines = new Set([...engines.keys()].filter(engine => engineOwner(engine, [ownName, ...peers]) === ownName));
+		const gateways = [own, ...peers];
+		const ownedEngines = new Set([...engines]
+			.filter(([engine, {availabilityZone}]) => engineOwner(engine, ownerCandidates(gateways, availabilityZone)) === own.name)
+			.map(([engine]) => engine));
 		for (const [incarnation, poller] of this.#pollers) {
 			if (!ownedEngines.has(incarnation)) {
 				poller.stop();
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -133,7 +133,7 @@
 		this.#cachePollers = new EngineCachePollers(this.#context);
 		this.#grants = new PrefillGrants({
 			context: this.#context,
-			peers: () => this.#peers?.names ?? [],
+			peers: () => this.#peers?.members ?? [],
 			send: (peer, message) => {
 				this.#peers?.send(peer, message);
 			},
@@ -321,6 +321,7 @@
 		return new Peers({
 			name: this.#settings.name,
 			incarnation: this.#incarnation,
+			availabilityZone: this.#settings.availabilityZone,
 			linkMegabits: this.#settings.linkMegabits,
 			address,
 			seeds: () => this.#settings.peerSeeds,
@@ -376,7 +377,7 @@
 		}
 
 		this.#knowledge.updateFeed(this.#peers?.members ?? []);
-		this.#cachePollers.update(records, this.#settings.name, this.#peers?.names ?? []);
+		this.#cachePollers.update(records, this.#settings, this.#peers?.members ?? []);
 		prefixCache.retainOnly(incarnations);
 		health.keepOnly(incarnations);
 		pauses.keepOnly(incarnations);
--- a/source/entry/load-tracker.ts
+++ b/source/entry/load-tracker.ts
@@ -7,8 +7,8 @@
 
 /** A peer's report that is older than this no longer counts. */
 const peerLoadLifetimeMilliseconds = 1500;
-/** How long a backlog reported by an engine's owner gateway counts. While it does, the larger of it and the sum of the gateways' backlogs is used. */
-const ownerBacklogLifetimeMilliseconds = 40;
+/** How long a backlog counts that an engine's owner gateway reported in its answer to a request for a grant. */
+const ownerAnswerLifetimeMilliseconds = 40;
 
 /** `readMilliseconds` is the prefill backlog: the remaining prefill time of the attempts. */
 type TargetLoad = {readonly attempts: number; readonly readMilliseconds: number};
@@ -29,7 +29,8 @@
 	readonly #ownEntries = new Set<LoadEntry>();
 	readonly #ownSums = new Map<string, {attempts: number; readMilliseconds: number}>();
 	readonly #peerLoads = new Map<string, {readonly at: number; readonly loads: Map<string, TargetLoad>}>();
-	readonly #ownerBacklogs = new Map<string, {readonly at: number; readonly readMilliseconds: number}>();
+	/** While a backlog reported by an engine's owner gateway counts, the larger of it and the sum of the gateways' backlogs is used. */
+	readonly #ownerBacklogs = new Map<string, {readonly validUntil: number; readonly readMilliseconds: number}>();
 	readonly #onLongPrefillEnd: (target: string, readMilliseconds: number) => void;
 
 	/** `onLongPrefillEnd` is called when the prefill of a long prompt has ended, or when it will not take place. */
@@ -77,6 +78,16 @@
 		this.#peerLoads.set(peer, {at: now, loads: new Map(outstanding.map(({id, attempts, readMilliseconds}) => [id, {attempts, readMilliseconds}]))});
 	}
 
+	/** Updates a peer's load at some targets, and leaves it at the others as it was reported last. */
+	updatePeerLoad(peer: string, outstanding: ReadonlyArray<{readonly id: string} & TargetLoad>, now: number): void {
+		const loads = this.#peerLoads.get(peer)?.loads ?? new Map<string, TargetLoad>();
+		for (const {id, attempts, readMilliseconds} of outstanding) {
+			loads.set(id, {attempts, readMilliseconds});
+		}
+
+		this.#peerLoads.set(peer, {at: now, loads});
+	}
+
 	/** Adjusts a peer's load for a prefill that it was granted or that has ended, until its next report replaces the load. */
 	adjustPeerLoad(peer: string, target: string, change: TargetLoad): void {
 		const loads = this.#peerLoads.get(peer)?.loads;
@@ -85,8 +96,8 @@
 	}
 
 	/** Records an engine's whole prefill backlog, as its owner gateway reports it. */
-	setOwnerBacklog(target: string, readMilliseconds: number, now: number): void {
-		this.#ownerBacklogs.set(target, {at: now, readMilliseconds});
+	setOwnerBacklog(target: string, readMilliseconds: number, now: number, lifetimeMilliseconds = ownerAnswerLifetimeMilliseconds): void {
+		this.#ownerBacklogs.set(target, {validUntil: now + lifetimeMilliseconds, readMilliseconds});
 	}
 
 	removePeer(peer: string): void {
@@ -106,7 +117,7 @@
 			.map(({loads}) => loads.get(target))
 			.filter(load => load !== undefined);
 		const ownerBacklog = this.#ownerBacklogs.get(target);
-		const ownerBacklogMilliseconds = ownerBacklog !== undefined && now - ownerBacklog.at < ownerBacklogLifetimeMilliseconds ? ownerBacklog.readMilliseconds : 0;
+		const ownerBacklogMilliseconds = ownerBacklog !== undefined && now < ownerBacklog.validUntil ? ownerBacklog.readMilliseconds : 0;
 		return {
 			attempts: peerLoads.reduce((sum, load) => sum + load.attempts, ownSum?.attempts ?? 0),
 			readMilliseconds: Math.max(ownerBacklogMilliseconds, peerLoads.reduce((sum, load) => sum + load.readMilliseconds, ownSum?.readMilliseconds ?? 0)),
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -6,6 +6,7 @@
 */
 import type {PeerMessage} from '../generated/peer-messages.js';
 import {digestPace} from '../decisions/entry/digest-pace.js';
+import {ZoneLoadExchange} from '../load/zone-load-exchange.js';
 import type {EntryContext} from './entry-context.js';
 import type {FleetState} from './fleet-state.js';
 import type {Peers} from './peers.js';
@@ -23,7 +24,7 @@
 
 type PeerExchangeOptions = {
 	readonly context: EntryContext;
-	readonly peers: Pick<Peers, 'names' | 'addresses' | 'addAddresses' | 'send' | 'broadcast'>;
+	readonly peers: Pick<Peers, 'names' | 'members' | 'addresses' | 'addAddresses' | 'send' | 'broadcast'>;
 	readonly fleetState: FleetState;
 	/** Engines whose cache changes this gateway follows. */
 	readonly followedEngines: () => readonly string[];
@@ -44,6 +45,7 @@
 export class PeerExchange {
 	readonly #options: PeerExchangeOptions;
 	readonly #storeRelay: StoreRelay;
+	readonly #zoneLoads: ZoneLoadExchange;
 	#stopTimer: (() => void) | undefined;
 	#lastDigest = '';
 	#unchangedDigests = 0;
@@ -53,6 +55,7 @@
 
 	constructor(options: PeerExchangeOptions) {
 		this.#options = options;
+		this.#zoneLoads = new ZoneLoadExchange({context: options.context, peers: options.peers, ownedEngines: options.followedEngines});
 		this.#storeRelay = new StoreRelay({
 			context: options.context,
 			fleetState: options.fleetState,
@@ -63,12 +66,14 @@
 	}
 
 	start(): void {
+		this.#zoneLoads.start();
 		this.#stopTimer = this.#options.context.timers.every(tickMilliseconds, () => {
 			this.#tick();
 		});
 	}
 
 	stop(): void {
+		this.#zoneLoads.stop();
 		this.#stopTimer?.();
 		this.#cancelScheduledDigest?.();
 	}
@@ -154,6 +159,11 @@
 				return;
 			}
 
+			case 'zone load': {
+				this.#zoneLoads.receive(peer, message);
+				return;
+			}
+
 			case 'want': {
 				this.#storeRelay.sendRequested(peer, message);
 			}
--- a/source/entry/peer-link.ts
+++ b/source/entry/peer-link.ts
@@ -44,6 +44,11 @@
 ```
 */
 export class PeerLink {
+	/** Encodes a message once for all links that it is sent over. */
+	static encode(message: PeerMessage): Uint8Array {
+		return packr.pack(message);
+	}
+
 	#receivedAt: number;
 	readonly #socket: FramedSocket;
 	readonly #handlers: LinkHandlers;
@@ -70,6 +75,10 @@
 	}
 
 	send(message: PeerMessage): void {
+		this.sendEncoded(PeerLink.encode(message));
+	}
+
+	sendEncoded(frame: Uint8Array): void {
 		if (!this.#socket.canSend) {
 			return;
 		}
@@ -79,7 +88,7 @@
 			return;
 		}
 
-		this.#socket.send(packr.pack(message));
+		this.#socket.send(frame);
 	}
 
 	close(reason: string): void {
--- a/source/entry/peers.ts
+++ b/source/entry/peers.ts
@@ -10,11 +10,12 @@
 import type {LoopActivity} from './loop-activity.js';
 import {PeerLink} from './peer-link.js';
 
-type Peer = {readonly name: string; readonly incarnation: string; readonly address: string; readonly linkMegabits: number; readonly link: PeerLink};
+type Peer = {readonly name: string; readonly incarnation: string; readonly address: string; readonly availabilityZone: string; readonly linkMegabits: number; readonly link: PeerLink};
 
 type PeersOptions = {
 	readonly name: string;
 	readonly incarnation: string;
+	readonly availabilityZone: string;
 	readonly linkMegabits: number;
 	readonly address: {readonly host: string; readonly port: number};
 	readonly seeds: () => readonly string[];
@@ -64,9 +65,9 @@
 		return [...this.#peers.keys()];
 	}
 
-	/** The gateways that can be reached, with the bandwidths of their links. */
-	get members(): ReadonlyArray<{readonly name: string; readonly linkMegabits: number}> {
-		return [...this.#peers.values()].map(({name, linkMegabits}) => ({name, linkMegabits}));
+	/** The gateways that can be reached, with their availability zones and the bandwidths of their links. */
+	get members(): ReadonlyArray<{readonly name: string; readonly availabilityZone: string; readonly linkMegabits: number}> {
+		return [...this.#peers.values()].map(({name, availabilityZone, linkMegabits}) => ({name, availabilityZone, linkMegabits}));
 	}
 
 	/** Addresses of the gateways that can be reached, this one included. */
@@ -108,9 +109,11 @@
 		this.#peers.get(name)?.link.send(message);
 	}
 
-	broadcast(message: PeerMessage): void {
-		for (const {link} of this.#peers.values()) {
-			link.send(message);
+	/** Sends a message to all peers, or to those named. */
+	broadcast(message: PeerMessage, names: readonly string[] = this.names): void {
+		const frame = PeerLink.encode(message);
+		for (const name of names) {
+			this.#peers.get(name)?.link.sendEncoded(frame);
 		}
 	}
 
@@ -155,7 +158,8 @@
 			now: this.#options.now,
 		});
 		link.send({
-			kind: 'hello', name: this.#options.name, incarnation: this.#options.incarnation, address: this.#ownAddress, linkMegabits: this.#options.linkMegabits,
+			kind: 'hello', name: this.#options.name, incarnation: this.#options.incarnation, address: this.#ownAddress,
+			availabilityZone: this.#options.availabilityZone, linkMegabits: this.#options.linkMegabits,
 		});
 	}
 
--- a/source/entry/prefill-grants.ts
+++ b/source/entry/prefill-grants.ts
@@ -3,6 +3,7 @@
 and answers such requests of peers for the engines that this gateway owns.
 */
 import {engineOwner} from '../decisions/entry/engine-owner.js';
+import {ownerCandidates, type Gateway} from '../decisions/load/owner-candidates.js';
 import {grantPrefill} from '../decisions/entry/grant-prefill.js';
 import type {EngineView} from '../decisions/entry/engine-view.js';
 import type {TargetRecord} from '../fleet/target-record.js';
@@ -15,7 +16,7 @@
 
 type GrantOptions = {
 	readonly context: EntryContext;
-	readonly peers: () => readonly string[];
+	readonly peers: () => readonly Gateway[];
 	readonly send: (peer: string, message: PeerMessage) => void;
 };
 
@@ -41,11 +42,11 @@
 	}
 
 	/** The peer that owns an engine, undefined when this gateway owns it itself. */
-	ownerOf({incarnation}: TargetRecord): string | undefined {
+	ownerOf({incarnation, availabilityZone}: Pick<TargetRecord, 'incarnation' | 'availabilityZone'>): string | undefined {
 		const {context, peers} = this.#options;
-		const own = context.settings().name;
-		const owner = engineOwner(incarnation, [own, ...peers()]);
-		return owner === own ? undefined : owner;
+		const own = context.settings();
+		const owner = engineOwner(incarnation, ownerCandidates([own, ...peers()], availabilityZone));
+		return owner === own.name ? undefined : owner;
 	}
 
 	/** Asks an owner gateway for a grant; `settle` is called once, asynchronously. */
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -95,6 +95,9 @@
 				get names() {
 					return links.peersOf(name);
 				},
+				get members() {
+					return links.peersOf(name).map(peer => ({name: peer, availabilityZone: 'a', linkMegabits: 1000}));
+				},
 				addresses: [],
 				addAddresses: () => undefined,
 				send(peer, message) {
--- a/test/support/virtual-links.ts
+++ b/test/support/virtual-links.ts
@@ -116,7 +116,7 @@
 		for (const [owner, peer] of [[first, second], [second, first]] as const) {
 			this.#sides.get(owner.name)?.set(peer.name, {link, heardAt: this.#time.now});
 			this.send(peer.name, owner.name, {
-				kind: 'hello', name: peer.name, incarnation: peer.incarnation, address: '10.0.0.1:1', linkMegabits: 1000,
+				kind: 'hello', name: peer.name, incarnation: peer.incarnation, address: '10.0.0.1:1', availabilityZone: 'a', linkMegabits: 1000,
 			});
 		}
 	}
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -57,7 +57,7 @@
 		const context = this.#createContext();
 		this.#grants = new PrefillGrants({
 			context,
-			peers: () => [...gateways.keys()].filter(peer => peer !== name),
+			peers: () => [...gateways.keys()].filter(peer => peer !== name).map(peer => ({name: peer, availabilityZone: 'a'})),
 			send: (peer, message) => {
 				this.#send(peer, message);
 			},
@@ -118,6 +118,7 @@
 			case 'fresh':
 			case 'crashes':
 			case 'want':
+			case 'zone load':
 			case 'targets':
 			case 'configuration': {
 				throw new Error(`unexpected message ${message.kind}`);
