Decode teams, their keys and public routes, and give each request a team

A configuration may list teams with their keys and priority, and mark routes as public. The decoded configuration has them as `teams` and `isPublic`; `teams` is absent when the configuration has none. Nothing reads them yet: `CallerRequest.team` is always `none`.

A list of teams of a wrong type makes the configuration unreadable, since a gateway would otherwise ask for no keys. A malformed entry stays as a team without a name or key, for its reader to ignore and count.

The reason for which a configuration is unreadable no longer quotes the text, which may hold keys: JSON.parse puts a piece of it into its message.

--- a/source/entry/caller-request.ts
+++ b/source/entry/caller-request.ts
@@ -3,6 +3,7 @@
 */
 import type {Route} from '../fleet/route.js';
 import type {RequestFacts} from '../fleet/request-facts.js';
+import type {RequestTeam} from '../fleet/request-team.js';
 import type {CallerAnswer} from './caller-answer.js';
 
 /**
@@ -12,6 +13,8 @@
 export type CallerRequest = {
 	readonly facts: RequestFacts;
 	readonly route: Route;
+	/** Decided once, when the request was routed. */
+	readonly team: RequestTeam;
 	readonly service: string;
 	readonly configurationVersion: number;
 	readonly method: string;
--- a/source/entry/request-router.ts
+++ b/source/entry/request-router.ts
@@ -8,6 +8,7 @@
 import {resultCode} from '../generated/result-codes.js';
 import type {AttemptSender} from './attempt-sender.js';
 import type {CallerAnswer} from './caller-answer.js';
+import type {CallerRequest} from './caller-request.js';
 import type {EntryContext} from './entry-context.js';
 import {PlainRelay} from './plain-relay.js';
 import type {PromptQueues} from './prompt-queues.js';
@@ -74,8 +75,8 @@
 		const timeLimitMilliseconds = Math.min(route.timeoutMilliseconds, facts.patienceMilliseconds ?? route.timeoutMilliseconds);
 		const service = this.#chooseService(route.split);
 		const isModel = this.#options.context.service(service)?.engine !== undefined && route.kind === 'streaming';
-		const callerRequest = {
-			facts, route, service, configurationVersion: this.#options.inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, deadlineAt: startedAt + timeLimitMilliseconds,
+		const callerRequest: CallerRequest = {
+			facts, route, team: {kind: 'none'}, service, configurationVersion: this.#options.inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, deadlineAt: startedAt + timeLimitMilliseconds,
 		};
 		const relay = isModel ? new StreamRelay(callerRequest, this.#options.context, this.#options.sender, this.#options.queues) : new PlainRelay(callerRequest, this.#options.context, this.#options.sender);
 		// Under load a caller may have disconnected while its request waited to be read. Two turns of the event loop let the server notice this.
--- a/source/fleet/route.ts
+++ b/source/fleet/route.ts
@@ -23,6 +23,8 @@
 	readonly firstEventPatienceMilliseconds: number;
 	/** Priority of the requests; 0 is the most urgent. */
 	readonly priority: number;
+	/** True when requests need no key, also if the configuration has teams. */
+	readonly isPublic: boolean;
 	/** Maximum number of targets to which one request may be sent. */
 	readonly mostAttempts: number;
 	/** Services that share the requests, with their relative weights; at least one. */
--- a/test/decisions/entry/small-decisions.test.ts
+++ b/test/decisions/entry/small-decisions.test.ts
@@ -15,7 +15,7 @@
 import type {Route} from '../../../source/fleet/route.js';
 
 const route = (name: string, pathPrefix: string, host = 'a.example'): Route => ({
-	name, host, pathPrefix, kind: 'idempotent', isResumable: false, timeoutMilliseconds: 1000, targetLatencyMilliseconds: 100, firstEventPatienceMilliseconds: 2000, priority: 0, mostAttempts: 1, split: [{service: 's', weight: 1}],
+	name, host, pathPrefix, kind: 'idempotent', isResumable: false, timeoutMilliseconds: 1000, targetLatencyMilliseconds: 100, firstEventPatienceMilliseconds: 2000, priority: 0, isPublic: false, mostAttempts: 1, split: [{service: 's', weight: 1}],
 });
 
 const configuration = (version: number, routes: readonly Route[] = []): FleetConfiguration => ({
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -114,6 +114,52 @@
 	t.end();
 });
 
+const decodeText = (value: unknown) => decodeConfiguration(JSON.stringify(value));
+
+test('teams, their keys and public routes are translated', t => {
+	const {teams, routes} = decodeText({
+		version: 7,
+		tenants: [{name: 'lots', apiKeys: ['k-1', 'k-2'], priority: 2}, {name: 'bids', apiKeys: ['k-3']}],
+		routes: [{name: 'a', public: true}, {name: 'b'}, {name: 'c', public: 'yes'}],
+	})._unsafeUnwrap();
+	t.strictSame(teams, [{name: 'lots', keys: ['k-1', 'k-2'], priority: 2}, {name: 'bids', keys: ['k-3'], priority: 0}]);
+	t.strictSame(routes.map(({isPublic}) => isPublic), [true, false, false]);
+	t.strictSame(decodeText({version: 7, tenants: []})._unsafeUnwrap().teams, []);
+	t.end();
+});
+
+// Guards against a deployment without teams that asks for keys, and against one with teams that asks for none because of a malformed list.
+test('requests need no key only if the configuration has no teams, and a list of teams of a wrong type is rejected', t => {
+	t.notOk('teams' in decodeText({version: 7})._unsafeUnwrap());
+	t.notOk('teams' in decodeText({version: 7, tenants: null})._unsafeUnwrap());
+	for (const tenants of ['lots', 7, true, false, {}, {lots: ['k-1']}]) {
+		t.equal(decodeText({version: 7, tenants})._unsafeUnwrapErr(), 'tenants is no list');
+	}
+
+	t.end();
+});
+
+// Guards against one odd entry that makes the whole configuration unreadable.
+test('a malformed team does not affect the others', t => {
+	const odd = [null, 7, 'lots', [], {}, {name: 7, apiKeys: ['k']}, {name: 'x', apiKeys: 'k-9'}, {name: 'y', apiKeys: [7, null, 'k-8'], priority: 'first'}];
+	const {teams} = decodeText({version: 7, tenants: [...odd, {name: 'lots', apiKeys: ['k-1'], priority: 1}]})._unsafeUnwrap();
+	t.strictSame(teams?.at(-1), {name: 'lots', keys: ['k-1'], priority: 1});
+	t.strictSame(teams?.at(-2), {name: 'y', keys: ['', '', 'k-8'], priority: 0});
+	t.equal(teams?.length, odd.length + 1);
+	t.end();
+});
+
+// Guards against keys in the log: the message of a syntax error quotes the text around it.
+test('the reason for which a configuration is unreadable holds no part of it', t => {
+	const text = JSON.stringify({version: 7, tenants: [{name: 'lots', apiKeys: ['secret-key'], priority: 1}]});
+	const cut = text.indexOf('secret');
+	for (const broken of [text.slice(0, cut + 3), `${text.slice(0, cut)}"${text.slice(cut)}`, text.slice(cut)]) {
+		t.equal(decodeConfiguration(broken)._unsafeUnwrapErr(), 'no JSON');
+	}
+
+	t.end();
+});
+
 test('an attempt carries the caller\'s headers and the system\'s headers, and a caller cannot set the system\'s headers', t => {
 	const facts = targetProtocol.readRequest(['Host', 'a', 'X-Request-Id', 'r', 'X-Deadline-Ms', '900', 'X-Kv-Source', 'forged', 'X-Token-Count', '40,5', 'X-Prompt-Prefix', 'aa:30,bb:10', 'Last-Event-Id', '3']);
 	t.match(facts, {
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -153,6 +153,7 @@
 				requestId, patienceMilliseconds, prompt: {tokens: 13_400, parts}, lastEventId: undefined, headers: [],
 			},
 			route,
+			team: {kind: 'none'},
 			service,
 			configurationVersion: 1,
 			method: 'POST',
