Admit requests by the key of their team

If the configuration has teams, a request needs the key of one of them in X-Credential, unless its route is public. Targets get X-Tenant with the team's name in place of the key, on every kind of attempt, because the headers are replaced once, when the request is routed. Without teams both headers are forwarded like any other and the order of requests is as before.

The key is checked again just before the first byte of each attempt; a request whose key was removed is not sent. Requests that wait are checked as soon as a newer configuration is in force, so that they neither wait for nothing nor take a place in the queue.

Prompts wait in the order of their team's priority, then their route's.

test/support/virtual-gateway.ts gets a set of open requests, which the adoption of a configuration reads now.

--- a/source/decisions/entry/configuration-in-force.ts
+++ b/source/decisions/entry/configuration-in-force.ts
@@ -8,6 +8,8 @@
 Invariant: within one incarnation of the process, the version only increases.
 */
 import type {FleetConfiguration} from '../../fleet/fleet-configuration.js';
+import {TeamKeys} from '../teams/team-keys.js';
+import {UrgencyLevels} from '../teams/urgency-levels.js';
 import {RouteTable} from './route-table.js';
 
 /** Time after a successful read of the store during which the configuration counts as the newest one. */
@@ -31,6 +33,8 @@
 export class ConfigurationInForce {
 	#current: FleetConfiguration | undefined;
 	#routes = new RouteTable([]);
+	#teamKeys = new TeamKeys(undefined);
+	#urgencyLevels = new UrgencyLevels({routes: []});
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	/** Reads before this time confirm nothing, because the store has just come back from an older copy. */
 	#unconfirmedUntil = Number.NEGATIVE_INFINITY;
@@ -48,6 +52,14 @@
 		return this.#routes;
 	}
 
+	get teamKeys(): TeamKeys {
+		return this.#teamKeys;
+	}
+
+	get urgencyLevels(): UrgencyLevels {
+		return this.#urgencyLevels;
+	}
+
 	/** Adopts a configuration that was requested at `readAt`, if it is newer than the one in force; true when it is. */
 	adopt(configuration: FleetConfiguration, source: Source, readAt: number): boolean {
 		if (source === 'store' && configuration.version >= this.version) {
@@ -60,6 +72,8 @@
 
 		this.#current = configuration;
 		this.#routes = new RouteTable(configuration.routes);
+		this.#teamKeys = new TeamKeys(configuration.teams);
+		this.#urgencyLevels = new UrgencyLevels(configuration);
 		return true;
 	}
 
@@ -75,7 +89,12 @@
 		this.#unconfirmedUntil = Math.max(this.#unconfirmedUntil, restoredAt + rewriteMilliseconds);
 	}
 
-	/** True when a route that is not in the table can be reported as nonexistent. */
+	/** Milliseconds since the version in force was last found to be the newest one. */
+	confirmedAge(now: number): number {
+		return now - this.#confirmedAt;
+	}
+
+	/** True when a route that is not in the table can be reported as nonexistent, and a key as unknown. */
 	isFresh(now: number): boolean {
 		return this.#current !== undefined && this.#confirmedAt >= this.#unconfirmedUntil && now - this.#confirmedAt < freshMilliseconds;
 	}
--- a/source/decisions/entry/waiting-prompt.ts
+++ b/source/decisions/entry/waiting-prompt.ts
@@ -7,7 +7,7 @@
 */
 export type WaitingPrompt = {
 	readonly id: string;
-	/** Priority of its route; 0 is the most urgent. */
+	/** Order by the priority of its team and of its route; 0 is the most urgent. */
 	readonly priority: number;
 	/** When its first event is due at the caller, by the latency target of its route. */
 	readonly dueAt: number;
--- a/source/entry/caller-request.ts
+++ b/source/entry/caller-request.ts
@@ -2,6 +2,8 @@
 One request of a caller, read completely and routed.
 */
 import type {Route} from '../fleet/route.js';
+import type {AccessChange} from '../decisions/teams/access-change.js';
+import type {Urgency} from '../decisions/teams/urgency.js';
 import type {RequestFacts} from '../fleet/request-facts.js';
 import type {RequestTeam} from '../fleet/request-team.js';
 import type {CallerAnswer} from './caller-answer.js';
@@ -15,6 +17,9 @@
 	readonly route: Route;
 	/** Decided once, when the request was routed. */
 	readonly team: RequestTeam;
+	readonly urgency: Urgency;
+	/** Decides by the configuration in force now whether the request may still run. The key itself is known to this function only. */
+	readonly recheckAccess: () => AccessChange;
 	readonly service: string;
 	readonly configurationVersion: number;
 	readonly method: string;
--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -36,7 +36,7 @@
 	/** Keeps the reading of large answers from taking the event loop's time from everything else. */
 	readonly pacer: AnswerPacer;
 	/** Requests that have no final answer yet. */
-	readonly openRequests: Set<{readonly stop: () => void}>;
+	readonly openRequests: Set<{readonly stop: () => void; readonly refuseIfDenied: () => void}>;
 	/** Bytes of answers that are held until they are whole. */
 	readonly bufferedAnswers: BufferedBytes;
 	/** Told of each attempt that its target broke off. */
--- a/source/entry/fleet-state.ts
+++ b/source/entry/fleet-state.ts
@@ -149,8 +149,12 @@
 
 		context.metrics.gauge('configuration.version', configuration.version);
 		context.log.info({
-			event: 'configuration adopted', version: configuration.version, routes: configuration.routes.length, source, from,
+			event: 'configuration adopted', version: configuration.version, routes: configuration.routes.length, ...this.#recordTeams(configuration), source, from,
 		}, 'configuration adopted');
+		for (const request of context.openRequests) {
+			request.refuseIfDenied();
+		}
+
 		onConfiguration(configuration);
 	}
 
@@ -198,6 +202,22 @@
 		}
 	}
 
+	/** Reports how many teams and keys are in force, and how many are ignored; nothing without teams. */
+	#recordTeams({teams}: FleetConfiguration): Readonly<Record<string, number>> {
+		if (teams === undefined) {
+			return {};
+		}
+
+		const {size, ignored} = this.inForce.teamKeys;
+		const {metrics} = this.#options.context;
+		metrics.gauge('teams.keys', size);
+		metrics.gauge('teams.ignored', ignored.teams);
+		metrics.gauge('teams.keys-ignored', ignored.keys);
+		return {
+			teams: teams.length, keys: size, ignoredTeams: ignored.teams, ignoredKeys: ignored.keys,
+		};
+	}
+
 	/** False when an answer is of an earlier era than the one that this gateway knows: it was delayed, and proves nothing. */
 	#acceptEra(era: number): boolean {
 		const {metrics, log, now} = this.#options.context;
--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -13,6 +13,7 @@
 import type {EntryContext} from './entry-context.js';
 import {RequestLog} from './request-log.js';
 import {RetryPermit} from './retry-permit.js';
+import {teamInLogs} from './team-in-logs.js';
 
 /** Time reserved before the deadline so that the final answer reaches the caller in time. */
 const answerMarginMilliseconds = 25;
@@ -64,7 +65,7 @@
 		this.#context = context;
 		this.#options = options;
 		this.#permit = new RetryPermit(context.retryBudget(request.service), context.now);
-		this.log = new RequestLog(context.log, request.facts.requestId, request.startedAt);
+		this.log = new RequestLog(context.log, request.facts.requestId, request.startedAt, teamInLogs(request.team));
 	}
 
 	get isEnded(): boolean {
@@ -104,8 +105,19 @@
 		this.#ran++;
 	}
 
-	/** Called just before the first byte of each attempt is sent; false when the retry budget denies it. */
+	/** Refuses the request at once if the configuration in force does not admit it any more and no attempt may be running. */
+	refuseIfDenied(): void {
+		if (!this.#options.hasLiveAttempt() && this.request.recheckAccess().kind === 'denied') {
+			this.#refuseUnadmitted();
+		}
+	}
+
+	/** Called just before the first byte of each attempt is sent; false when the configuration in force or the retry budget denies it. */
 	tryStartAttempt(): boolean {
+		if (this.request.recheckAccess().kind !== 'unchanged') {
+			return false;
+		}
+
 		const isAllowed = this.#permit.tryStartAttempt();
 		const now = this.#context.now();
 		if (!isAllowed) {
@@ -139,6 +151,10 @@
 		this.#refused += outcome.kind === 'not run' ? 1 : 0;
 		this.#unsent += outcome.kind === 'not sent' ? 1 : 0;
 		this.avoid.add(target.id);
+		if (outcome.kind === 'not sent' && this.#refuseUnadmitted()) {
+			return false;
+		}
+
 		const {route} = this.request;
 		const mayRetry = this.#permit.mayRetry();
 		const attempts = {
@@ -200,14 +216,7 @@
 	`wantedMilliseconds` is the time until there may be room for it.
 	*/
 	refuse(code: number, wantedMilliseconds = 300): void {
-		if (this.#ran > 0) {
-			this.fail(resultCode.targetLost);
-			return;
-		}
-
-		const seconds = retryAfter({wantedMilliseconds, remainingMilliseconds: this.remaining, random: this.#context.random});
-		this.request.answer.sendError(code, this.#context.protocol.writeRefusal(this.request.facts.requestId), seconds);
-		this.end({outcome: 'refused', code, retryAfterSeconds: seconds});
+		this.#refuseAfter(code, retryAfter({wantedMilliseconds, remainingMilliseconds: this.remaining, random: this.#context.random}));
 	}
 
 	/** Ends the request because no target can take it now: none is known, or all have asked for a pause. */
@@ -269,6 +278,44 @@
 		this.#firstEventAt = this.#context.now();
 	}
 
+	/** As `refuse`, with the time after which the caller may return; undefined when returning cannot help. */
+	#refuseAfter(code: number, retryAfterSeconds: number | undefined): void {
+		if (this.#ran > 0) {
+			this.fail(resultCode.targetLost);
+			return;
+		}
+
+		this.request.answer.sendError(code, this.#context.protocol.writeRefusal(this.request.facts.requestId), retryAfterSeconds);
+		this.end({outcome: 'refused', code, retryAfterSeconds});
+	}
+
+	/** Ends the request if the configuration in force does not admit it as it was admitted; true when it has. */
+	#refuseUnadmitted(): boolean {
+		const change = this.request.recheckAccess();
+		if (change.kind === 'unchanged') {
+			return false;
+		}
+
+		this.#context.metrics.count(`access.withdrawn.${change.kind}`);
+		this.log.add('access withdrawn', {change: change.kind, key: 'key' in change ? change.key : undefined, admittedBy: this.request.configurationVersion}, this.#context.now());
+		switch (change.kind) {
+			case 'denied': {
+				this.#refuseAfter(resultCode.unknownKey, undefined);
+				return true;
+			}
+
+			case 'undecided': {
+				this.refuse(resultCode.noConfiguration);
+				return true;
+			}
+
+			case 'moved': {
+				this.refuse(resultCode.teamChanged);
+				return true;
+			}
+		}
+	}
+
 	#refusalCode(outcome: AttemptOutcome['kind']): number {
 		return outcome === 'not run' ? resultCode.queueFull : resultCode.targetUnreachable;
 	}
--- a/source/entry/request-log.ts
+++ b/source/entry/request-log.ts
@@ -20,7 +20,7 @@
 
 @example
 ```
-const lines = new RequestLog(log, requestId, now());
+const lines = new RequestLog(log, requestId, now(), 'lots');
 lines.add('placed', {target, cost}, now());
 lines.end(mustWrite, sampling, now());
 ```
@@ -30,13 +30,16 @@
 	readonly #log: Logger;
 	readonly #requestId: string;
 	readonly #startedAt: number;
+	readonly #team: {readonly team?: string};
 	#isEnded = false;
 	#isWritten = false;
 
-	constructor(log: Logger, requestId: string, startedAt: number) {
+	/** `team` is named in each line, unless it is undefined. */
+	constructor(log: Logger, requestId: string, startedAt: number, team?: string) {
 		this.#log = log;
 		this.#requestId = requestId;
 		this.#startedAt = startedAt;
+		this.#team = team === undefined ? {} : {team};
 	}
 
 	add(message: string, context: Line['context'], now: number): void {
@@ -64,7 +67,7 @@
 
 	#write({at, message, context}: Line): void {
 		this.#log.info({
-			event: message, request: this.#requestId, at, ...context,
+			event: message, request: this.#requestId, ...this.#team, at, ...context,
 		}, message);
 	}
 }
--- a/source/entry/request-router.ts
+++ b/source/entry/request-router.ts
@@ -4,7 +4,9 @@
 import type http from 'node:http';
 import * as option from 'fp-ts/lib/Option.js';
 import type {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
+import type {AccessDecision} from '../decisions/teams/access-decision.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
+import type {Route} from '../fleet/route.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {AttemptSender} from './attempt-sender.js';
 import type {CallerAnswer} from './caller-answer.js';
@@ -13,6 +15,9 @@
 import {PlainRelay} from './plain-relay.js';
 import type {PromptQueues} from './prompt-queues.js';
 import {StreamRelay} from './stream-relay.js';
+import {TeamGate} from './team-gate.js';
+
+type UnadmittedAccess = Exclude<AccessDecision, {readonly kind: 'admitted'}>;
 
 type RouterOptions = {
 	readonly context: EntryContext;
@@ -29,13 +34,15 @@
 	readonly code: number;
 	readonly reason: string;
 	/** Inputs of the decision, for the log. */
-	readonly facts: Readonly<Record<string, number>>;
+	readonly facts: Readonly<Record<string, number | string>>;
 	readonly retryAfterSeconds?: number;
 };
 
 /** A caller that is refused during the drain may return at once, as another gateway takes it; up to twice this, so that callers are spread. */
 const minRetrySeconds = 0.05;
 const noConfigurationRetrySeconds = 0.5;
+/** Upper bound of an age in log lines. A configuration that was never confirmed has this age. */
+const maxReportedAgeMilliseconds = 3_600_000;
 
 /**
 One instance exists per process.
@@ -47,9 +54,11 @@
 */
 export class RequestRouter {
 	readonly #options: RouterOptions;
+	readonly #gate: TeamGate;
 
 	constructor(options: RouterOptions) {
 		this.#options = options;
+		this.#gate = new TeamGate(options);
 	}
 
 	/** Routes a request that was read completely. */
@@ -72,13 +81,38 @@
 		}
 
 		const route = match.value;
+		const credentials = protocol.readCredentials(request.rawHeaders);
+		const access = this.#gate.decide(route, credentials);
+		if (access.kind !== 'admitted') {
+			this.#refuseUnadmitted(facts.requestId, answer, access, route);
+			return;
+		}
+
+		const {inForce} = this.#options;
+		const {team} = access;
 		const timeLimitMilliseconds = Math.min(route.timeoutMilliseconds, facts.patienceMilliseconds ?? route.timeoutMilliseconds);
-		const service = this.#chooseService(route.split);
-		const isModel = this.#options.context.service(service)?.engine !== undefined && route.kind === 'streaming';
-		const callerRequest: CallerRequest = {
-			facts, route, team: {kind: 'none'}, service, configurationVersion: this.#options.inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, deadlineAt: startedAt + timeLimitMilliseconds,
-		};
-		const relay = isModel ? new StreamRelay(callerRequest, this.#options.context, this.#options.sender, this.#options.queues) : new PlainRelay(callerRequest, this.#options.context, this.#options.sender);
+		this.#start({
+			facts: protocol.withTeam(facts, team),
+			route,
+			team,
+			urgency: inForce.urgencyLevels.of(team, route),
+			recheckAccess: () => this.#gate.recheck(team, route, credentials),
+			service: this.#chooseService(route.split),
+			configurationVersion: inForce.version,
+			method: request.method ?? 'GET',
+			path,
+			body,
+			answer,
+			startedAt,
+			deadlineAt: startedAt + timeLimitMilliseconds,
+		});
+	}
+
+	#start(request: CallerRequest): void {
+		const {context, sender, queues} = this.#options;
+		const {service, route, answer, facts} = request;
+		const isModel = context.service(service)?.engine !== undefined && route.kind === 'streaming';
+		const relay = isModel ? new StreamRelay(request, context, sender, queues) : new PlainRelay(request, context, sender);
 		// Under load a caller may have disconnected while its request waited to be read. Two turns of the event loop let the server notice this.
 		setImmediate(() => {
 			setImmediate(() => {
@@ -129,6 +163,27 @@
 			});
 	}
 
+	/** Refuses a request whose key the configuration in force does not know. That a newer one does not know it either is certain only while the one in force is fresh. */
+	#refuseUnadmitted(requestId: string, answer: CallerAnswer, {kind, key}: UnadmittedAccess, route: Route): void {
+		const {inForce, context} = this.#options;
+		const confirmedAge = Math.round(Math.min(maxReportedAgeMilliseconds, inForce.confirmedAge(context.now())));
+		const facts = {
+			route: route.name, key, configurationVersion: inForce.version, confirmedAge,
+		};
+		switch (kind) {
+			case 'denied': {
+				this.#refuse(requestId, answer, {code: resultCode.unknownKey, reason: 'no key of a team', facts});
+				return;
+			}
+
+			case 'undecided': {
+				this.#refuse(requestId, answer, {
+					code: resultCode.noConfiguration, reason: 'no key of a team in a configuration that may be outdated', facts, retryAfterSeconds: noConfigurationRetrySeconds,
+				});
+			}
+		}
+	}
+
 	/** Refuses a request that no relay has begun. */
 	#refuse(requestId: string, answer: CallerAnswer, {code, reason, facts, retryAfterSeconds}: Refusal): void {
 		const {metrics, log, protocol} = this.#options.context;
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -125,12 +125,12 @@
 	}
 
 	async #waitForPlacement(): Promise<Verdict | {readonly kind: 'withdrawn'}> {
-		const {route, startedAt, deadlineAt, service, facts, body} = this.#request;
+		const {route, urgency, startedAt, deadlineAt, service, facts, body} = this.#request;
 		const patience = route.firstEventPatienceMilliseconds;
 		return new Promise(resolve => {
 			const withdraw = this.#queues.enqueue(service, {
 				id: facts.requestId,
-				priority: route.priority,
+				priority: urgency.order,
 				dueAt: startedAt + route.targetLatencyMilliseconds,
 				giveUpAt: Math.min(deadlineAt, (this.#lastEventId === undefined ? startedAt : this.#context.now()) + patience),
 				tokens: facts.prompt?.tokens ?? 0,
@@ -192,7 +192,7 @@
 		return {
 			targetId: target.id,
 			remainingMilliseconds: this.#lifecycle.remaining,
-			rank: engineRank(this.#lane, this.#request.route.priority),
+			rank: engineRank(this.#lane, this.#request.urgency),
 			isPrefillOnly: false,
 			handle: undefined,
 			fetchFrom: undefined,
--- a/source/ports/target-protocol.ts
+++ b/source/ports/target-protocol.ts
@@ -4,6 +4,7 @@
 import type {Option} from 'fp-ts/lib/Option.js';
 import type {AnswerFacts} from '../fleet/answer-facts.js';
 import type {RequestFacts} from '../fleet/request-facts.js';
+import type {RequestTeam} from '../fleet/request-team.js';
 import type {CacheChanges} from '../fleet/cache-changes.js';
 import type {SendInstructions} from '../fleet/send-instructions.js';
 
@@ -24,6 +25,10 @@
 	readonly readinessPath: string;
 	/** Decodes the headers of a caller's request. */
 	readRequest(rawHeaders: readonly string[]): RequestFacts;
+	/** Returns the keys that a caller's request carries, one for each header with a key. They are secrets. */
+	readCredentials(rawHeaders: readonly string[]): readonly string[];
+	/** Returns the facts of a request with the name of its team, and without its key, in the headers to forward. */
+	withTeam(facts: RequestFacts, team: RequestTeam): RequestFacts;
 	/** Encodes the headers of one attempt, as alternating names and values. */
 	writeAttempt(facts: RequestFacts, instructions: SendInstructions): readonly string[];
 	/** Decodes the status and headers of a target's answer. */
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -7,6 +7,7 @@
 import {decodeSettings} from '../../platform/decode-settings.js';
 import {decodeTarget} from '../../platform/decode-target.js';
 import {targetProtocol} from '../../platform/target-protocol.js';
+import type {RequestTeam} from '../../source/fleet/request-team.js';
 
 const settings = `
 nodeName = "edge-1"
@@ -175,3 +176,23 @@
 	t.equal(headers.filter(name => name.toLowerCase() === 'last-event-id').length, 1);
 	t.end();
 });
+
+const readTeam = (headers: readonly string[], team: RequestTeam): readonly string[] => targetProtocol.withTeam(targetProtocol.readRequest(headers), team).headers;
+
+const ownTeamHeaders = ['Host', 'a', 'X-Credential', 'k-1', 'x-tenant', 'forged', 'X-CREDENTIAL', 'k-2', 'X-Own', 'kept'];
+
+// Guards against a key that is forwarded to a target, and against a caller that names a team itself.
+test('an attempt carries the name of its team and no key, whatever the caller sent in either header', t => {
+	t.strictSame(readTeam(ownTeamHeaders, {kind: 'team', name: 'lots', priority: 0}), ['Host', 'a', 'X-Own', 'kept', 'X-Tenant', 'lots']);
+	t.strictSame(readTeam(ownTeamHeaders, {kind: 'anonymous'}), ['Host', 'a', 'X-Own', 'kept']);
+	t.strictSame(readTeam(['Connection', 'x-tenant, x-credential', ...ownTeamHeaders], {kind: 'team', name: 'lots', priority: 0}), ['Host', 'a', 'X-Own', 'kept', 'X-Tenant', 'lots']);
+	t.strictSame(readTeam(ownTeamHeaders, {kind: 'none'}), ownTeamHeaders, 'both are headers like any other without teams');
+	t.end();
+});
+
+test('all keys of a request are read, in order, also one that is named as a hop-by-hop header', t => {
+	t.strictSame(targetProtocol.readCredentials(ownTeamHeaders), ['k-1', 'k-2']);
+	t.strictSame(targetProtocol.readCredentials(['Connection', 'X-Credential', 'x-credential', '']), ['']);
+	t.strictSame(targetProtocol.readCredentials(['Host', 'X-Credential', 'X-Tenant', 'k-1']), []);
+	t.end();
+});
--- a/test/support/entry-fleet.ts
+++ b/test/support/entry-fleet.ts
@@ -51,6 +51,8 @@
 
 	readonly store = new PlatformStoreStandIn();
 	readonly lines: string[] = [];
+	/** Teams of the next versions, as the store holds them; undefined for a deployment without teams. */
+	tenants: unknown;
 	readonly #targets: Array<PlatformTargetStandIn | RawTargetStandIn> = [];
 	readonly #gateways: EntryGateway[] = [];
 	#version = 0;
@@ -63,6 +65,7 @@
 			routes: routes.map(route => ({
 				host: 'a.example', timeoutMs: 3000, targetLatencyMs: 500, priority: 0, maxAttempts: 1, ...route,
 			})),
+			tenants: this.tenants,
 			services: services.map(service => ({healthPath: '/healthz', maxConnections: 100, ...service})),
 			limits: {
 				maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -154,6 +154,8 @@
 			},
 			route,
 			team: {kind: 'none'},
+			urgency: {order: 0, levels: undefined},
+			recheckAccess: () => ({kind: 'unchanged'}),
 			service,
 			configurationVersion: 1,
 			method: 'POST',
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -236,6 +236,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			metrics: new EntryMetrics(name),
 			quarantine: this.quarantine,
+			openRequests: new Set(),
 			log: this.#logger,
 			activity: new LoopActivity(() => time.now),
 			now: () => time.now - this.#uncounted,
