Decode an unchanged configuration once, and quote no unreadable answer of the store

A gateway that reads the store itself decoded the whole configuration at each read, every 0.7 s, also when nothing had changed. With teams the document is longer: 1.7 MB for 13,000 teams. The value is now compared with the last one first, and decoded only when it differs.

The error of an answer that is no JSON quoted the text around the place, which may hold keys, and was logged. It says now that the answer is no JSON.

--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -8,7 +8,7 @@
 import {LoopbackServer} from './loopback-server.js';
 import {writeWithoutEnd} from './write-without-end.js';
 
-type Fault = 'none' | 'busy' | 'reset' | 'silent' | 'endless';
+type Fault = 'none' | 'busy' | 'reset' | 'silent' | 'endless' | 'torn';
 
 type Item = {readonly value: string; readonly revision: number; readonly created: number};
 
@@ -103,6 +103,12 @@
 				return;
 			}
 
+			case 'torn': {
+				// The answer ends in the middle, although its length is right.
+				response.end('{"key": "op/config", "value": "c2VjcmV0 c2VjcmV0');
+				return;
+			}
+
 			case 'none': {
 				setTimeout(() => {
 					const url = new URL(request.url ?? '/', 'http://store');
--- a/test/platform/platform-store.test.ts
+++ b/test/platform/platform-store.test.ts
@@ -46,3 +46,37 @@
 	const third = await store.readConfiguration();
 	t.ok(third.isOk(), 'the next call opens a new connection');
 });
+
+// Guards against keys of teams in the log: the message of a syntax error quotes the text around it.
+test('the reason for which an answer cannot be read holds no part of it', async t => {
+	const {standIn, store} = await startPlatformStore(t);
+	standIn.fault = 'torn';
+	const answer = await store.readConfiguration();
+	t.strictSame(answer._unsafeUnwrapErr(), {kind: 'unknown', detail: 'answer is no JSON'});
+});
+
+// Guards against an event loop that is busy decoding thousands of teams at each read.
+test('a configuration is decoded again only when it has changed', async t => {
+	const {standIn, store} = await startPlatformStore(t);
+	const read = async () => {
+		const answer = await store.readConfiguration();
+		return answer.isOk() && option.isSome(answer.value.configuration) ? answer.value.configuration.value : undefined;
+	};
+
+	const put = (version: number): void => {
+		standIn.put('op/config', JSON.stringify({version, tenants: [{name: 'lots', apiKeys: ['k-1'], priority: 0}]}));
+	};
+
+	put(4);
+	const first = await read();
+	t.equal(first?.version, 4);
+	put(4);
+	t.equal(await read(), first, 'the same object, also at another revision of the store');
+	put(5);
+	const second = await read();
+	t.equal(second?.version, 5);
+	standIn.put('op/config', 'no JSON');
+	t.equal(await read(), undefined);
+	put(5);
+	t.strictSame(await read(), second);
+});
