--- a/experiments/measure.ts
+++ b/experiments/measure.ts
@@ -7,6 +7,7 @@
 import {measureRouting} from './measure-routing.js';
 import {measureShift} from './measure-shift.js';
 import {measureSlopes} from './measure-slopes.js';
+import {measureTeams} from './measure-teams.js';
 
 const measurements: Readonly<Record<string, () => void | Promise<void>>> = {
 	routing: measureRouting,
@@ -14,6 +15,7 @@
 	slopes: measureSlopes,
 	configuration: measureConfiguration,
 	hop: measureHop,
+	teams: measureTeams,
 };
 
 const name = process.argv[2] ?? '';
