--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -239,6 +239,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			metrics: new EntryMetrics(),
 			quarantine: this.quarantine,
+			openRequests: new Set(),
 			log: this.#logger,
 			activity: new LoopActivity(() => time.now),
 			now: () => time.now - this.#uncounted,
