--- a/source/entry/caller-request.ts
+++ b/source/entry/caller-request.ts
@@ -7,7 +7,8 @@
 
 /**
 `deadlineAt` is when the final answer is due, on the gateway's monotonic clock: when the
-caller's own timeout or the route's timeout ends, whichever is first.
+caller's own timeout or the route's timeout ends, whichever is first. `team` is
+`none` when no teams are configured, and `anonymous` on a public route without a known key.
 */
 export type CallerRequest = {
 	readonly facts: RequestFacts;
@@ -20,4 +21,5 @@
 	readonly answer: CallerAnswer;
 	readonly startedAt: number;
 	readonly deadlineAt: number;
+	readonly team: {readonly kind: 'none'} | {readonly kind: 'anonymous'} | {readonly kind: 'team'; readonly name: string; readonly priority: number};
 };
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -161,6 +161,7 @@
 			answer: answer as CallerAnswer,
 			startedAt: time.now,
 			deadlineAt: time.now + patienceMilliseconds,
+			team: {kind: 'none'} as const,
 		};
 	}
 
