Report usage per team and window by the gateway that holds a lease

With a duty usage_reporting in the settings, one gateway at a time sends the platform the number of requests that began per team and window. Without it nothing is counted, stored or sent.

--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -7,6 +7,7 @@
 import type {TargetRegistry} from '../decisions/entry/target-registry.js';
 import type {TargetHealth} from '../decisions/entry/target-health.js';
 import type {TargetPauses} from '../decisions/entry/target-pauses.js';
+import type {Duties} from '../duties/duties.js';
 import type {ServiceDescription} from '../fleet/service-description.js';
 import type {TargetProtocol} from '../ports/target-protocol.js';
 import type {Timers} from '../shared/timers.js';
@@ -56,4 +57,6 @@
 	readonly gatewayCount: () => number;
 	readonly service: (name: string) => ServiceDescription | undefined;
 	readonly retryBudget: (service: string) => WindowedRetryBudget;
+	/** Undefined where the settings name no duties. */
+	readonly duties?: Duties | undefined;
 };
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -6,10 +6,10 @@
 import type {Logger} from 'roarr';
 import {PrefixCacheIndex} from '../decisions/entry/prefix-cache-index.js';
 import {RateLimit} from '../decisions/entry/rate-limit.js';
-import {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
 import {TargetRegistry} from '../decisions/entry/target-registry.js';
 import {TargetHealth} from '../decisions/entry/target-health.js';
 import {TargetPauses} from '../decisions/entry/target-pauses.js';
+import {createDuties} from '../duties/create-duties.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {FleetStore} from '../ports/fleet-store.js';
 import type {TargetProtocol} from '../ports/target-protocol.js';
@@ -40,6 +40,7 @@
 import {PromptQueues} from './prompt-queues.js';
 import {QuarantineStore} from './quarantine-store.js';
 import {RequestRouter} from './request-router.js';
+import {RetryBudgets} from './retry-budgets.js';
 import {startOperatorServer} from './start-operator-server.js';
 import {startStatusServer} from './status-server.js';
 import {TargetConnections} from './target-connections.js';
@@ -48,6 +49,7 @@
 	readonly settings: EntrySettings;
 	readonly protocol: TargetProtocol;
 	readonly createStore: (settings: EntrySettings) => FleetStore;
+	readonly createDutyPorts?: Parameters<typeof createDuties>[0]['createPorts'];
 	readonly metricsPort: number | undefined;
 	readonly log: Logger;
 };
@@ -86,7 +88,7 @@
 	readonly #incarnation = newIdentifier();
 	readonly #options: EntryOptions;
 	readonly #log: Logger;
-	readonly #retryBudgets = new Map<string, WindowedRetryBudget>();
+	readonly #retryBudgets = new RetryBudgets(() => this.#settings);
 	readonly #context: EntryContext;
 	readonly #sender: AttemptSender;
 	readonly #queues: PromptQueues;
@@ -175,6 +177,7 @@
 		this.#exchange?.start();
 		this.#knowledge.start();
 		this.#quarantineStore.start();
+		this.#context.duties?.start();
 		this.#maintenanceTimer = setInterval(() => {
 			this.#context.activity.measure('maintenance', this.#context.targetRegistry.all().length, () => {
 				this.#runMaintenance();
@@ -203,6 +206,7 @@
 		const {graceMilliseconds} = this.#settings.bounds;
 		this.#isStopping = true;
 		this.#log.info({event: 'stop', open: this.#callerServer.open}, 'entry gateway stops');
+		this.#context.duties?.resign();
 		await pause(Math.min(balancerLagMilliseconds, graceMilliseconds / 2));
 		this.#isDraining = true;
 		this.#callerServer.close();
@@ -212,6 +216,7 @@
 		this.#cachePollers.stop();
 		this.#quarantineStore.stop();
 		this.#exchange?.stop();
+		await this.#context.duties?.stop();
 		this.#peers?.stop();
 		this.#context.connections.close();
 		this.#log.info({event: 'stopped', open: this.#callerServer.open, milliseconds: Math.round(clock() - stopAt)}, 'entry gateway stopped');
@@ -272,7 +277,10 @@
 			random: Math.random,
 			gatewayCount: () => (this.#peers?.names.length ?? 0) + 1,
 			service: name => this.#knowledge.service(name),
-			retryBudget: service => this.#retryBudgetOf(service),
+			retryBudget: service => this.#retryBudgets.of(service),
+			duties: createDuties({
+				settings: () => this.#settings, incarnation: this.#incarnation, createPorts: this.#options.createDutyPorts, peers: () => this.#peers, log, metrics,
+			}),
 		};
 	}
 
@@ -289,15 +297,6 @@
 		});
 	}
 
-	#retryBudgetOf(service: string): WindowedRetryBudget {
-		const {bounds: {retryShare, retryWindowMilliseconds, retryExtra}, isFirstStart} = this.#settings;
-		const window = this.#retryBudgets.get(service) ?? new WindowedRetryBudget({
-			share: retryShare, windowMilliseconds: retryWindowMilliseconds, extra: retryExtra, isFirstStart,
-		});
-		this.#retryBudgets.set(service, window);
-		return window;
-	}
-
 	#createCallerServer(): CallerServer {
 		return new CallerServer({
 			limits: () => this.#knowledge.inForce.current?.limits,
--- a/source/entry/entry-settings.ts
+++ b/source/entry/entry-settings.ts
@@ -2,6 +2,8 @@
 Settings of an entry gateway, in a form that does not depend on the platform.
 */
 
+import type {UsageSettings} from '../duties/usage-settings.js';
+
 type Address = {readonly host: string; readonly port: number};
 
 /**
@@ -27,4 +29,6 @@
 		/** Retries per window that all gateways together have in addition to the share; a reserve for what no gateway can determine alone. */
 		readonly retryExtra: number;
 	};
+	/** Undefined where the gateways report no usage. */
+	readonly usageReports?: UsageSettings | undefined;
 };
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -109,6 +109,7 @@
 		switch (message.kind) {
 			case 'hello': {
 				this.#storeRelay.removePeer(peer);
+				this.#options.context.duties?.addPeer(peer, message.incarnation);
 				this.#sendCrashReport(peer);
 				this.#options.peers.send(peer, this.#createDigest({sent: [], told: this.#options.context.prefixCache.allReported(this.#options.followedEngines())}, true, true));
 				return;
@@ -154,6 +155,13 @@
 				return;
 			}
 
+			case 'usage':
+			case 'duty':
+			case 'reports': {
+				this.#options.context.duties?.receive(peer, message);
+				return;
+			}
+
 			case 'want': {
 				this.#storeRelay.sendRequested(peer, message);
 			}
@@ -164,6 +172,7 @@
 		this.#options.fleetState.feed.discard(peer);
 		this.#storeRelay.removePeer(peer);
 		this.#options.context.loadTracker.removePeer(peer);
+		this.#options.context.duties?.removePeer(peer);
 	}
 
 	#createDigest({sent, told}: ReturnType<EntryContext['prefixCache']['takeUpdates']>, isFull: boolean, isWhole: boolean): Digest {
@@ -176,6 +185,7 @@
 		return {
 			kind: 'digest',
 			sentAt: Math.floor(context.now()),
+			...context.duties === undefined ? {} : {wallTime: context.duties.wallTime},
 			configurationVersion: fleetState.inForce.version,
 			store: context.settings().store.address,
 			storeEra: fleetState.era,
@@ -242,7 +252,7 @@
 		this.#fullDigestAt = isFull ? now : this.#fullDigestAt;
 		const digest = this.#createDigest(this.#options.context.prefixCache.takeUpdates(), isFull, false);
 		const text = JSON.stringify({
-			...digest, sentAt: 0, sinceRestore: 0, storeAge: 0, gone: digest.gone.incarnations,
+			...digest, sentAt: 0, wallTime: 0, sinceRestore: 0, storeAge: 0, gone: digest.gone.incarnations,
 		});
 		this.#unchangedDigests = text === this.#lastDigest ? this.#unchangedDigests + 1 : 0;
 		const maxSkipped = digestPace(this.#options.context.gatewayCount()).ticks > 1 ? 0 : maxSkippedDigests;
@@ -261,6 +271,10 @@
 		this.#recordPeerSent(digest.sent, known, now);
 		this.#recordPeerReports(digest.told, known, now);
 		peers.addAddresses(digest.peers);
+		if (digest.wallTime !== undefined) {
+			context.duties?.recordWallTime(peer, digest.wallTime);
+		}
+
 		for (const incarnation of digest.leaving) {
 			if (context.targetRegistry.markLeaving(incarnation, now)) {
 				context.metrics.count('target.leaving.peer');
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -82,6 +82,10 @@
 			readMilliseconds: 0,
 			mayStart: () => {
 				this.#hasLiveAttempt = this.#lifecycle.tryStartAttempt();
+				if (this.#hasLiveAttempt) {
+					this.#lifecycle.usage.recordSent(this.#context.now());
+				}
+
 				return this.#hasLiveAttempt;
 			},
 			spill: () => ({
@@ -96,6 +100,7 @@
 		this.#lifecycle.setCancelAttempt(cancel);
 		const result = await outcome;
 		this.#hasLiveAttempt = false;
+		this.#lifecycle.usage.recordOutcome(result);
 		if (this.#lifecycle.isEnded) {
 			return false;
 		}
--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -6,6 +6,7 @@
 import {nextStep} from '../decisions/entry/next-step.js';
 import type {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
 import {retryAfter} from '../decisions/entry/retry-after.js';
+import {RequestUsage} from '../duties/request-usage.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
@@ -44,6 +45,8 @@
 export class RequestLifecycle {
 	/** Log lines of this request. */
 	readonly log: RequestLog;
+	/** Counts the request once it has begun to run at a target. */
+	readonly usage: RequestUsage;
 	/** Ids of the targets that refused this request or failed to answer it. */
 	readonly avoid = new Set<string>();
 	#cancelAttempt: (() => void) | undefined;
@@ -64,6 +67,7 @@
 		this.#context = context;
 		this.#options = options;
 		this.#permit = new RetryPermit(context.retryBudget(request.service), context.now);
+		this.usage = new RequestUsage(context.duties?.counter, request.team);
 		this.log = new RequestLog(context.log, request.facts.requestId, request.startedAt);
 	}
 
@@ -267,6 +271,7 @@
 	/** Records when the first event of the answer is sent to the caller. */
 	recordFirstEvent(): void {
 		this.#firstEventAt = this.#context.now();
+		this.#context.metrics.record('first-event', this.#firstEventAt - this.request.startedAt);
 	}
 
 	#refusalCode(outcome: AttemptOutcome['kind']): number {
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -365,6 +365,7 @@
 		}
 
 		this.#gate.recordEvents();
+		this.#lifecycle.usage.recordBegun(this.#context.now());
 		this.#startAnswer();
 		this.#request.answer.write(events, flow);
 		this.#hasSentEvents = true;
@@ -374,7 +375,6 @@
 	#startAnswer(): void {
 		if (!this.#request.answer.isStarted) {
 			this.#lifecycle.recordFirstEvent();
-			this.#context.metrics.record('first-event', this.#context.now() - this.#request.startedAt);
 			this.#request.answer.start(this.#head!);
 		}
 	}
