--- a/source/decisions/duties/shared-time.ts
+++ b/source/decisions/duties/shared-time.ts
@@ -1,8 +1,9 @@
 /**
 Estimates true time from a gateway's monotonic clock and the wall clocks of all gateways.
 
-It addresses wall clocks that differ by some 100 ms, and jump by seconds and back. A jump of
-one clock, or of a minority, does not move the median of all; a jump of more of them moves the
+It addresses wall clocks that differ by some 100 ms, and jump by seconds and back. The estimate is
+the mean of all clocks that are near their median: a clock that has jumped, or a minority of them,
+counts no more, and the differences of the others even out. A jump of more of them moves the
 estimate only slowly.
 */
 type Sample = {readonly at: number; readonly offset: number};
@@ -12,6 +13,8 @@
 const maxSamples = 15;
 /** Clocks that make a majority: with three, one that is wrong does not matter. */
 const minClocks = 3;
+/** Clocks that differ by more from the median are taken to have jumped. */
+const maxDifferenceMilliseconds = 250;
 /** Time after the start within which the clocks of peers are waited for. */
 const peerWaitMilliseconds = 3000;
 /** Largest change of the estimate per millisecond; far above the drift of a monotonic clock. */
@@ -23,6 +26,14 @@
 	return sorted.length % 2 === 1 ? sorted[middle]! : (sorted[middle - 1]! + sorted[middle]!) / 2;
 };
 
+const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
+
+const meanNearMedian = (values: readonly number[]): number => {
+	const middle = median(values);
+	const near = values.filter(value => Math.abs(value - middle) <= maxDifferenceMilliseconds);
+	return near.length === 0 ? middle : mean(near);
+};
+
 /** Adds a sample. Of samples within a second the largest is kept: it comes from the message with the least delay. */
 const addSample = (samples: Sample[], sample: Sample): void => {
 	const last = samples.at(-1);
@@ -89,7 +100,7 @@
 			return;
 		}
 
-		const estimate = median(offsets);
+		const estimate = meanNearMedian(offsets);
 		const hasNewMajority = this.#clockCount < minClocks && offsets.length >= minClocks;
 		if (this.#offset === undefined || hasNewMajority) {
 			this.#offset = estimate;
--- a/source/duties/duties.ts
+++ b/source/duties/duties.ts
@@ -1,9 +1,7 @@
 /**
 The duties that one gateway at a time performs for the platform. So far there is one: reports of usage.
 */
-import * as option from 'fp-ts/lib/Option.js';
 import type {Logger} from 'roarr';
-import {candidateRank} from '../decisions/authority/candidate-rank.js';
 import {CollectedUsage} from '../decisions/duties/collected-usage.js';
 import {PeerReach} from '../decisions/duties/peer-reach.js';
 import {ReportPlan} from '../decisions/duties/report-plan.js';
@@ -149,14 +147,14 @@
 	}
 
 	#tick(): void {
-		const {name, peers, now, wallClock} = this.#options;
+		const {peers, now, wallClock} = this.#options;
 		const at = now();
 		this.#time.recordOwn(wallClock(), at);
 		this.#time.update(at);
 		this.counter.advance();
 		this.#reach.update(peers(), at);
 		this.#lease.tick({
-			rank: option.toUndefined(candidateRank(dutyName, name, [name, ...peers()])), heardAt: this.#exchange.heardAt, isOutnumbered: this.#reach.isOutnumbered,
+			rank: this.#exchange.rank, heardAt: this.#exchange.heardAt, isOutnumbered: this.#reach.isOutnumbered,
 		});
 		const {offset} = this.#time;
 		if (offset === undefined) {
--- a/source/duties/usage-exchange.ts
+++ b/source/duties/usage-exchange.ts
@@ -2,10 +2,10 @@
 Exchanges counts and decided reports with the gateways that report usage or may do so next.
 */
 import type {CollectedUsage} from '../decisions/duties/collected-usage.js';
+import {dutyCandidates} from '../decisions/duties/duty-candidates.js';
 import type {PeerReach} from '../decisions/duties/peer-reach.js';
 import type {ReportPlan} from '../decisions/duties/report-plan.js';
 import {usagePace} from '../decisions/duties/usage-pace.js';
-import {usageReceivers} from '../decisions/duties/usage-receivers.js';
 import type {EntryMetrics} from '../entry/entry-metrics.js';
 import type {PeerMessage} from '../generated/peer-messages.js';
 import type {DutyLease} from './duty-lease.js';
@@ -35,6 +35,8 @@
 /** Identifies the process that counts, among all that had its name. */
 const counterOf = (gateway: string, incarnation: string): string => `${gateway} ${incarnation}`;
 
+/** Interval at which the candidates are selected again, besides each time when a peer comes or goes. */
+const candidatesMilliseconds = 1000;
 /** Interval at which the holder tells the candidates that it is there. */
 const dutyMilliseconds = 500;
 
@@ -55,6 +57,7 @@
 	readonly #peerCounters = new Map<string, string>();
 	/** The last holder that was heard. */
 	#holder: Holder | undefined;
+	#candidates: {readonly names: readonly string[]; readonly at: number} | undefined;
 	#sentAt = Number.NEGATIVE_INFINITY;
 	#sentCompleteThrough = Number.NEGATIVE_INFINITY;
 	#dutySentAt = Number.NEGATIVE_INFINITY;
@@ -68,6 +71,12 @@
 		return this.#holder?.heardAt ?? Number.NEGATIVE_INFINITY;
 	}
 
+	/** Place of this gateway among the candidates; undefined when it is none. */
+	get rank(): number | undefined {
+		const rank = this.#selectCandidates().indexOf(this.#options.name);
+		return rank === -1 ? undefined : rank;
+	}
+
 	/** Sends what is due; `missing` lists the counters whose counts this gateway lacks as the holder. */
 	tick(missing: readonly string[]): void {
 		this.#sendCounts();
@@ -80,6 +89,7 @@
 
 	/** Tells all peers that this gateway holds the lease, or no longer does. */
 	announce(token: number, isHeld: boolean): void {
+		this.#candidates = undefined;
 		for (const peer of this.#options.peers()) {
 			this.#options.send(peer, {
 				kind: 'duty', token, isHeld, missing: [],
@@ -107,6 +117,7 @@
 	addPeer(peer: string, incarnation: string): void {
 		const {lease, reach} = this.#options;
 		this.#peerCounters.set(peer, counterOf(peer, incarnation));
+		this.#candidates = undefined;
 		reach.add(peer);
 		this.#synced.delete(peer);
 		if (lease.holding !== undefined) {
@@ -116,6 +127,7 @@
 
 	removePeer(peer: string): void {
 		this.#peerCounters.delete(peer);
+		this.#candidates = undefined;
 		this.#synced.delete(peer);
 		if (this.#holder?.peer === peer) {
 			this.#holder = undefined;
@@ -174,6 +186,10 @@
 
 		const isNew = isHeld && this.#holder?.token !== token;
 		this.#holder = isHeld ? {peer, token, heardAt: now()} : undefined;
+		if (isNew || !isHeld) {
+			this.#candidates = undefined;
+		}
+
 		if (isNew) {
 			this.#supply(peer);
 		}
@@ -206,9 +222,22 @@
 		}
 	}
 
+	#selectCandidates(): readonly string[] {
+		const {name, dutyName, peers, lease, now} = this.#options;
+		if (this.#candidates === undefined || now() - this.#candidates.at >= candidatesMilliseconds) {
+			const holder = lease.holding === undefined ? this.#holder?.peer : name;
+			this.#candidates = {names: dutyCandidates(dutyName, [name, ...peers()], holder), at: now()};
+		}
+
+		return this.#candidates.names;
+	}
+
+	/** The peers that hold the lease or may hold it next. */
 	#receivers(): readonly string[] {
-		const {name, dutyName, peers} = this.#options;
-		return usageReceivers(dutyName, {own: name, peers: peers(), holder: this.#holder?.peer});
+		const {name, peers} = this.#options;
+		const holder = this.#holder?.peer;
+		const candidates = this.#selectCandidates().filter(candidate => candidate !== name && candidate !== holder);
+		return holder === undefined || !peers().includes(holder) ? candidates : [holder, ...candidates];
 	}
 
 	/** Sends the changes at the pace of the fleet, and at once when a window is complete, as its report waits for that. */
