--- a/source/decisions/duties/decide-lease.ts
+++ b/source/decisions/duties/decide-lease.ts
@@ -107,42 +107,34 @@
 
 	return {
 		state: {
-			kind: 'holding', token, era, revision, lease, validUntil, actsFrom: now + Math.max(leaseMilliseconds, durationMilliseconds), renewAt: askedAt + (durationMilliseconds * renewShare), isRenewing: false,
+			kind: 'holding',
+			token,
+			era,
+			revision,
+			lease,
+			validUntil,
+			actsFrom: now + Math.max(leaseMilliseconds, durationMilliseconds),
+			renewAt: askedAt + (durationMilliseconds * renewShare),
+			isRenewing: false,
 		},
 		effects: [{kind: 'hold', token}],
 	};
 };
 
 const onAcquiring = (state: LeaseState, event: LeaseEvent, leaseMilliseconds: number, now: number): Decision => {
-	switch (event.kind) {
-		case 'acquired': {
-			return hold(event, leaseMilliseconds, now);
-		}
-
-		case 'not acquired': {
-			return follow(now + lookPauseMilliseconds);
-		}
-
-		default: {
-			return {state, effects: []};
-		}
+	if (event.kind === 'acquired') {
+		return hold(event, leaseMilliseconds, now);
 	}
+
+	return event.kind === 'not acquired' ? follow(now + lookPauseMilliseconds) : {state, effects: []};
 };
 
 const onLooking = (state: LeaseState, event: LeaseEvent, now: number): Decision => {
-	switch (event.kind) {
-		case 'looked': {
-			return event.isVacant ? {state: {kind: 'vacant', acquireAt: now}, effects: []} : follow(now + lookPauseMilliseconds);
-		}
-
-		case 'look failed': {
-			return follow(now + lookPauseMilliseconds);
-		}
-
-		default: {
-			return {state, effects: []};
-		}
+	if (event.kind === 'looked' && event.isVacant) {
+		return {state: {kind: 'vacant', acquireAt: now}, effects: []};
 	}
+
+	return event.kind === 'looked' || event.kind === 'look failed' ? follow(now + lookPauseMilliseconds) : {state, effects: []};
 };
 
 const onVacant = (state: Extract<LeaseState, {readonly kind: 'vacant'}>, event: LeaseEvent, now: number): Decision => {
--- a/source/decisions/duties/lease-event.ts
+++ b/source/decisions/duties/lease-event.ts
@@ -19,7 +19,15 @@
 	| {readonly kind: 'tick'; readonly rank: number | undefined; readonly heardAt: number; readonly isOutnumbered: boolean}
 	| {readonly kind: 'looked'; readonly isVacant: boolean}
 	| {readonly kind: 'look failed'}
-	| {readonly kind: 'acquired'; readonly askedAt: number; readonly token: number; readonly era: number; readonly revision: number; readonly lease: string | number; readonly durationMilliseconds: number}
+	| {
+		readonly kind: 'acquired';
+		readonly askedAt: number;
+		readonly token: number;
+		readonly era: number;
+		readonly revision: number;
+		readonly lease: string | number;
+		readonly durationMilliseconds: number;
+	}
 	| {readonly kind: 'not acquired'}
 	| {readonly kind: 'renewed'; readonly askedAt: number; readonly era: number; readonly durationMilliseconds: number}
 	| {readonly kind: 'renewal failed'}
--- a/source/decisions/duties/own-usage.ts
+++ b/source/decisions/duties/own-usage.ts
@@ -22,15 +22,14 @@
 ```
 */
 export class OwnUsage {
-	readonly firstWindow: number;
 	#completeThrough: number;
 	#sentCompleteThrough: number;
 	readonly #counts = new UsageCounts();
 	/** Teams by window whose counts have changed since the last message. */
 	readonly #changed = new Map<number, Set<string>>();
 
-	constructor(firstWindow: number) {
-		this.firstWindow = firstWindow;
+	/** `firstWindow` is the one in which the process started. */
+	constructor(readonly firstWindow: number) {
 		this.#completeThrough = firstWindow - 1;
 		this.#sentCompleteThrough = firstWindow - 1;
 	}
@@ -58,10 +57,12 @@
 		const isUnchanged = changed.length === 0 && this.#sentCompleteThrough === this.#completeThrough;
 		this.#changed.clear();
 		this.#sentCompleteThrough = this.#completeThrough;
-		return isUnchanged ? undefined : [
-			...completed.map(window => this.#whole(window)),
-			...changed.map(([window, teams]) => toColumns(window, this.#counts.get(window), [...teams])),
-		];
+		return isUnchanged
+			? undefined
+			: [
+				...completed.map(window => this.#whole(window)),
+				...changed.map(([window, teams]) => toColumns(window, this.#counts.get(window), [...teams])),
+			];
 	}
 
 	/** Returns all counts, for a receiver that has none of them. */
--- a/source/decisions/duties/report-plan.ts
+++ b/source/decisions/duties/report-plan.ts
@@ -142,7 +142,11 @@
 		}
 
 		if (content !== undefined) {
-			return isStored ? {kind: 'send', window, content} : {kind: 'decide', window, content, isComplete: true};
+			return isStored
+				? {kind: 'send', window, content}
+				: {
+					kind: 'decide', window, content, isComplete: true,
+				};
 		}
 
 		if (view.time >= dueAt) {
@@ -151,9 +155,11 @@
 
 		const isComplete = view.isComplete(window);
 		const isDecidable = isComplete || view.time >= end + (this.#times.dueMilliseconds * waitShare);
-		return isDecidable && view.covers(window) ? {
-			kind: 'decide', window, content: undefined, isComplete,
-		} : undefined;
+		return isDecidable && view.covers(window)
+			? {
+				kind: 'decide', window, content: undefined, isComplete,
+			}
+			: undefined;
 	}
 
 	#report(window: number): Report {
--- a/source/duties/create-duties.ts
+++ b/source/duties/create-duties.ts
@@ -31,7 +31,11 @@
 */
 export const createDuties = ({settings, incarnation, createPorts, peers, log, metrics}: SetUp): Duties | undefined => {
 	const {name, usageReports} = settings();
-	return usageReports === undefined || createPorts === undefined ? undefined : new Duties({
+	if (usageReports === undefined || createPorts === undefined) {
+		return undefined;
+	}
+
+	return new Duties({
 		name,
 		incarnation,
 		settings: usageReports,
--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -10,7 +10,15 @@
 
 type Fault = 'none' | 'busy' | 'reset' | 'silent' | 'endless';
 
-type Item = {readonly value: string; readonly revision: number; readonly created: number};
+type Item = {readonly value: string; readonly revision: number; readonly created: number; readonly lease?: number};
+
+type Transaction = {
+	readonly precondition: ReadonlyArray<{readonly key: string; readonly revision: number}>;
+	readonly write: ReadonlyArray<{readonly key: string; readonly value: string; readonly lease: number}>;
+	readonly remove: readonly string[];
+};
+
+const minLeaseMilliseconds = 1000;
 
 type Copy = {readonly revision: number; readonly items: ReadonlyMap<string, Item>};
 
@@ -36,6 +44,8 @@
 	eraOfNextPages: number | undefined;
 	#revision = 1;
 	#items = new Map<string, Item>();
+	#nextLease = 1;
+	readonly #leases = new Map<number, {readonly milliseconds: number; expiresAt: number}>();
 	readonly #server = new LoopbackServer((request, response) => {
 		this.#answer(request, response);
 	});
@@ -52,10 +62,10 @@
 		this.#server.stop();
 	}
 
-	put(key: string, value: string): void {
+	put(key: string, value: string, lease = 0): void {
 		this.#revision++;
 		this.#items.set(key, {
-			value: Buffer.from(value).toString('base64'), revision: this.#revision, created: this.#items.get(key)?.created ?? this.#revision,
+			value: Buffer.from(value).toString('base64'), revision: this.#revision, created: this.#items.get(key)?.created ?? this.#revision, lease,
 		});
 	}
 
@@ -105,29 +115,102 @@
 
 			case 'none': {
 				setTimeout(() => {
-					const url = new URL(request.url ?? '/', 'http://store');
-					if (url.pathname === '/v1/kv-txn') {
-						void this.#write(request, response);
-					} else {
-						this.#read(url, response);
-					}
+					this.#perform(request, response);
 				}, this.delayMilliseconds);
 			}
 		}
 	}
 
-	/** Writes and removes without conditions. */
-	async #write(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-		const {write, remove} = JSON.parse(await text(request)) as {readonly write: ReadonlyArray<{readonly key: string; readonly value: string}>; readonly remove: readonly string[]};
-		for (const {key, value} of write) {
-			this.put(key, Buffer.from(value, 'base64').toString('utf8'));
+	#perform(request: http.IncomingMessage, response: http.ServerResponse): void {
+		this.#expireLeases();
+		const url = new URL(request.url ?? '/', 'http://store');
+		const [, , call, id] = url.pathname.split('/');
+		switch (call) {
+			case 'kv-txn': {
+				void this.#transact(request, response);
+				break;
+			}
+
+			case 'kv-lease': {
+				void this.#grantLease(request, response);
+				break;
+			}
+
+			case 'kv-keep': {
+				this.#keepLease(Number(id), response);
+				break;
+			}
+
+			case 'kv-lease-end': {
+				this.#endLease(Number(id));
+				this.#send(response, 200, {});
+				break;
+			}
+
+			default: {
+				this.#read(url, response);
+			}
+		}
+	}
+
+	/** Writes and removes all, or nothing when a precondition does not hold. */
+	async #transact(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+		const {precondition, write, remove} = JSON.parse(await text(request)) as Transaction;
+		const failed = precondition.filter(({key, revision}) => (this.#items.get(key)?.revision ?? 0) !== revision);
+		if (failed.length > 0) {
+			this.#send(response, 412, {items: failed.flatMap(({key}) => this.#items.has(key) ? [this.#item(key)] : [])});
+			return;
+		}
+
+		if (write.some(({lease}) => lease !== 0 && !this.#leases.has(lease))) {
+			this.#send(response, 404, {});
+			return;
+		}
+
+		for (const {key, value, lease} of write) {
+			this.put(key, Buffer.from(value, 'base64').toString('utf8'), lease);
 		}
 
 		for (const key of remove) {
 			this.remove(key);
 		}
 
-		this.#send(response, 200, {revision: this.#revision});
+		const written = write[0] === undefined ? undefined : this.#items.get(write[0].key);
+		this.#send(response, 200, {revision: written?.revision ?? this.#revision});
+	}
+
+	async #grantLease(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+		const {ttlMs} = JSON.parse(await text(request)) as {readonly ttlMs: number};
+		const milliseconds = Math.max(minLeaseMilliseconds, ttlMs);
+		this.#leases.set(this.#nextLease, {milliseconds, expiresAt: Date.now() + milliseconds});
+		this.#send(response, 200, {lease: this.#nextLease, ttlMs: milliseconds});
+		this.#nextLease++;
+	}
+
+	#keepLease(id: number, response: http.ServerResponse): void {
+		const lease = this.#leases.get(id);
+		if (lease !== undefined) {
+			lease.expiresAt = Date.now() + lease.milliseconds;
+		}
+
+		this.#send(response, lease === undefined ? 404 : 200, lease === undefined ? {} : {ttlMs: lease.milliseconds});
+	}
+
+	#endLease(id: number): void {
+		this.#leases.delete(id);
+		for (const [key, {lease}] of this.#items) {
+			if (lease === id) {
+				this.remove(key);
+			}
+		}
+	}
+
+	#expireLeases(): void {
+		for (const [id, {expiresAt}] of this.#leases) {
+			if (expiresAt <= Date.now()) {
+				this.#endLease(id);
+			}
+		}
 	}
 
 	#read(url: URL, response: http.ServerResponse): void {
@@ -146,7 +229,7 @@
 	}
 
 	#item(key: string): Record<string, unknown> {
-		return {key, ...this.#items.get(key), lease: 0};
+		return {key, lease: 0, ...this.#items.get(key)};
 	}
 
 	#send(response: http.ServerResponse, status: number, body: unknown): void {
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -119,6 +119,9 @@
 			case 'crashes':
 			case 'want':
 			case 'targets':
+			case 'usage':
+			case 'duty':
+			case 'reports':
 			case 'configuration': {
 				throw new Error(`unexpected message ${message.kind}`);
 			}
