--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -36,6 +36,8 @@
 	fault: Fault = 'none';
 	pageSize = 50;
 	calls = 0;
+	/** Calls by the last part of their path that names no lease, such as `kv-keep`. */
+	readonly callNames = new Map<string, number>();
 	/** Time until an answer is sent. */
 	delayMilliseconds = 0;
 	/** Sent with each answer; undefined for a store that does not number its eras. */
@@ -124,7 +126,8 @@
 	#perform(request: http.IncomingMessage, response: http.ServerResponse): void {
 		this.#expireLeases();
 		const url = new URL(request.url ?? '/', 'http://store');
-		const [, , call, id] = url.pathname.split('/');
+		const [, , call = '', id] = url.pathname.split('/');
+		this.callNames.set(call, (this.callNames.get(call) ?? 0) + 1);
 		switch (call) {
 			case 'kv-txn': {
 				void this.#transact(request, response);
--- a/test/support/entry-fleet.ts
+++ b/test/support/entry-fleet.ts
@@ -7,6 +7,8 @@
 import {setLogOutput} from '../../source/shared/set-log-output.js';
 import {EntryGateway} from '../../source/entry/entry-gateway.js';
 import type {EntrySettings} from '../../source/entry/entry-settings.js';
+import {PlatformDutyInterface} from '../../platform/platform-duty-interface.js';
+import {PlatformLeaseStore} from '../../platform/platform-lease-store.js';
 import {PlatformStore} from '../../platform/platform-store.js';
 import {targetProtocol} from '../../platform/target-protocol.js';
 import {freePort} from '../../stand-ins/free-port.js';
@@ -96,7 +98,15 @@
 			...more,
 		};
 		const gateway = new EntryGateway({
-			settings, protocol: targetProtocol, createStore: ({store}) => new PlatformStore(store.address), metricsPort: undefined, log: logger.child({process: settings.name}),
+			settings,
+			protocol: targetProtocol,
+			createStore: ({store}) => new PlatformStore(store.address),
+			createDutyPorts: current => ({
+				store: new PlatformLeaseStore(() => current().store.address),
+				duties: new PlatformDutyInterface(() => current().usageReports?.address ?? ''),
+			}),
+			metricsPort: undefined,
+			log: logger.child({process: settings.name}),
 		});
 		this.#gateways.push(gateway);
 		await gateway.start();
