--- a/source/decisions/duties/shared-time.ts
+++ b/source/decisions/duties/shared-time.ts
@@ -17,6 +17,8 @@
 const maxDifferenceMilliseconds = 250;
 /** Time after the start within which the clocks of peers are waited for. */
 const peerWaitMilliseconds = 3000;
+/** Interval of the estimate, as it looks at the clocks of all gateways. */
+const updateMilliseconds = 1000;
 /** Largest change of the estimate per millisecond; far above the drift of a monotonic clock. */
 const slewShare = 0.01;
 
@@ -94,6 +96,10 @@
 	/** Brings the estimate up to date; to be called several times a second. */
 	update(now: number): void {
 		const elapsed = now - this.#updatedAt;
+		if (this.#offset !== undefined && elapsed < updateMilliseconds) {
+			return;
+		}
+
 		this.#updatedAt = now;
 		const offsets = this.#offsets();
 		if (offsets.length === 0 || (offsets.length < minClocks && now - this.#startedAt < peerWaitMilliseconds)) {
--- a/source/duties/duties.ts
+++ b/source/duties/duties.ts
@@ -38,6 +38,7 @@
 const dutyName = 'usage';
 const leaseKey = `cowsliprudder/duties/${dutyName}`;
 const tickMilliseconds = 100;
+const forgetMilliseconds = 1000;
 
 /**
 One instance a process, where the settings give the gateways a duty.
@@ -60,6 +61,7 @@
 	readonly #exchange: UsageExchange;
 	readonly #reporter: UsageReporter;
 	#stopTimer: (() => void) | undefined;
+	#forgotAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: DutiesOptions) {
 		const {settings, name, store, duties, peers, send, log, metrics, now} = options;
@@ -163,7 +165,10 @@
 
 		this.#exchange.tick(this.#missing(at + offset));
 		this.#reporter.tick(at + offset);
-		this.#forget(at + offset);
+		if (at - this.#forgotAt >= forgetMilliseconds) {
+			this.#forgotAt = at;
+			this.#forget(at + offset);
+		}
 	}
 
 	#windowAt(time: number): number {
--- a/source/duties/duty-lease.ts
+++ b/source/duties/duty-lease.ts
@@ -45,6 +45,8 @@
 */
 export class DutyLease {
 	#state: LeaseState;
+	/** What the store granted, if that is less than what was asked for. */
+	#durationMilliseconds = 0;
 	readonly #options: LeaseOptions;
 
 	constructor(options: LeaseOptions) {
@@ -164,8 +166,9 @@
 		// With the same era before and after, the transaction was carried out in that era, to which its revision belongs.
 		const token = isWritten && written.value.era === era ? fencingToken({era, revision: written.value.revision}) : option.none;
 		if (isWritten && option.isSome(token)) {
+			this.#durationMilliseconds = Math.min(leaseMilliseconds, durationMilliseconds);
 			this.#dispatch({
-				kind: 'acquired', askedAt, token: token.value, era, revision: written.value.revision, lease, durationMilliseconds: Math.min(leaseMilliseconds, durationMilliseconds),
+				kind: 'acquired', askedAt, token: token.value, era, revision: written.value.revision, lease, durationMilliseconds: this.#durationMilliseconds,
 			});
 			return;
 		}
@@ -176,7 +179,7 @@
 	}
 
 	async #renew(lease: string | number): Promise<void> {
-		const {store, leaseMilliseconds, metrics, now} = this.#options;
+		const {store, metrics, now} = this.#options;
 		const askedAt = now();
 		metrics.count('duty.store.renew');
 		const token = this.holding?.token;
@@ -188,7 +191,7 @@
 		this.#dispatch(renewed.match(
 			({isHeld, era}): LeaseEvent => isHeld
 				? {
-					kind: 'renewed', askedAt, era, durationMilliseconds: leaseMilliseconds,
+					kind: 'renewed', askedAt, era, durationMilliseconds: this.#durationMilliseconds,
 				}
 				: {kind: 'lease lost'},
 			() => ({kind: 'renewal failed'}),
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -40,6 +40,19 @@
 	t.end();
 });
 
+// Guards against duties where the settings name none, and against settings of other deployments that are refused.
+test('usage is reported only where the settings name that duty', t => {
+	const table = (duties: string): string => `${settings}[cloudApi]\naddress = "10.200.1.9:8150"\nratePerS = 10\ndutyPerS = 50\nduties = ${duties}\n`;
+	t.equal(decodeSettings(settings)._unsafeUnwrap().usageReports, undefined);
+	t.equal(decodeSettings(table('["autoscaler", "later"]'))._unsafeUnwrap().usageReports, undefined);
+	t.strictSame(decodeSettings(table('["autoscaler", "usage_reporting"]'))._unsafeUnwrap().usageReports, {
+		address: '10.200.1.9:8150', callsPerSecond: 50, leaseMilliseconds: 3000, windowMilliseconds: 5000, dueMilliseconds: 10_000,
+	});
+	const bounds = table('["usage_reporting"]').replace('drainMs = 2000', 'leaseMs = 500\nreportWindowS = 2\nusageLateS = 0');
+	t.match(decodeSettings(bounds)._unsafeUnwrap().usageReports, {leaseMilliseconds: 1000, windowMilliseconds: 2000, dueMilliseconds: 10_000});
+	t.end();
+});
+
 test('all errors in the settings are reported', t => {
 	const errors = decodeSettings(settings.replace('"edge-1"', '7').replace('10.200.1.7:8142', 'nowhere'))._unsafeUnwrapErr();
 	t.ok(errors.some(error => error.startsWith('nodeName:')));
