Pass on the counts of former processes and of gateways behind a cut link

A report lacked the counts of a process that had been restarted when the next holder had not got them itself, and those of a gateway whose link to the holder had been cut for more than ten seconds though candidates still heard it. A new holder is sent all counters of processes that cannot send them, and a counter that is forwarded counts as heard as long as it goes on.

--- a/source/decisions/duties/collected-usage.ts
+++ b/source/decisions/duties/collected-usage.ts
@@ -45,14 +45,16 @@
 			gateway: message.gateway, firstWindow: message.firstWindow, counts: new UsageCounts(), completeThrough: message.completeThrough, isFinal: false, heardAt: now,
 		};
 		this.#counters.set(message.counter, counter);
-		counter.completeThrough = Math.max(counter.completeThrough, message.completeThrough);
-		counter.isFinal ||= message.isFinal;
 		if (isDirect) {
-			counter.heardAt = now;
 			this.#endFormer(message);
 		}
 
-		return message.windows.filter(({window, teams, counts}) => teams.map((team, index) => counter.counts.raise(window, team, counts[index] ?? 0)).includes(true)).map(({window}) => window);
+		const raised = message.windows.filter(({window, teams, counts}) => teams.map((team, index) => counter.counts.raise(window, team, counts[index] ?? 0)).includes(true)).map(({window}) => window);
+		// A forwarded message shows that the process runs only if it says something new.
+		counter.heardAt = isDirect || raised.length > 0 || message.completeThrough > counter.completeThrough ? now : counter.heardAt;
+		counter.completeThrough = Math.max(counter.completeThrough, message.completeThrough);
+		counter.isFinal ||= message.isFinal;
+		return raised;
 	}
 
 	/** Identifiers of the counters whose counts of this window are waited for. */
@@ -83,9 +85,9 @@
 		return totals;
 	}
 
-	/** Returns what is known of the counters of these gateways, to be forwarded. */
-	messages(isWanted: (gateway: string, counter: string) => boolean): readonly UsageMessage[] {
-		return [...this.#counters].filter(([id, {gateway}]) => isWanted(gateway, id)).map(([counter, {gateway, firstWindow, completeThrough, isFinal, counts}]) => ({
+	/** Returns what is known of these counters, to be forwarded. */
+	messages(isWanted: (counter: string) => boolean): readonly UsageMessage[] {
+		return [...this.#counters].filter(([id]) => isWanted(id)).map(([counter, {gateway, firstWindow, completeThrough, isFinal, counts}]) => ({
 			kind: 'usage',
 			gateway,
 			counter,
--- a/source/duties/usage-exchange.ts
+++ b/source/duties/usage-exchange.ts
@@ -195,13 +195,13 @@
 		}
 
 		if (missing.length > 0) {
-			this.#forward(peer, (_, counter) => missing.includes(counter));
+			this.#forward(peer, counter => missing.includes(counter));
 		}
 	}
 
-	/** Sends a new holder what it may lack: the own counts, those of gateways that are out of reach, and decided reports. */
+	/** Sends a new holder what it may lack: the own counts, those of processes that are out of reach, and decided reports. */
 	#supply(peer: string): void {
-		const {plan, peers, counter: {usage}, send} = this.#options;
+		const {name, incarnation, plan, counter: {usage}, send} = this.#options;
 		const reports = plan.known();
 		if (reports.length > 0) {
 			send(peer, {kind: 'reports', reports: [...reports]});
@@ -211,11 +211,12 @@
 			this.#sendTo([peer], this.#message(usage.all()));
 		}
 
-		const reached = new Set(peers());
-		this.#forward(peer, gateway => !reached.has(gateway) && gateway !== this.#options.name);
+		// Processes that can be reached send their counts themselves; a former process of such a gateway does not.
+		const reached = new Set([...this.#peerCounters.values(), counterOf(name, incarnation)]);
+		this.#forward(peer, counter => !reached.has(counter));
 	}
 
-	#forward(peer: string, isWanted: (gateway: string, counter: string) => boolean): void {
+	#forward(peer: string, isWanted: (counter: string) => boolean): void {
 		for (const message of this.#options.collected.messages(isWanted)) {
 			this.#options.metrics.count('usage.forwarded');
 			this.#options.send(peer, message);
