--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -6,6 +6,7 @@
 import {nextStep} from '../decisions/entry/next-step.js';
 import type {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
 import {retryAfter} from '../decisions/entry/retry-after.js';
+import {RequestUsage} from '../duties/request-usage.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
@@ -45,6 +46,8 @@
 export class RequestLifecycle {
 	/** Log lines of this request. */
 	readonly log: RequestLog;
+	/** Counts the request once it has begun to run at a target. */
+	readonly usage: RequestUsage;
 	/** Ids of the targets that refused this request or failed to answer it. */
 	readonly avoid = new Set<string>();
 	#cancelAttempt: (() => void) | undefined;
@@ -66,6 +69,7 @@
 		this.#options = options;
 		this.#permit = new RetryPermit(context.retryBudget(request.service), context.now);
 		this.log = new RequestLog(context.log, request.facts.requestId, request.startedAt, teamInLogs(request.team));
+		this.usage = new RequestUsage(context.duties?.counter, request.team);
 	}
 
 	get isEnded(): boolean {
@@ -276,6 +280,7 @@
 	/** Records when the first event of the answer is sent to the caller. */
 	recordFirstEvent(): void {
 		this.#firstEventAt = this.#context.now();
+		this.#context.metrics.record('first-event', this.#firstEventAt - this.request.startedAt);
 	}
 
 	/** As `refuse`, with the time after which the caller may return; undefined when returning cannot help. */
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -120,6 +120,9 @@
 			case 'want':
 			case 'zone load':
 			case 'targets':
+			case 'usage':
+			case 'duty':
+			case 'reports':
 			case 'configuration': {
 				throw new Error(`unexpected message ${message.kind}`);
 			}
