--- a/stand-ins/platform-store-stand-in.ts
+++ b/stand-ins/platform-store-stand-in.ts
@@ -126,7 +126,7 @@
 	#perform(request: http.IncomingMessage, response: http.ServerResponse): void {
 		this.#expireLeases();
 		const url = new URL(request.url ?? '/', 'http://store');
-		const [, , call = '', id] = url.pathname.split('/');
+		const [call = '', id] = url.pathname.split('/').slice(2);
 		this.callNames.set(call, (this.callNames.get(call) ?? 0) + 1);
 		switch (call) {
 			case 'kv-txn': {
--- a/test/decisions/duties/decide-lease.test.ts
+++ b/test/decisions/duties/decide-lease.test.ts
@@ -17,9 +17,9 @@
 });
 
 /** Plays events, each with its time; returns the state and the kinds of all effects. */
-const play = (events: ReadonlyArray<readonly [number, LeaseEvent]>, start: LeaseState = {kind: 'following', lookAt: 0}) => {
+const play = (events: ReadonlyArray<readonly [number, LeaseEvent]>, start?: LeaseState) => {
 	const kinds: string[] = [];
-	let state = start;
+	let state: LeaseState = start ?? {kind: 'following', lookAt: 0};
 	for (const [now, event] of events) {
 		const decision = decideLease(state, event, leaseMilliseconds, now);
 		state = decision.state;
--- a/test/decisions/duties/usage-counts.test.ts
+++ b/test/decisions/duties/usage-counts.test.ts
@@ -84,6 +84,6 @@
 });
 
 test('equal counts have equal texts, and names are escaped', t => {
-	t.equal(formatUsage(new Map([['b', 1], ['a', 2], ['none', 0], ['"', 3]])), '{"\\"":3,"a":2,"b":1}');
+	t.equal(formatUsage(new Map([['b', 1], ['a', 2], ['none', 0], ['"', 3]])), String.raw`{"\"":3,"a":2,"b":1}`);
 	t.end();
 });
--- a/test/entry/request-usage.test.ts
+++ b/test/entry/request-usage.test.ts
@@ -126,7 +126,16 @@
 	const enqueue: PromptQueues['enqueue'] = (_, __, decide) => {
 		const target = targets[0]!;
 		decide({
-			kind: 'placed', placement: {engine: {attempts: 0, readMilliseconds: 0}, cachedTokens: 0, way: 'in place', readMilliseconds: 60, fetchFrom: undefined, latency: 1, cost: 1}, lane: 'onTime', target, fetchFrom: undefined, entry: context.loadTracker!.add(target.id, 60), grant: 'own', denials: 0,
+			kind: 'placed',
+			placement: {
+				engine: {attempts: 0, readMilliseconds: 0}, cachedTokens: 0, way: 'in place', readMilliseconds: 60, fetchFrom: undefined, latency: 1, cost: 1,
+			},
+			lane: 'onTime',
+			target,
+			fetchFrom: undefined,
+			entry: context.loadTracker!.add(target.id, 60),
+			grant: 'own',
+			denials: 0,
 		} as unknown as Parameters<typeof decide>[0]);
 		return () => undefined;
 	};
--- a/test/platform/platform-duty-interface.test.ts
+++ b/test/platform/platform-duty-interface.test.ts
@@ -1,8 +1,7 @@
 /**
 Tests the calls of the duty interface against a stand-in.
 */
-import net from 'node:net';
-import type {AddressInfo} from 'node:net';
+import net, {type AddressInfo} from 'node:net';
 import {test, type Test} from 'tap';
 import {PlatformDutyInterface} from '../../platform/platform-duty-interface.js';
 import {PlatformDutyStandIn} from '../../stand-ins/platform-duty-stand-in.js';
@@ -30,7 +29,8 @@
 	const {standIn, duties} = await start(t);
 	const send = async (status: PlatformDutyStandIn['status']) => {
 		standIn.status = status;
-		return (await duties.reportUsage(1, '{}', authority)).kind;
+		const {kind} = await duties.reportUsage(1, '{}', authority);
+		return kind;
 	};
 
 	t.equal(await send(409), 'fenced');
