--- a/source/entry/caller-request.ts
+++ b/source/entry/caller-request.ts
@@ -13,6 +13,8 @@
 	readonly facts: RequestFacts;
 	readonly route: Route;
 	readonly service: string;
+	/** The team that sent it: 'none' when no teams are configured, 'anonymous' on a public route without a known key. */
+	readonly team: {readonly kind: 'none'} | {readonly kind: 'anonymous'} | {readonly kind: 'team'; readonly name: string; readonly priority: number};
 	readonly configurationVersion: number;
 	readonly method: string;
 	readonly path: string;
--- a/source/entry/request-router.ts
+++ b/source/entry/request-router.ts
@@ -75,7 +75,7 @@
 		const service = this.#chooseService(route.split);
 		const isModel = this.#options.context.service(service)?.engine !== undefined && route.kind === 'streaming';
 		const callerRequest = {
-			facts, route, service, configurationVersion: this.#options.inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, deadlineAt: startedAt + timeLimitMilliseconds,
+			facts, route, service, team: {kind: 'none'} as const, configurationVersion: this.#options.inForce.version, method: request.method ?? 'GET', path, body, answer, startedAt, deadlineAt: startedAt + timeLimitMilliseconds,
 		};
 		const relay = isModel ? new StreamRelay(callerRequest, this.#options.context, this.#options.sender, this.#options.queues) : new PlainRelay(callerRequest, this.#options.context, this.#options.sender);
 		// Under load a caller may have disconnected while its request waited to be read. Two turns of the event loop let the server notice this.
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -154,6 +154,7 @@
 			},
 			route,
 			service,
+			team: {kind: 'none'},
 			configurationVersion: 1,
 			method: 'POST',
 			path: '/',
