Order waiting prompts and admit plain calls fairly between teams

Callers of a small team see fewer refusals while a large team's burst fills the queues; a refused caller that comes back goes before new ones of its rank, and refused callers are told to come back one after the other. Plain calls that their overloaded targets cannot answer in time are refused at once. Without teams nothing changes.

Cause: prompts were ordered by due time alone, so that each team was refused as often as the one that filled the queue, and the largest prompts and late urgent ones were passed by all that could still be on time.

Change: pure decisions in source/decisions/fairness/ rank the waiting prompts by what their teams have used, expedite what is served too seldom, and spread returning callers; gateways report usage and refusals in their full digests.

--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -9,8 +9,14 @@
 While engines have spare capacity, late prompts follow, first the one whose caller
 gives up soonest. A prompt that cannot start before its caller gives up is rejected at
 once, with the time after which there will be capacity.
+
+Where teams are configured, the rank of a prompt (source/decisions/fairness/) precedes
+these times in both lanes, and prompts that are served too seldom are placed as if they
+could be on time.
 */
 import * as option from 'fp-ts/lib/Option.js';
+import {compareRanks} from '../fairness/compare-ranks.js';
+import type {PromptRank} from '../fairness/prompt-rank.js';
 import {rendezvousOrder} from '../routing/rendezvous-order.js';
 import {hasCapacity} from './has-capacity.js';
 import {latencyModel} from './latency-model.js';
@@ -32,6 +38,8 @@
 const inPlacePrefillShare = 0.3;
 /** Share of the decode engines that prefill in place while there are prefill engines. */
 const inPlaceEngineShare = 0.4;
+/** Share of the slots that must be in use before the first waiting prompt of a ranked queue is rejected. */
+const minUsedSlotShare = 0.5;
 /** Prompts examined for each choice, so that the cost of a choice does not grow with the queue. */
 const maxCompared = 12;
 
@@ -131,25 +139,36 @@
 type QueueOrder = {
 	/** Prompts whose first event can still be on time, the most urgent first. */
 	readonly timely: readonly WaitingPrompt[];
-	/** All prompts, the one whose caller gives up soonest first. */
+	/** All prompts, the one whose caller gives up soonest first; those of higher rank before. */
 	readonly byGiveUp: readonly WaitingPrompt[];
+	/** Undefined when no teams are configured. */
+	readonly ranks: PromptRanks | undefined;
 };
 
-/** Orders the prompts that wait now. */
-const order = (waiting: readonly WaitingPrompt[], now: number): QueueOrder => ({
-	timely: waiting.filter(({dueAt}) => now + firstEventMilliseconds < dueAt).toSorted(byUrgency),
-	byGiveUp: waiting.toSorted((first, second) => first.giveUpAt - second.giveUpAt),
-});
+type PromptRanks = ReadonlyMap<WaitingPrompt, PromptRank>;
+
+/** Orders the prompts that wait now, by their ranks first where they have some. */
+const order = (waiting: readonly WaitingPrompt[], now: number, ranks?: PromptRanks): QueueOrder => {
+	const byRank = (first: WaitingPrompt, second: WaitingPrompt): number => ranks === undefined ? 0 : compareRanks(ranks.get(first)!, ranks.get(second)!);
+	return {
+		timely: waiting
+			.filter(prompt => now + firstEventMilliseconds < prompt.dueAt || ranks?.get(prompt)?.isExpedited)
+			.toSorted((first, second) => byRank(first, second) || byUrgency(first, second)),
+		byGiveUp: waiting.toSorted((first, second) => byRank(first, second) || first.giveUpAt - second.giveUpAt),
+		ranks,
+	};
+};
 
 /** Returns the order without a prompt that was placed. */
-const without = ({timely, byGiveUp}: QueueOrder, placed: WaitingPrompt): QueueOrder => ({
+const without = ({timely, byGiveUp, ranks}: QueueOrder, placed: WaitingPrompt): QueueOrder => ({
 	timely: timely.filter(prompt => prompt !== placed),
 	byGiveUp: byGiveUp.filter(prompt => prompt !== placed),
+	ranks,
 });
 
 /** Returns the prompt to send now and its placement; none when all prompts have to wait. */
-const next = ({timely, byGiveUp}: QueueOrder, context: QueueContext, now: number): option.Option<Choice> => {
-	const onTime = placeFirst(timely, 'onTime', context, ({dueAt}, {latency}) => now + latency + firstEventMilliseconds <= dueAt);
+const next = ({timely, byGiveUp, ranks}: QueueOrder, context: QueueContext, now: number): option.Option<Choice> => {
+	const onTime = placeFirst(timely, 'onTime', context, (prompt, {latency}) => now + latency + firstEventMilliseconds <= prompt.dueAt || ranks?.get(prompt)?.isExpedited === true);
 	if (option.isSome(onTime)) {
 		return onTime;
 	}
@@ -161,23 +180,31 @@
 const totalPrefillRate = (engines: readonly EngineView[]): number => engines
 	.reduce((sum, {role}) => sum + (role === 'prefill' ? 1 : inPlacePrefillShare), 0);
 
+/** Share of the decode engines' slots that are in use. */
+const usedSlotShare = (engines: readonly EngineView[]): number => {
+	const decodeEngines = engines.filter(({role}) => role === 'decode');
+	return decodeEngines.reduce((sum, {attempts}) => sum + attempts, 0) / Math.max(1, decodeEngines.reduce((sum, {slots}) => sum + slots, 0));
+};
+
 /**
 Returns the prompts that cannot start before their callers give up, at the rate at
 which engines prefill, and how long each would have to wait. They are determined on
-arrival, so that no caller waits only to be rejected later.
+arrival, so that no caller waits only to be rejected later. `workMilliseconds` is the time
+that this gateway's share of the engines needs for the prompt.
 */
-const unservable = ({byGiveUp}: QueueOrder, context: QueueContext, gateways: number, now: number): ReadonlyArray<{readonly prompt: WaitingPrompt; readonly waitMilliseconds: number}> => {
+const unservable = ({byGiveUp, ranks}: QueueOrder, context: QueueContext, gateways: number, now: number): ReadonlyArray<{readonly prompt: WaitingPrompt; readonly waitMilliseconds: number; readonly workMilliseconds: number}> => {
 	const prefillRate = Math.max(inPlacePrefillShare, totalPrefillRate(context.engines)) / Math.max(1, gateways);
 	const averageBacklog = context.engines.reduce((sum, {readMilliseconds}) => sum + readMilliseconds, 0) / Math.max(1, context.engines.length);
+	const mayRejectFirst = ranks === undefined || usedSlotShare(context.engines) >= minUsedSlotShare;
 	let queuedMilliseconds = 0;
 	return byGiveUp
 		.flatMap(prompt => {
 			const waitMilliseconds = averageBacklog + (queuedMilliseconds / prefillRate);
 			const prefillMilliseconds = idlePrefillMilliseconds(prompt, context);
 			const margin = prefillMilliseconds + (prefillMilliseconds < longPrefillMilliseconds ? giveUpMargin.short : giveUpMargin.long);
-			const isUnservable = now + waitMilliseconds + margin > prompt.giveUpAt;
+			const isUnservable = now + waitMilliseconds + margin > prompt.giveUpAt && (mayRejectFirst || queuedMilliseconds > 0);
 			queuedMilliseconds += isUnservable ? 0 : prefillMilliseconds;
-			return isUnservable ? [{prompt, waitMilliseconds}] : [];
+			return isUnservable ? [{prompt, waitMilliseconds, workMilliseconds: prefillMilliseconds / prefillRate}] : [];
 		});
 };
 
--- a/source/decisions/entry/waiting-prompt.ts
+++ b/source/decisions/entry/waiting-prompt.ts
@@ -7,6 +7,12 @@
 */
 export type WaitingPrompt = {
 	readonly id: string;
+	/** The team that it counts for, undefined when no teams are configured. */
+	readonly team: string | undefined;
+	/** Priority of its team, which precedes that of its route; 0 is the most urgent, and the value without teams. */
+	readonly teamPriority: number;
+	/** The kind of request: the name of its route. */
+	readonly kind: string;
 	/** Priority of its route; 0 is the most urgent. */
 	readonly priority: number;
 	/** When its first event is due at the caller, by the latency target of its route. */
--- /dev/null
+++ b/source/decisions/fairness/kind-shares.ts
@@ -0,0 +1,79 @@
+/**
+Decides which prompts are neglected for their kind or size.
+
+Two kinds of prompts share the engines, and their bursts alternate. Urgent prompts soon
+are late, and less urgent ones that can still be on time would then take all capacity.
+Likewise the largest prompts of a kind are seldom on time under load, so the small ones
+pass them. Both are noticed here by the share of the prompts that is served.
+*/
+import {ServedRatio} from './served-ratio.js';
+
+/** Kinds that are tracked; a deployment has a few routes for each service. */
+const maxKinds = 64;
+/** Share of a kind's prompts that count as large. */
+const largeShare = 0.1;
+/** Step of the estimate of the size from which prompts are large, as a share of it. */
+const sizeStep = 0.05;
+/** Large prompts are neglected when they are served less often than this share of what their kind is; the requirement is half. */
+const largeFloorShare = 0.8;
+/** A kind is neglected when a less urgent one is served more often by this share of the prompts; the requirement is 0.05. */
+const kindMargin = 0.02;
+/** Outcomes below which the ratios say nothing. */
+const minOutcomes = {kind: 10, large: 3} as const;
+
+type Sample = {readonly kind: string; readonly priority: number; readonly tokens: number};
+
+type Kind = {priority: number; largeTokens: number; readonly all: ServedRatio; readonly large: ServedRatio};
+
+const ratioOf = ({offered, served}: ReturnType<ServedRatio['at']>): number => served / offered;
+
+/**
+The outcomes of one service's prompts by kind (route) and size.
+
+@example
+```
+shares.record(prompt, false, now);
+shares.isNeglected(prompt, now);
+```
+*/
+export class KindShares {
+	readonly #kinds = new Map<string, Kind>();
+
+	/** Records that a prompt was placed or refused. */
+	record({kind: name, priority, tokens}: Sample, isServed: boolean, now: number): void {
+		const kind = this.#kinds.get(name) ?? {
+			priority, largeTokens: tokens, all: new ServedRatio(), large: new ServedRatio(),
+		};
+		if (this.#kinds.size < maxKinds) {
+			this.#kinds.set(name, kind);
+		}
+
+		kind.priority = priority;
+		kind.all.record(isServed, now);
+		if (tokens >= kind.largeTokens) {
+			kind.large.record(isServed, now);
+		}
+
+		// Settles where a tenth of the prompts is larger: each of those raises it nine times as far as each other one lowers it.
+		kind.largeTokens *= 1 + (sizeStep * (tokens > kind.largeTokens ? 1 - largeShare : -largeShare));
+	}
+
+	/** True when the prompt has to go first, because its kind or the large prompts of its kind are served too seldom. */
+	isNeglected({kind: name, tokens}: Sample, now: number): boolean {
+		const kind = this.#kinds.get(name);
+		return kind !== undefined && (this.#isKindNeglected(kind, now) || (tokens >= kind.largeTokens && this.#isLargeNeglected(kind, now)));
+	}
+
+	#isLargeNeglected({all, large}: Kind, now: number): boolean {
+		const largeOutcomes = large.at(now);
+		return largeOutcomes.offered >= minOutcomes.large && ratioOf(largeOutcomes) < largeFloorShare * ratioOf(all.at(now));
+	}
+
+	#isKindNeglected({priority, all}: Kind, now: number): boolean {
+		const outcomes = all.at(now);
+		return outcomes.offered >= minOutcomes.kind && [...this.#kinds.values()].some(other => {
+			const otherOutcomes = other.all.at(now);
+			return other.priority > priority && otherOutcomes.offered >= minOutcomes.kind && ratioOf(otherOutcomes) > ratioOf(outcomes) + kindMargin;
+		});
+	}
+}
--- /dev/null
+++ b/source/decisions/fairness/prompt-rank.ts
@@ -0,0 +1,19 @@
+/**
+The rank of a waiting prompt among those of its gateway, for deployments with teams.
+*/
+
+/**
+Compared field by field in this order; lower values and true values go first.
+*/
+export type PromptRank = {
+	/** Priority of the team; 0 is the most urgent. */
+	readonly teamPriority: number;
+	/** Priority of the route; 0 is the most urgent. */
+	readonly priority: number;
+	/** True when the prompt is placed as if it could be on time, because its team, kind or size is served too seldom. */
+	readonly isExpedited: boolean;
+	/** What the team has used against its share, as `usageLevel` grades it, with the prompts that wait before this one. */
+	readonly level: number;
+	/** True when its caller was refused before and has come back. */
+	readonly isReturning: boolean;
+};
--- /dev/null
+++ b/source/decisions/fairness/rank-prompts.ts
@@ -0,0 +1,56 @@
+/**
+Ranks the prompts that wait at one gateway, so that each team gets its share of the engines.
+
+A large team's burst fills a queue with hundreds of its prompts. All of them have the same
+usage so far, and if that decided, all would be sent before the usage is charged. So each
+prompt counts as if those of its team that are due before it had been sent.
+*/
+import type {WaitingPrompt} from '../entry/waiting-prompt.js';
+import type {PromptRank} from './prompt-rank.js';
+import {usageLevel} from './usage-level.js';
+
+/** Prompts of one queue that are expedited at a time. More, while no engine can take them, would keep the others from being compared. */
+const maxExpedited = 4;
+const mostUrgent = 0;
+
+type RankContext = {
+	/** Engine time that a team has used. */
+	readonly usedBy: (team: string) => number;
+	readonly shareMilliseconds: number;
+	/** True when a team is served too seldom. */
+	readonly isBelowFloor: (team: string) => boolean;
+	/** True when the prompt's kind or size is served too seldom. */
+	readonly isNeglected: (prompt: WaitingPrompt) => boolean;
+	readonly isReturning: (prompt: WaitingPrompt) => boolean;
+	/** Engine time that the prompt is expected to use. */
+	readonly costOf: (prompt: WaitingPrompt) => number;
+};
+
+const byDueTime = (first: WaitingPrompt, second: WaitingPrompt): number => first.teamPriority - second.teamPriority || first.priority - second.priority || first.dueAt - second.dueAt;
+
+/**
+Returns the rank of each prompt; the cost depends on the prompts, not on the number of teams.
+
+@example
+```
+const ranks = rankPrompts(waiting, context);
+waiting.toSorted((first, second) => compareRanks(ranks.get(first)!, ranks.get(second)!));
+```
+*/
+export const rankPrompts = (waiting: readonly WaitingPrompt[], {usedBy, shareMilliseconds, isBelowFloor, isNeglected, isReturning, costOf}: RankContext): ReadonlyMap<WaitingPrompt, PromptRank> => {
+	const usedByTeam = new Map<string, number>();
+	let expedited = 0;
+	return new Map(waiting.toSorted(byDueTime).map(prompt => {
+		const {team = '', teamPriority, priority} = prompt;
+		const usedBefore = usedByTeam.get(team);
+		const used = usedBefore ?? usedBy(team);
+		usedByTeam.set(team, used + costOf(prompt));
+		// Only the first prompt of a team can lift it to the floor; its outcome counts before the next pass.
+		const isTeamExpedited = usedBefore === undefined && isBelowFloor(team);
+		const isExpedited = expedited < maxExpedited && (isTeamExpedited || isNeglected(prompt));
+		expedited += isExpedited ? 1 : 0;
+		return [prompt, {
+			teamPriority: isExpedited && isTeamExpedited ? mostUrgent : teamPriority, priority, isExpedited, level: usageLevel(used, shareMilliseconds), isReturning: isReturning(prompt),
+		}];
+	}));
+};
--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -19,6 +19,7 @@
 import type {LoopActivity} from './loop-activity.js';
 import type {PromptQuarantine} from './prompt-quarantine.js';
 import type {TargetConnections} from './target-connections.js';
+import type {TeamFairness} from './team-fairness.js';
 
 /**
 One instance exists per process. `now` returns monotonic time in milliseconds.
@@ -28,6 +29,8 @@
 	readonly protocol: TargetProtocol;
 	readonly targetRegistry: TargetRegistry;
 	readonly loadTracker: LoadTracker;
+	/** What teams have used, and what follows from it; without effect where no teams are configured. */
+	readonly fairness: TeamFairness;
 	readonly prefixCache: PrefixCacheIndex;
 	readonly health: TargetHealth;
 	/** Targets that have asked this gateway for a pause. */
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -39,10 +39,12 @@
 import {PromptQuarantine} from './prompt-quarantine.js';
 import {PromptQueues} from './prompt-queues.js';
 import {QuarantineStore} from './quarantine-store.js';
+import {recordGauges} from './record-gauges.js';
 import {RequestRouter} from './request-router.js';
 import {startOperatorServer} from './start-operator-server.js';
 import {startStatusServer} from './status-server.js';
 import {TargetConnections} from './target-connections.js';
+import {TeamFairness} from './team-fairness.js';
 
 type EntryOptions = {
 	readonly settings: EntrySettings;
@@ -243,6 +245,7 @@
 			loadTracker: new LoadTracker((target, readMilliseconds) => {
 				this.#grants.reportPrefillEnd(target, readMilliseconds);
 			}),
+			fairness: new TeamFairness({metrics, now: clock}),
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
@@ -367,7 +370,7 @@
 
 	/** Drops the state of targets that are gone, and updates pollers and gauges. */
 	#runMaintenance(): void {
-		const {targetRegistry, prefixCache, health, pauses, connections, bufferedAnswers, pacer, crashMonitor, quarantine, metrics} = this.#context;
+		const {targetRegistry, prefixCache, health, pauses, connections, crashMonitor, quarantine, metrics} = this.#context;
 		const records = targetRegistry.all();
 		const incarnations = new Set(records.map(record => record.incarnation));
 		for (const target of health.takeSilent(clock())) {
@@ -384,11 +387,6 @@
 		quarantine.maintain();
 		this.#quarantineStore.recordEra(this.#knowledge.era);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
-		metrics.gauge('requests.open', this.#callerServer.open);
-		metrics.gauge('requests.waiting', this.#queues.waitingCount);
-		metrics.gauge('answers.buffered-bytes', bufferedAnswers.total);
-		metrics.gauge('answers.paused', pacer.waitingCount);
-		metrics.gauge('peers', this.#peers?.names.length ?? 0);
-		metrics.gauge('connections.opened', connections.opened());
+		recordGauges(this.#context, {open: this.#callerServer.open, waiting: this.#queues.waitingCount, peers: this.#peers?.names.length ?? 0});
 	}
 }
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -166,7 +166,7 @@
 		this.#options.context.loadTracker.removePeer(peer);
 	}
 
-	#createDigest({sent, told}: ReturnType<EntryContext['prefixCache']['takeUpdates']>, isFull: boolean, isWhole: boolean): Digest {
+	#createDigest({sent, told}: ReturnType<EntryContext['prefixCache']['takeUpdates']>, isFull: boolean, isWhole: boolean, usage?: Digest['usage']): Digest {
 		const {context, peers, fleetState} = this.#options;
 		const outstanding = context.loadTracker.ownLoads();
 		const followed = this.#options.followedEngines();
@@ -196,6 +196,7 @@
 				engines: [...followed], rows: reported.map(({engine}) => rows.get(engine)!), parts: reported.map(({part}) => part), tokens: reported.map(({tokens}) => tokens), isWhole,
 			},
 			outstanding: {ids: outstanding.map(({id}) => id), attempts: outstanding.map(({attempts}) => attempts), readMilliseconds: outstanding.map(({readMilliseconds}) => readMilliseconds)},
+			...usage === undefined ? {} : {usage},
 		};
 	}
 
@@ -240,13 +241,14 @@
 		const now = this.#options.context.now();
 		const isFull = now - this.#fullDigestAt >= fullDigestMilliseconds;
 		this.#fullDigestAt = isFull ? now : this.#fullDigestAt;
-		const digest = this.#createDigest(this.#options.context.prefixCache.takeUpdates(), isFull, false);
+		const {prefixCache, fairness, gatewayCount} = this.#options.context;
+		const digest = this.#createDigest(prefixCache.takeUpdates(), isFull, false, isFull ? fairness.takeReport(gatewayCount()) : undefined);
 		const text = JSON.stringify({
 			...digest, sentAt: 0, sinceRestore: 0, storeAge: 0, gone: digest.gone.incarnations,
 		});
 		this.#unchangedDigests = text === this.#lastDigest ? this.#unchangedDigests + 1 : 0;
-		const maxSkipped = digestPace(this.#options.context.gatewayCount()).ticks > 1 ? 0 : maxSkippedDigests;
-		if (this.#unchangedDigests % (maxSkipped + 1) === 0) {
+		const maxSkipped = digestPace(gatewayCount()).ticks > 1 ? 0 : maxSkippedDigests;
+		if (digest.usage !== undefined || this.#unchangedDigests % (maxSkipped + 1) === 0) {
 			this.#lastDigest = text;
 			this.#options.peers.broadcast(digest);
 		}
@@ -258,6 +260,7 @@
 		const {ids, attempts, readMilliseconds} = digest.outstanding;
 		context.loadTracker.setPeerLoad(peer, ids.map((id, index) => ({id, attempts: attempts[index] ?? 0, readMilliseconds: readMilliseconds[index] ?? 0})), now);
 		const known = this.#knownTargets();
+		context.fairness.recordReport(digest.usage ?? [], service => context.service(service) !== undefined);
 		this.#recordPeerSent(digest.sent, known, now);
 		this.#recordPeerReports(digest.told, known, now);
 		peers.addAddresses(digest.peers);
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -41,7 +41,24 @@
 	/** Relays the call; resolves once the caller has got its final answer. */
 	async run(): Promise<void> {
 		this.#lifecycle.begin();
-		await this.#runAttempts();
+		if (this.#admit()) {
+			await this.#runAttempts();
+		}
+	}
+
+	/** Refuses the call when its targets are overloaded and could not answer it in time; true when it may be sent. */
+	#admit(): boolean {
+		const {fairness, now} = this.#context;
+		const decision = fairness.admitCall(this.#request, () => targetViews(this.#context, this.#request.service).views);
+		if (decision.kind === 'refuse') {
+			const {expectedMilliseconds, delayMilliseconds} = decision;
+			this.#lifecycle.log.add('call refused: its targets are overloaded', {
+				expectedMilliseconds: Math.round(expectedMilliseconds), remaining: Math.round(this.#lifecycle.remaining), priority: this.#request.route.priority, ...fairness.facts(this.#request), ...targetListStatus(this.#context),
+			}, now());
+			this.#lifecycle.refuse(resultCode.deadlineUnreachable, delayMilliseconds, true);
+		}
+
+		return decision.kind === 'admit';
 	}
 
 	async #runAttempts(): Promise<void> {
@@ -69,7 +86,10 @@
 	/** Sends one attempt; true when the call is to be sent again. */
 	async #sendTo(target: TargetRecord): Promise<boolean> {
 		const {facts, answer, method, path, body} = this.#request;
-		this.#lifecycle.log.add('call placed', {target: target.id, ...targetListStatus(this.#context)}, this.#context.now());
+		const {loadTracker, now} = this.#context;
+		const sentAt = now();
+		const load = loadTracker.totalLoad(target.id, sentAt);
+		this.#lifecycle.log.add('call placed', {target: target.id, ...targetListStatus(this.#context)}, sentAt);
 		const {outcome, cancel} = this.#sender.send({
 			target,
 			facts,
@@ -96,6 +116,10 @@
 		this.#lifecycle.setCancelAttempt(cancel);
 		const result = await outcome;
 		this.#hasLiveAttempt = false;
+		if (result.kind === 'answer' || result.kind === 'streamed') {
+			this.#context.fairness.recordAnsweredCall(this.#request, now() - sentAt, load, target);
+		}
+
 		if (this.#lifecycle.isEnded) {
 			return false;
 		}
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -32,7 +32,8 @@
 	| PlacedVerdict
 	| {readonly kind: 'no engine'}
 	| {readonly kind: 'quarantined'}
-	| {readonly kind: 'hopeless'; readonly waitMilliseconds: number};
+	/** `isSpread`: the waiting times of several such prompts are spread already. */
+	| {readonly kind: 'hopeless'; readonly waitMilliseconds: number; readonly isSpread: boolean};
 
 type QueueOrder = ReturnType<typeof promptQueue.order>;
 
@@ -97,8 +98,10 @@
 		}
 
 		return () => {
-			queue.delete(prompt);
-			this.#awaitingGrant.delete(prompt);
+			const isWaiting = queue.delete(prompt);
+			if (this.#awaitingGrant.delete(prompt) || isWaiting) {
+				this.#context.fairness.recordRefused(service, prompt);
+			}
 		};
 	}
 
@@ -156,30 +159,32 @@
 		const now = this.#context.now();
 		const sharedContext = this.#queueContext(service, views, record, now);
 		let engines = views;
-		let order = promptQueue.order([...queue.keys()], now);
+		const waiting = [...queue.keys()];
+		let order = promptQueue.order(waiting, now, this.#context.fairness.ranks(service, waiting));
 		while (queue.size > 0) {
 			const context = {...sharedContext, engines};
 			const chosen = promptQueue.next(order, context, now);
 			if (option.isNone(chosen)) {
-				this.#rejectUnservable(queue, order, context, now);
+				this.#rejectUnservable(service, queue, order, context, now);
 				return;
 			}
 
 			order = promptQueue.without(order, chosen.value.prompt);
 			const {engine, readMilliseconds} = chosen.value.placement;
 			engines = engines.map(view => view.id === engine.id ? {...view, attempts: view.attempts + 1, readMilliseconds: view.readMilliseconds + readMilliseconds} : view);
-			this.#send(queue, chosen.value, record);
+			this.#send(service, queue, chosen.value, record);
 		}
 	}
 
 	/** Places a prompt at its engine; a long one only after the engine's owner gateway was asked. */
-	#send(queue: Map<WaitingPrompt, Entry>, {prompt, placement, lane}: Choice, record: (id: string) => TargetRecord): void {
+	#send(service: string, queue: Map<WaitingPrompt, Entry>, {prompt, placement, lane}: Choice, record: (id: string) => TargetRecord): void {
 		const {engine, fetchFrom, readMilliseconds} = placement;
 		const target = record(engine.id);
 		const entry = this.#context.loadTracker.add(engine.id, readMilliseconds);
 		const waiting = queue.get(prompt)!;
 		queue.delete(prompt);
 		const place = (grant: PlacedVerdict['grant']): void => {
+			this.#context.fairness.recordPlaced(service, prompt, readMilliseconds);
 			waiting.decide({
 				kind: 'placed', placement, lane, target, fetchFrom: fetchFrom === undefined ? undefined : record(fetchFrom.id), entry, grant, denials: waiting.denials,
 			});
@@ -218,9 +223,11 @@
 		}
 	}
 
-	#rejectUnservable(queue: Map<WaitingPrompt, Entry>, order: QueueOrder, context: QueueContext, now: number): void {
-		for (const {prompt, waitMilliseconds} of promptQueue.unservable(order, context, this.#context.gatewayCount(), now)) {
-			this.#decide(queue, prompt, {kind: 'hopeless', waitMilliseconds});
+	#rejectUnservable(service: string, queue: Map<WaitingPrompt, Entry>, order: QueueOrder, context: QueueContext, now: number): void {
+		const {fairness, gatewayCount} = this.#context;
+		for (const {prompt, ...hopeless} of promptQueue.unservable(order, context, gatewayCount(), now)) {
+			fairness.recordRefused(service, prompt);
+			this.#decide(queue, prompt, {kind: 'hopeless', waitMilliseconds: fairness.returnDelay(service, prompt, hopeless), isSpread: order.ranks !== undefined});
 		}
 	}
 
--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -197,15 +197,17 @@
 	/**
 	Ends the request with an error that says that it has not run; fails it instead if an attempt may have run.
 
-	`wantedMilliseconds` is the time until there may be room for it.
+	`wantedMilliseconds` is the time until there may be room for it; `isSpread` is true when that differs between callers already.
 	*/
-	refuse(code: number, wantedMilliseconds = 300): void {
+	refuse(code: number, wantedMilliseconds = 300, isSpread = false): void {
 		if (this.#ran > 0) {
 			this.fail(resultCode.targetLost);
 			return;
 		}
 
-		const seconds = retryAfter({wantedMilliseconds, remainingMilliseconds: this.remaining, random: this.#context.random});
+		const seconds = retryAfter({
+			wantedMilliseconds, remainingMilliseconds: this.remaining, isSpread, random: this.#context.random,
+		});
 		this.request.answer.sendError(code, this.#context.protocol.writeRefusal(this.request.facts.requestId), seconds);
 		this.end({outcome: 'refused', code, retryAfterSeconds: seconds});
 	}
@@ -258,6 +260,7 @@
 			firstEvent: this.#firstEventAt === undefined ? undefined : Math.round(this.#firstEventAt - startedAt),
 			ran: this.#ran,
 			arrivals: this.#permit.arrivals,
+			...this.#recordUse(now),
 			...ending,
 		}, now);
 		const isOnTime = ending.outcome === 'answered' && (this.#firstEventAt ?? now) - startedAt <= route.targetLatencyMilliseconds;
@@ -269,6 +272,13 @@
 		this.#firstEventAt = this.#context.now();
 	}
 
+	/** Charges the request to its team, and returns what the team has used, for the log. */
+	#recordUse(now: number): ReturnType<EntryContext['fairness']['facts']> {
+		const {fairness, service} = this.#context;
+		fairness.recordEnded(this.request, this.#firstEventAt === undefined ? undefined : now - this.#firstEventAt, service(this.request.service)?.engine?.slots ?? 1);
+		return fairness.facts(this.request);
+	}
+
 	#refusalCode(outcome: AttemptOutcome['kind']): number {
 		return outcome === 'not run' ? resultCode.queueFull : resultCode.targetUnreachable;
 	}
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -23,6 +23,7 @@
 import type {PromptQueues} from './prompt-queues.js';
 import type {AttemptSender} from './attempt-sender.js';
 import type {CallerRequest} from './caller-request.js';
+import {createWaitingPrompt} from './create-waiting-prompt.js';
 import type {EntryContext} from './entry-context.js';
 import {QuarantineGate} from './quarantine-gate.js';
 import {RequestLifecycle} from './request-lifecycle.js';
@@ -114,7 +115,7 @@
 			}
 
 			case 'hopeless': {
-				this.#lifecycle.refuse(resultCode.deadlineUnreachable, verdict.waitMilliseconds);
+				this.#lifecycle.refuse(resultCode.deadlineUnreachable, verdict.waitMilliseconds, verdict.isSpread);
 				return false;
 			}
 
@@ -125,23 +126,14 @@
 	}
 
 	async #waitForPlacement(): Promise<Verdict | {readonly kind: 'withdrawn'}> {
-		const {route, startedAt, deadlineAt, service, facts, body} = this.#request;
-		const patience = route.firstEventPatienceMilliseconds;
+		const prompt = createWaitingPrompt(this.#request, this.#context, {
+			sharedPrefix: this.#sharedPrefix,
+			avoid: this.#lifecycle.avoid,
+			isContinued: this.#lastEventId !== undefined,
+			mayPrefillSeparately: () => this.#lifecycle.mayPrefillSeparately(),
+		});
 		return new Promise(resolve => {
-			const withdraw = this.#queues.enqueue(service, {
-				id: facts.requestId,
-				priority: route.priority,
-				dueAt: startedAt + route.targetLatencyMilliseconds,
-				giveUpAt: Math.min(deadlineAt, (this.#lastEventId === undefined ? startedAt : this.#context.now()) + patience),
-				tokens: facts.prompt?.tokens ?? 0,
-				sharedParts: this.#sharedPrefix.parts,
-				sharedKey: this.#sharedPrefix.key,
-				sharedTokens: this.#sharedPrefix.tokens,
-				bodyBytes: body?.byteLength ?? 0,
-				avoid: this.#lifecycle.avoid,
-				// A continued stream is not split: its decode engine prefills the prompt and the events so far itself.
-				isInPlaceOnly: this.#lastEventId !== undefined || !this.#lifecycle.mayPrefillSeparately(),
-			}, resolve);
+			const withdraw = this.#queues.enqueue(this.#request.service, prompt, resolve);
 			this.#lifecycle.setCancelAttempt(() => {
 				withdraw();
 				resolve({kind: 'withdrawn'});
@@ -174,6 +166,7 @@
 			grant,
 			denials,
 			attempts: engine.attempts,
+			...this.#context.fairness.facts(this.#request),
 			...targetListStatus(this.#context),
 		}, this.#context.now());
 		return way === 'prefill first' ? this.#prefillPrompt(target, entry, latency, fetchFrom?.address) : this.#sendStream(target, entry, {fetchFrom: fetchFrom?.address});
--- a/test/decisions/entry/grant-prefill.test.ts
+++ b/test/decisions/entry/grant-prefill.test.ts
@@ -17,7 +17,7 @@
 const maxBacklog = 260;
 
 const prompt = (id: string): WaitingPrompt => ({
-	id, priority: 1, dueAt: 800, giveUpAt: 3200, tokens: 17_000, sharedParts: [{id: 'lot', tokens: 13_300}], sharedKey: 'lot', sharedTokens: 13_300, bodyBytes: 34_000, avoid: new Set(), isInPlaceOnly: false,
+	id, team: undefined, teamPriority: 0, kind: 'models', priority: 1, dueAt: 800, giveUpAt: 3200, tokens: 17_000, sharedParts: [{id: 'lot', tokens: 13_300}], sharedKey: 'lot', sharedTokens: 13_300, bodyBytes: 34_000, avoid: new Set(), isInPlaceOnly: false,
 });
 
 const viewsOf = (backlogs: ReadonlyMap<string, number>): readonly EngineView[] => [
--- a/test/decisions/entry/prompt-queue.test.ts
+++ b/test/decisions/entry/prompt-queue.test.ts
@@ -13,7 +13,7 @@
 });
 
 const prompt = (id: string, arrivedAt: number, more: Partial<WaitingPrompt> = {}): WaitingPrompt => ({
-	id, priority: 1, dueAt: arrivedAt + 800, giveUpAt: arrivedAt + 3200, tokens: 17_000, sharedParts: [{id: `lot-${id}`, tokens: 13_300}], sharedKey: `lot-${id}`, sharedTokens: 13_300, bodyBytes: 34_000, avoid: new Set(), isInPlaceOnly: false, ...more,
+	id, team: undefined, teamPriority: 0, kind: 'models', priority: 1, dueAt: arrivedAt + 800, giveUpAt: arrivedAt + 3200, tokens: 17_000, sharedParts: [{id: `lot-${id}`, tokens: 13_300}], sharedKey: `lot-${id}`, sharedTokens: 13_300, bodyBytes: 34_000, avoid: new Set(), isInPlaceOnly: false, ...more,
 });
 
 const contextOf = (engines: readonly EngineView[], cachingEngines: ReadonlySet<string> = new Set()) => ({
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -20,6 +20,7 @@
 import type {PromptQuarantine} from '../../source/entry/prompt-quarantine.js';
 import type {PromptQueues} from '../../source/entry/prompt-queues.js';
 import {StreamRelay} from '../../source/entry/stream-relay.js';
+import {TeamFairness} from '../../source/entry/team-fairness.js';
 import type {Route} from '../../source/fleet/route.js';
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 import type {ServiceDescription} from '../../source/fleet/service-description.js';
@@ -238,6 +239,7 @@
 			protocol: {writeRefusal: () => ({}), readPrefill: () => option.some({id: 'h', tokens: 13_400})} as unknown as TargetProtocol,
 			targetRegistry: beliefs,
 			loadTracker: new LoadTracker(),
+			fairness: new TeamFairness({metrics: {count: () => undefined}, now: () => time.now}),
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -14,6 +14,7 @@
 import {PromptQuarantine} from '../../source/entry/prompt-quarantine.js';
 import type {PrefillGrants} from '../../source/entry/prefill-grants.js';
 import {QuarantineStore} from '../../source/entry/quarantine-store.js';
+import {TeamFairness} from '../../source/entry/team-fairness.js';
 import type {Timers} from '../../source/shared/timers.js';
 import type {StoreFault} from './store-fault.js';
 import type {VirtualLinks} from './virtual-links.js';
@@ -233,6 +234,7 @@
 			settings: () => settings,
 			targetRegistry: this.beliefs,
 			loadTracker: new LoadTracker(),
+			fairness: new TeamFairness({metrics: {count: () => undefined}, now: () => time.now}),
 			prefixCache: new PrefixCacheIndex(),
 			metrics: new EntryMetrics(name),
 			quarantine: this.quarantine,
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -14,6 +14,7 @@
 import {PrefillGrants} from '../../source/entry/prefill-grants.js';
 import type {PromptQuarantine} from '../../source/entry/prompt-quarantine.js';
 import {PromptQueues} from '../../source/entry/prompt-queues.js';
+import {TeamFairness} from '../../source/entry/team-fairness.js';
 import type {ServiceDescription} from '../../source/fleet/service-description.js';
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 import type {PeerMessage} from '../../source/generated/peer-messages.js';
@@ -86,7 +87,7 @@
 		const {now} = this.#options.time;
 		const sharedParts = [{id: 'aa', tokens: 13_300}];
 		const prompt: WaitingPrompt = {
-			id, priority: 0, dueAt: now + 1500, giveUpAt: now + 6000, tokens: 17_000, sharedParts, sharedKey: 'aa', sharedTokens: 13_300, bodyBytes: 1000, avoid: new Set(), isInPlaceOnly: false,
+			id, team: undefined, teamPriority: 0, kind: 'models', priority: 0, dueAt: now + 1500, giveUpAt: now + 6000, tokens: 17_000, sharedParts, sharedKey: 'aa', sharedTokens: 13_300, bodyBytes: 1000, avoid: new Set(), isInPlaceOnly: false,
 		};
 		this.#queues.enqueue('models', prompt, decide);
 	}
@@ -147,6 +148,7 @@
 			settings: () => ({name, availabilityZone: 'zone-a'} as unknown as ReturnType<EntryContext['settings']>),
 			targetRegistry,
 			loadTracker: this.loadTracker,
+			fairness: new TeamFairness({metrics: {count: () => undefined}, now: () => time.now}),
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
