--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -11,14 +11,16 @@
 once, with the time after which there will be capacity.
 
 Where teams are configured, the rank of a prompt (source/decisions/fairness/) precedes
-these times in both lanes, and prompts that are served too seldom are placed as if they
-could be on time.
+these times in both lanes. Late prompts of urgent kinds, and prompts that are served too
+seldom, are then placed as if they could be on time.
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {compareRanks} from '../fairness/compare-ranks.js';
 import type {PromptRank} from '../fairness/prompt-rank.js';
 import {rendezvousOrder} from '../routing/rendezvous-order.js';
 import {hasCapacity} from './has-capacity.js';
+import {firstEventMilliseconds} from './first-event-milliseconds.js';
+import {isTimely} from './is-timely.js';
 import {latencyModel} from './latency-model.js';
 import type {EngineView} from './engine-view.js';
 import {placePrompt} from './place-prompt.js';
@@ -29,8 +31,6 @@
 const longPrefillMilliseconds = 25;
 /** A decode engine that runs more requests than this prefills no long prompt in place. */
 const maxRunningForLongPrefill = 20;
-/** Time from the end of the prefill to the first event at the caller, spent in engines and on the network. */
-const firstEventMilliseconds = 190;
 /** How long before its caller gives up the prefill of a prompt must be due to end: of a short one, and of a long one, whose prefill rarely runs alone. */
 const giveUpMargin = {short: 500, long: 900} as const;
 
@@ -152,7 +152,7 @@
 	const byRank = (first: WaitingPrompt, second: WaitingPrompt): number => ranks === undefined ? 0 : compareRanks(ranks.get(first)!, ranks.get(second)!);
 	return {
 		timely: waiting
-			.filter(prompt => now + firstEventMilliseconds < prompt.dueAt || ranks?.get(prompt)?.isExpedited)
+			.filter(prompt => isTimely(prompt, now) || ranks?.get(prompt)?.mayBeLate)
 			.toSorted((first, second) => byRank(first, second) || byUrgency(first, second)),
 		byGiveUp: waiting.toSorted((first, second) => byRank(first, second) || first.giveUpAt - second.giveUpAt),
 		ranks,
@@ -168,7 +168,7 @@
 
 /** Returns the prompt to send now and its placement; none when all prompts have to wait. */
 const next = ({timely, byGiveUp, ranks}: QueueOrder, context: QueueContext, now: number): option.Option<Choice> => {
-	const onTime = placeFirst(timely, 'onTime', context, (prompt, {latency}) => now + latency + firstEventMilliseconds <= prompt.dueAt || ranks?.get(prompt)?.isExpedited === true);
+	const onTime = placeFirst(timely, 'onTime', context, (prompt, {latency}) => now + latency + firstEventMilliseconds <= prompt.dueAt || ranks?.get(prompt)?.mayBeLate === true);
 	if (option.isSome(onTime)) {
 		return onTime;
 	}
--- a/source/decisions/fairness/compare-ranks.ts
+++ b/source/decisions/fairness/compare-ranks.ts
@@ -14,5 +14,6 @@
 export const compareRanks = (first: PromptRank, second: PromptRank): number => first.teamPriority - second.teamPriority
 	|| first.priority - second.priority
 	|| Number(second.isExpedited) - Number(first.isExpedited)
+	|| Number(first.isLate) - Number(second.isLate)
 	|| first.level - second.level
 	|| Number(second.isReturning) - Number(first.isReturning);
--- a/source/decisions/fairness/kind-shares.ts
+++ b/source/decisions/fairness/kind-shares.ts
@@ -15,7 +15,7 @@
 /** Step of the estimate of the size from which prompts are large, as a share of it. */
 const sizeStep = 0.05;
 /** Large prompts are neglected when they are served less often than this share of what their kind is; the requirement is half. */
-const largeFloorShare = 0.8;
+const largeFloorShare = 0.65;
 /** A kind is neglected when a less urgent one is served more often by this share of the prompts; the requirement is 0.05. */
 const kindMargin = 0.02;
 /** Outcomes below which the ratios say nothing. */
@@ -64,6 +64,11 @@
 		return kind !== undefined && (this.#isKindNeglected(kind, now) || (tokens >= kind.largeTokens && this.#isLargeNeglected(kind, now)));
 	}
 
+	/** True when a less urgent kind than that of the prompt is in use, which must not take the capacity that the prompt needs. */
+	precedesOthers({priority}: Sample, now: number): boolean {
+		return [...this.#kinds.values()].some(other => other.priority > priority && other.all.at(now).offered >= minOutcomes.kind);
+	}
+
 	#isLargeNeglected({all, large}: Kind, now: number): boolean {
 		const largeOutcomes = large.at(now);
 		return largeOutcomes.offered >= minOutcomes.large && ratioOf(largeOutcomes) < largeFloorShare * ratioOf(all.at(now));
--- a/source/decisions/fairness/rank-prompts.ts
+++ b/source/decisions/fairness/rank-prompts.ts
@@ -21,6 +21,9 @@
 	readonly isBelowFloor: (team: string) => boolean;
 	/** True when the prompt's kind or size is served too seldom. */
 	readonly isNeglected: (prompt: WaitingPrompt) => boolean;
+	/** True when less urgent kinds than the prompt's are in use. */
+	readonly precedesKinds: (prompt: WaitingPrompt) => boolean;
+	readonly isTimely: (prompt: WaitingPrompt) => boolean;
 	readonly isReturning: (prompt: WaitingPrompt) => boolean;
 	/** Engine time that the prompt is expected to use. */
 	readonly costOf: (prompt: WaitingPrompt) => number;
@@ -37,7 +40,7 @@
 waiting.toSorted((first, second) => compareRanks(ranks.get(first)!, ranks.get(second)!));
 ```
 */
-export const rankPrompts = (waiting: readonly WaitingPrompt[], {usedBy, shareMilliseconds, isBelowFloor, isNeglected, isReturning, costOf}: RankContext): ReadonlyMap<WaitingPrompt, PromptRank> => {
+export const rankPrompts = (waiting: readonly WaitingPrompt[], {usedBy, shareMilliseconds, isBelowFloor, isNeglected, precedesKinds, isTimely, isReturning, costOf}: RankContext): ReadonlyMap<WaitingPrompt, PromptRank> => {
 	const usedByTeam = new Map<string, number>();
 	let expedited = 0;
 	return new Map(waiting.toSorted(byDueTime).map(prompt => {
@@ -50,7 +53,13 @@
 		const isExpedited = expedited < maxExpedited && (isTeamExpedited || isNeglected(prompt));
 		expedited += isExpedited ? 1 : 0;
 		return [prompt, {
-			teamPriority: isExpedited && isTeamExpedited ? mostUrgent : teamPriority, priority, isExpedited, level: usageLevel(used, shareMilliseconds), isReturning: isReturning(prompt),
+			teamPriority: isExpedited && isTeamExpedited ? mostUrgent : teamPriority,
+			priority,
+			isExpedited,
+			isLate: !isTimely(prompt),
+			level: usageLevel(used, shareMilliseconds),
+			isReturning: isReturning(prompt),
+			mayBeLate: isExpedited || precedesKinds(prompt),
 		}];
 	}));
 };
--- a/source/decisions/fairness/service-fairness.ts
+++ b/source/decisions/fairness/service-fairness.ts
@@ -7,6 +7,7 @@
 (docs/design/fairness.md compares this with local and leased shares).
 */
 import type {WaitingPrompt} from '../entry/waiting-prompt.js';
+import {isTimely} from '../entry/is-timely.js';
 import {latencyModel} from '../entry/latency-model.js';
 import {KindShares} from './kind-shares.js';
 import type {PromptRank} from './prompt-rank.js';
@@ -60,6 +61,8 @@
 				shareMilliseconds: this.#ledger.share(now),
 				isBelowFloor: team => this.#ledger.isBelowFloor(team, now),
 				isNeglected: prompt => this.#kinds.isNeglected(prompt, now),
+				precedesKinds: prompt => this.#kinds.precedesOthers(prompt, now),
+				isTimely: prompt => isTimely(prompt, now),
 				isReturning: ({id}) => this.#refused.isReturning(id, now),
 				costOf: ({tokens, sharedTokens}) => this.#decodeMilliseconds + latencyModel.prefill(Math.max(1, tokens - sharedTokens), sharedTokens),
 			});
