Refuse prompts on arrival by the work of higher rank that keeps arriving

Cause: only the present queue was counted, not the prompts of higher rank that arrive while a prompt waits. Change: the rate at which a gateway places work of higher ranks is subtracted from its prefill rate, down to 0.3 of it.

--- a/experiments/fairness/fairness-replay.ts
+++ b/experiments/fairness/fairness-replay.ts
@@ -107,6 +107,15 @@
 ```
 */
 export class FairnessReplay {
+	/** Prefill time of the requests of each kind that arrive in a second, on average, in engines. */
+	static load(kinds: readonly Kind[], rate: (kind: number) => number): number {
+		const samples = 200;
+		return kinds.reduce((sum, {tokens: [least, most]}, kind) => {
+			const mean = Array.from({length: samples}, (_, index) => latencyModel.prefill(least * ((most / least) ** ((index + 0.5) / samples)), 0)).reduce((total, each) => total + each, 0) / samples;
+			return sum + (mean * rate(kind) / 1000);
+		}, 0);
+	}
+
 	readonly #options: ReplayOptions;
 	readonly #random: SoakRandom;
 	readonly #gateways: readonly Gateway[];
@@ -246,13 +255,4 @@
 			engines, availabilityZone: 'a', bytesPerToken: 1000, linkMegabitsPerSecond: 100_000, inPlaceEngines: new Set(), cachedTokens: () => 0,
 		};
 	}
-
-	/** Prefill time of the requests of each kind that arrive in a second, on average, in engines. */
-	static load(kinds: readonly Kind[], rate: (kind: number) => number): number {
-		const samples = 200;
-		return kinds.reduce((sum, {tokens: [least, most]}, kind) => {
-			const mean = Array.from({length: samples}, (_, index) => latencyModel.prefill(least * ((most / least) ** ((index + 0.5) / samples)), 0)).reduce((total, each) => total + each, 0) / samples;
-			return sum + (mean * rate(kind) / 1000);
-		}, 0);
-	}
 }
--- a/experiments/fairness/leased-shares.ts
+++ b/experiments/fairness/leased-shares.ts
@@ -113,6 +113,7 @@
 		isNeglected: prompt => this.#kinds.isNeglected(prompt, now),
 		precedesKinds: prompt => this.#kinds.precedesOthers(prompt, now),
 		isTimely: prompt => isTimely(prompt, now),
+		rateBefore: () => 0,
 		isReturning: ({id}) => this.#refused.isReturning(id, now),
 		costOf: prompt => costOf(prompt) / this.#quotaOf(prompt.team ?? ''),
 	});
--- a/experiments/fairness/replay-loads.ts
+++ b/experiments/fairness/replay-loads.ts
@@ -30,8 +30,8 @@
 const weight = (team: number): number => (team + 1) ** teamExponent;
 
 /** Scales the base rates so that, on average, they take this share of the engines. */
-const rateFor = (share: number): ((kind: number) => number) => {
-	const load = FairnessReplay.load(kinds, kind => baseRates[kind]!) / common.engines;
+const rateFor = (share: number, engines: number = common.engines): ((kind: number) => number) => {
+	const load = FairnessReplay.load(kinds, kind => baseRates[kind]!) / engines;
 	return kind => baseRates[kind]! * share / load;
 };
 
@@ -55,11 +55,14 @@
 	weight,
 };
 
+/** As many gateways and engines as a deployment has, which makes the figures of one gateway a small sample. */
+const wholeDeployment = {gateways: 22, engines: 29} as const;
+
 /** All teams ask for 1.6 times the capacity all the time. */
 const steadyOverload: Load = {...common, rate: kind => rateFor(1.6)(kind), weight};
 
 /**
-Each with six gateways and engines, 74 teams and two blocks of 14 s.
+Each with 74 teams and two blocks of 14 s, most of them with six gateways and engines.
 
 @example
 ```
@@ -70,4 +73,10 @@
 	largeTeamBurst, alternatingBursts, steadyOverload,
 	burstByTeam: {...largeTeamBurst, spread: 'by team'},
 	overloadByTeam: {...steadyOverload, spread: 'by team'},
+	wholeDeployment: {
+		...largeTeamBurst, ...wholeDeployment, rate: (kind, at) => largeTeamBurst.rate(kind, at) * wholeDeployment.engines / common.engines,
+	},
+	wholeDeploymentByTeam: {
+		...steadyOverload, ...wholeDeployment, spread: 'by team', rate: kind => rateFor(1.6, wholeDeployment.engines)(kind),
+	},
 } as const satisfies Readonly<Record<string, Load>>;
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -40,6 +40,8 @@
 const inPlaceEngineShare = 0.4;
 /** Share of the slots that must be in use before the first waiting prompt of a ranked queue is rejected. */
 const minUsedSlotShare = 0.5;
+/** Share of the prefill rate that is assumed to be left for a prompt, however much work of higher rank arrives. */
+const minRateShare = 0.3;
 /** Prompts examined for each choice, so that the cost of a choice does not grow with the queue. */
 const maxCompared = 12;
 
@@ -199,7 +201,8 @@
 	let queuedMilliseconds = 0;
 	return byGiveUp
 		.flatMap(prompt => {
-			const waitMilliseconds = averageBacklog + (queuedMilliseconds / prefillRate);
+			const rate = Math.max(prefillRate * minRateShare, prefillRate - (ranks?.get(prompt)?.rateBefore ?? 0));
+			const waitMilliseconds = averageBacklog + (queuedMilliseconds / rate);
 			const prefillMilliseconds = idlePrefillMilliseconds(prompt, context);
 			const margin = prefillMilliseconds + (prefillMilliseconds < longPrefillMilliseconds ? giveUpMargin.short : giveUpMargin.long);
 			const isUnservable = now + waitMilliseconds + margin > prompt.giveUpAt && (mayRejectFirst || queuedMilliseconds > 0);
--- a/source/decisions/fairness/prompt-rank.ts
+++ b/source/decisions/fairness/prompt-rank.ts
@@ -20,4 +20,6 @@
 	readonly isReturning: boolean;
 	/** Not compared: true when the prompt is placed as if it could be on time, because it is expedited, or because less urgent kinds would otherwise pass it. */
 	readonly mayBeLate: boolean;
+	/** Not compared: engine time per millisecond that this gateway gives to higher ranks. */
+	readonly rateBefore: number;
 };
--- a/source/decisions/fairness/rank-prompts.ts
+++ b/source/decisions/fairness/rank-prompts.ts
@@ -6,6 +6,7 @@
 prompt counts as if those of its team that are due before it had been sent.
 */
 import type {WaitingPrompt} from '../entry/waiting-prompt.js';
+import type {compareRanks} from './compare-ranks.js';
 import type {PromptRank} from './prompt-rank.js';
 import {usageLevel} from './usage-level.js';
 
@@ -24,6 +25,8 @@
 	/** True when less urgent kinds than the prompt's are in use. */
 	readonly precedesKinds: (prompt: WaitingPrompt) => boolean;
 	readonly isTimely: (prompt: WaitingPrompt) => boolean;
+	/** Engine time per millisecond that this gateway gives to higher ranks. */
+	readonly rateBefore: (rank: Parameters<typeof compareRanks>[0]) => number;
 	readonly isReturning: (prompt: WaitingPrompt) => boolean;
 	/** Engine time that the prompt is expected to use. */
 	readonly costOf: (prompt: WaitingPrompt) => number;
@@ -40,7 +43,7 @@
 waiting.toSorted((first, second) => compareRanks(ranks.get(first)!, ranks.get(second)!));
 ```
 */
-export const rankPrompts = (waiting: readonly WaitingPrompt[], {usedBy, shareMilliseconds, isBelowFloor, isNeglected, precedesKinds, isTimely, isReturning, costOf}: RankContext): ReadonlyMap<WaitingPrompt, PromptRank> => {
+export const rankPrompts = (waiting: readonly WaitingPrompt[], {usedBy, shareMilliseconds, isBelowFloor, isNeglected, precedesKinds, isTimely, rateBefore, isReturning, costOf}: RankContext): ReadonlyMap<WaitingPrompt, PromptRank> => {
 	const usedByTeam = new Map<string, number>();
 	let expedited = 0;
 	return new Map(waiting.toSorted(byDueTime).map(prompt => {
@@ -52,14 +55,14 @@
 		const isTeamExpedited = usedBefore === undefined && isBelowFloor(team);
 		const isExpedited = expedited < maxExpedited && (isTeamExpedited || isNeglected(prompt));
 		expedited += isExpedited ? 1 : 0;
-		return [prompt, {
+		const rank = {
 			teamPriority: isExpedited && isTeamExpedited ? mostUrgent : teamPriority,
 			priority,
 			isExpedited,
 			isLate: !isTimely(prompt),
 			level: usageLevel(used, shareMilliseconds),
 			isReturning: isReturning(prompt),
-			mayBeLate: isExpedited || precedesKinds(prompt),
-		}];
+		};
+		return [prompt, {...rank, mayBeLate: isExpedited || precedesKinds(prompt), rateBefore: rateBefore(rank)}];
 	}));
 };
--- a/source/decisions/fairness/service-fairness.ts
+++ b/source/decisions/fairness/service-fairness.ts
@@ -10,6 +10,7 @@
 import {isTimely} from '../entry/is-timely.js';
 import {latencyModel} from '../entry/latency-model.js';
 import {KindShares} from './kind-shares.js';
+import {PlacedWork} from './placed-work.js';
 import type {PromptRank} from './prompt-rank.js';
 import {rankPrompts} from './rank-prompts.js';
 import {RefusedRequests} from './refused-requests.js';
@@ -45,6 +46,9 @@
 	readonly #unreported = new UnreportedUsage();
 	/** Prompts that were placed and whose request has not ended, by request. */
 	readonly #open = new Map<string, OpenPrompt>();
+	/** The ranks of the last pass, by which the work placed in it is recorded. */
+	#ranks: ReadonlyMap<WaitingPrompt, PromptRank> = new Map();
+	readonly #work = new PlacedWork();
 	#decodeMilliseconds = 0;
 
 	/** Number of teams that were active recently. */
@@ -54,18 +58,22 @@
 
 	/** The ranks of the prompts that wait now; undefined when no teams are configured. */
 	ranks(waiting: readonly WaitingPrompt[], now: number): ReadonlyMap<WaitingPrompt, PromptRank> | undefined {
-		return waiting.some(({team}) => team === undefined)
-			? undefined
-			: rankPrompts(waiting, {
-				usedBy: team => this.#ledger.usedBy(team, now),
-				shareMilliseconds: this.#ledger.share(now),
-				isBelowFloor: team => this.#ledger.isBelowFloor(team, now),
-				isNeglected: prompt => this.#kinds.isNeglected(prompt, now),
-				precedesKinds: prompt => this.#kinds.precedesOthers(prompt, now),
-				isTimely: prompt => isTimely(prompt, now),
-				isReturning: ({id}) => this.#refused.isReturning(id, now),
-				costOf: ({tokens, sharedTokens}) => this.#decodeMilliseconds + latencyModel.prefill(Math.max(1, tokens - sharedTokens), sharedTokens),
-			});
+		if (waiting.some(({team}) => team === undefined)) {
+			return undefined;
+		}
+
+		this.#ranks = rankPrompts(waiting, {
+			usedBy: team => this.#ledger.usedBy(team, now),
+			shareMilliseconds: this.#ledger.share(now),
+			isBelowFloor: team => this.#ledger.isBelowFloor(team, now),
+			isNeglected: prompt => this.#kinds.isNeglected(prompt, now),
+			precedesKinds: prompt => this.#kinds.precedesOthers(prompt, now),
+			isTimely: prompt => isTimely(prompt, now),
+			rateBefore: rank => this.#work.rateBefore(rank, now),
+			isReturning: ({id}) => this.#refused.isReturning(id, now),
+			costOf: ({tokens, sharedTokens}) => this.#decodeMilliseconds + latencyModel.prefill(Math.max(1, tokens - sharedTokens), sharedTokens),
+		});
+		return this.#ranks;
 	}
 
 	/** Charges a prompt that was placed: its prefill, and the decode of an average answer until its own is known. */
@@ -75,6 +83,11 @@
 			return;
 		}
 
+		const rank = this.#ranks.get(prompt);
+		if (rank !== undefined) {
+			this.#work.record(rank, prefillMilliseconds, now);
+		}
+
 		const open = this.#open.get(id);
 		const decodeMilliseconds = open === undefined ? this.#decodeMilliseconds : 0;
 		this.charge(team, prefillMilliseconds + decodeMilliseconds, now);
