--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -15,7 +15,6 @@
 seldom, are then placed as if they could be on time.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import {compareRanks} from '../fairness/compare-ranks.js';
 import type {PromptRank} from '../fairness/prompt-rank.js';
 import {rendezvousOrder} from '../routing/rendezvous-order.js';
 import {hasCapacity} from './has-capacity.js';
@@ -149,18 +148,27 @@
 
 type PromptRanks = ReadonlyMap<WaitingPrompt, PromptRank>;
 
-/** Orders the prompts that wait now, by their ranks first where they have some. */
-const order = (waiting: readonly WaitingPrompt[], now: number, ranks?: PromptRanks): QueueOrder => {
-	const byRank = (first: WaitingPrompt, second: WaitingPrompt): number => ranks === undefined ? 0 : compareRanks(ranks.get(first)!, ranks.get(second)!);
+type RankedPrompt = {readonly prompt: WaitingPrompt; readonly rank: PromptRank};
+
+const byGiveUpTime = (first: WaitingPrompt, second: WaitingPrompt): number => first.giveUpAt - second.giveUpAt;
+
+const orderRanked = (ranks: PromptRanks, now: number): QueueOrder => {
+	const ranked = [...ranks].map(([prompt, rank]): RankedPrompt => ({prompt, rank}));
+	const sort = (prompts: readonly RankedPrompt[], compare: typeof byUrgency): readonly WaitingPrompt[] => prompts
+		.toSorted((first, second) => first.rank.order - second.rank.order || compare(first.prompt, second.prompt))
+		.map(({prompt}) => prompt);
 	return {
-		timely: waiting
-			.filter(prompt => isTimely(prompt, now) || ranks?.get(prompt)?.mayBeLate)
-			.toSorted((first, second) => byRank(first, second) || byUrgency(first, second)),
-		byGiveUp: waiting.toSorted((first, second) => byRank(first, second) || first.giveUpAt - second.giveUpAt),
+		timely: sort(ranked.filter(({prompt, rank}) => rank.mayBeLate || isTimely(prompt, now)), byUrgency),
+		byGiveUp: sort(ranked, byGiveUpTime),
 		ranks,
 	};
 };
 
+/** Orders the prompts that wait now, by their ranks first where they have some. */
+const order = (waiting: readonly WaitingPrompt[], now: number, ranks?: PromptRanks): QueueOrder => ranks === undefined
+	? {timely: waiting.filter(prompt => isTimely(prompt, now)).toSorted(byUrgency), byGiveUp: waiting.toSorted(byGiveUpTime), ranks}
+	: orderRanked(ranks, now);
+
 /** Returns the order without a prompt that was placed. */
 const without = ({timely, byGiveUp, ranks}: QueueOrder, placed: WaitingPrompt): QueueOrder => ({
 	timely: timely.filter(prompt => prompt !== placed),
--- a/source/decisions/fairness/kind-shares.ts
+++ b/source/decisions/fairness/kind-shares.ts
@@ -33,7 +33,7 @@
 @example
 ```
 shares.record(prompt, false, now);
-shares.isNeglected(prompt, now);
+shares.neglected(now)(prompt);
 ```
 */
 export class KindShares {
@@ -58,17 +58,26 @@
 		kind.largeTokens *= 1 + (sizeStep * (tokens > kind.largeTokens ? 1 - largeShare : -largeShare));
 	}
 
-	/** True when the prompt has to go first, because its kind or the large prompts of its kind are served too seldom. */
-	isNeglected({kind: name, tokens}: Sample, now: number): boolean {
-		const kind = this.#kinds.get(name);
-		return kind !== undefined && (this.#isKindNeglected(kind, now) || (tokens >= kind.largeTokens && this.#isLargeNeglected(kind, now)));
+	/** Returns a function that is true for prompts which have to go first now, because their kind or its large prompts are served too seldom. */
+	neglected(now: number): (prompt: Sample) => boolean {
+		const minTokens = new Map([...this.#kinds].map(([name, kind]) => [name, this.#minNeglectedTokens(kind, now)]));
+		return ({kind, tokens}) => tokens >= (minTokens.get(kind) ?? Number.POSITIVE_INFINITY);
 	}
 
-	/** True when a less urgent kind than that of the prompt is in use, which must not take the capacity that the prompt needs. */
-	precedesOthers({priority}: Sample, now: number): boolean {
+	/** True when a less urgent kind is in use, which must not take the capacity that prompts of this priority need. */
+	precedesOthers(priority: number, now: number): boolean {
 		return [...this.#kinds.values()].some(other => other.priority > priority && other.all.at(now).offered >= minOutcomes.kind);
 	}
 
+	/** The size from which prompts of a kind are neglected. */
+	#minNeglectedTokens(kind: Kind, now: number): number {
+		if (this.#isKindNeglected(kind, now)) {
+			return 0;
+		}
+
+		return this.#isLargeNeglected(kind, now) ? kind.largeTokens : Number.POSITIVE_INFINITY;
+	}
+
 	#isLargeNeglected({all, large}: Kind, now: number): boolean {
 		const largeOutcomes = large.at(now);
 		return largeOutcomes.offered >= minOutcomes.large && ratioOf(largeOutcomes) < largeFloorShare * ratioOf(all.at(now));
--- a/source/decisions/fairness/placed-work.ts
+++ b/source/decisions/fairness/placed-work.ts
@@ -6,63 +6,43 @@
 for all of higher rank that arrive meanwhile. By the queue alone it would seem servable, and
 be refused only after it has waited for most of its caller's patience.
 */
-import {compareRanks} from './compare-ranks.js';
-
-type Rank = Parameters<typeof compareRanks>[0];
+import {memoize} from './memoize.js';
 
 /** Time after which placed work counts for a third. */
 const decayMilliseconds = 1500;
 /** Upper bound of the ranks that are kept apart; there are some twenty levels for each priority. */
 const maxRanks = 256;
-/** Less work than this is forgotten. */
-const minMilliseconds = 0.01;
 
-type Work = {readonly rank: Rank; milliseconds: number; updatedAt: number};
+type Work = {readonly milliseconds: number; readonly updatedAt: number};
 
 const decayed = ({milliseconds, updatedAt}: Work, now: number): number => milliseconds * Math.exp((updatedAt - now) / decayMilliseconds);
 
-const keyOf = ({teamPriority, priority, level}: Rank): string => `${teamPriority} ${priority} ${level}`;
-
-/** Without what differs between prompts of one team and kind. */
-const plainRank = ({teamPriority, priority, level}: Rank): Rank => ({
-	teamPriority, priority, level, isExpedited: false, isLate: false, isReturning: false,
-});
-
 /**
-The work that one gateway has placed recently.
+The work that one gateway has placed recently, by the order of ranks.
 
 @example
 ```
-work.record(rank, 94, now);
-work.rateBefore(rank, now); // engine time per millisecond that goes to higher ranks
+work.record(rank.plainOrder, 94, now);
+const rateBefore = work.rates(now);
+rateBefore(rank.plainOrder); // engine time per millisecond that goes to higher ranks
 ```
 */
 export class PlacedWork {
-	readonly #byRank = new Map<string, Work>();
-
-	record(rank: Rank, milliseconds: number, now: number): void {
-		const key = keyOf(rank);
-		const known = this.#byRank.get(key);
-		if (known === undefined && this.#byRank.size >= maxRanks) {
-			this.#forgetOld(now);
+	/** The rank that got work last comes last. */
+	readonly #byOrder = new Map<number, Work>();
+
+	record(order: number, milliseconds: number, now: number): void {
+		const known = this.#byOrder.get(order);
+		this.#byOrder.delete(order);
+		this.#byOrder.set(order, {milliseconds: milliseconds + (known === undefined ? 0 : decayed(known, now)), updatedAt: now});
+		if (this.#byOrder.size > maxRanks) {
+			this.#byOrder.delete(this.#byOrder.keys().next().value!);
 		}
-
-		this.#byRank.set(key, {rank: plainRank(rank), milliseconds: milliseconds + (known === undefined ? 0 : decayed(known, now)), updatedAt: now});
-	}
-
-	/** Engine time per millisecond that this gateway gives to prompts of a higher rank. */
-	rateBefore(rank: Rank, now: number): number {
-		const plain = plainRank(rank);
-		return [...this.#byRank.values()]
-			.filter(work => compareRanks(work.rank, plain) < 0)
-			.reduce((sum, work) => sum + decayed(work, now), 0) / decayMilliseconds;
 	}
 
-	#forgetOld(now: number): void {
-		for (const [key, work] of this.#byRank) {
-			if (decayed(work, now) < minMilliseconds) {
-				this.#byRank.delete(key);
-			}
-		}
+	/** Returns a function for one pass: the engine time per millisecond that goes to ranks before this one. */
+	rates(now: number): (order: number) => number {
+		const rates = [...this.#byOrder].map(([order, work]) => ({order, rate: decayed(work, now) / decayMilliseconds}));
+		return memoize(order => rates.reduce((sum, other) => sum + (other.order < order ? other.rate : 0), 0));
 	}
 }
--- a/source/decisions/fairness/rank-prompts.ts
+++ b/source/decisions/fairness/rank-prompts.ts
@@ -6,8 +6,8 @@
 prompt counts as if those of its team that are due before it had been sent.
 */
 import type {WaitingPrompt} from '../entry/waiting-prompt.js';
-import type {compareRanks} from './compare-ranks.js';
 import type {PromptRank} from './prompt-rank.js';
+import {rankOrder} from './rank-order.js';
 import {usageLevel} from './usage-level.js';
 
 /** Prompts of one queue that are expedited at a time. More, while no engine can take them, would keep the others from being compared. */
@@ -22,11 +22,11 @@
 	readonly isBelowFloor: (team: string) => boolean;
 	/** True when the prompt's kind or size is served too seldom. */
 	readonly isNeglected: (prompt: WaitingPrompt) => boolean;
-	/** True when less urgent kinds than the prompt's are in use. */
-	readonly precedesKinds: (prompt: WaitingPrompt) => boolean;
+	/** True when less urgent kinds than those of a priority are in use. */
+	readonly precedesKinds: (priority: number) => boolean;
 	readonly isTimely: (prompt: WaitingPrompt) => boolean;
-	/** Engine time per millisecond that this gateway gives to higher ranks. */
-	readonly rateBefore: (rank: Parameters<typeof compareRanks>[0]) => number;
+	/** Engine time per millisecond that this gateway gives to ranks before this one. */
+	readonly rateBefore: (plainOrder: number) => number;
 	readonly isReturning: (prompt: WaitingPrompt) => boolean;
 	/** Engine time that the prompt is expected to use. */
 	readonly costOf: (prompt: WaitingPrompt) => number;
@@ -40,29 +40,36 @@
 @example
 ```
 const ranks = rankPrompts(waiting, context);
-waiting.toSorted((first, second) => compareRanks(ranks.get(first)!, ranks.get(second)!));
+waiting.toSorted((first, second) => ranks.get(first)!.order - ranks.get(second)!.order);
 ```
 */
-export const rankPrompts = (waiting: readonly WaitingPrompt[], {usedBy, shareMilliseconds, isBelowFloor, isNeglected, precedesKinds, isTimely, rateBefore, isReturning, costOf}: RankContext): ReadonlyMap<WaitingPrompt, PromptRank> => {
+export const rankPrompts = (waiting: readonly WaitingPrompt[], context: RankContext): ReadonlyMap<WaitingPrompt, PromptRank> => {
 	const usedByTeam = new Map<string, number>();
 	let expedited = 0;
-	return new Map(waiting.toSorted(byDueTime).map(prompt => {
-		const {team = '', teamPriority, priority} = prompt;
+	const rankOf = (prompt: WaitingPrompt): PromptRank => {
+		const {team = '', priority} = prompt;
 		const usedBefore = usedByTeam.get(team);
-		const used = usedBefore ?? usedBy(team);
-		usedByTeam.set(team, used + costOf(prompt));
+		const used = usedBefore ?? context.usedBy(team);
+		usedByTeam.set(team, used + context.costOf(prompt));
 		// Only the first prompt of a team can lift it to the floor; its outcome counts before the next pass.
-		const isTeamExpedited = usedBefore === undefined && isBelowFloor(team);
-		const isExpedited = expedited < maxExpedited && (isTeamExpedited || isNeglected(prompt));
+		const isTeamExpedited = expedited < maxExpedited && usedBefore === undefined && context.isBelowFloor(team);
+		const isExpedited = isTeamExpedited || (expedited < maxExpedited && context.isNeglected(prompt));
 		expedited += isExpedited ? 1 : 0;
-		const rank = {
-			teamPriority: isExpedited && isTeamExpedited ? mostUrgent : teamPriority,
-			priority,
+		const teamPriority = isTeamExpedited ? mostUrgent : prompt.teamPriority;
+		const level = usageLevel(used, context.shareMilliseconds);
+		const plainOrder = rankOrder({
+			teamPriority, priority, level, isExpedited: false, isLate: false, isReturning: false,
+		});
+		return {
+			order: rankOrder({
+				teamPriority, priority, level, isExpedited, isLate: !context.isTimely(prompt), isReturning: context.isReturning(prompt),
+			}),
+			plainOrder,
 			isExpedited,
-			isLate: !isTimely(prompt),
-			level: usageLevel(used, shareMilliseconds),
-			isReturning: isReturning(prompt),
+			mayBeLate: isExpedited || context.precedesKinds(priority),
+			rateBefore: context.rateBefore(plainOrder),
 		};
-		return [prompt, {...rank, mayBeLate: isExpedited || precedesKinds(prompt), rateBefore: rateBefore(rank)}];
-	}));
+	};
+
+	return new Map(waiting.toSorted(byDueTime).map(prompt => [prompt, rankOf(prompt)]));
 };
--- a/source/decisions/fairness/refused-requests.ts
+++ b/source/decisions/fairness/refused-requests.ts
@@ -47,6 +47,10 @@
 	}
 
 	isReturning(requestId: string, now: number): boolean {
+		if (this.#refusedAt.size === 0) {
+			return false;
+		}
+
 		const refusedAt = this.#refusedAt.get(hashOf(requestId));
 		return refusedAt !== undefined && now - refusedAt < lifetimeMilliseconds;
 	}
--- a/source/decisions/fairness/service-fairness.ts
+++ b/source/decisions/fairness/service-fairness.ts
@@ -10,6 +10,7 @@
 import {isTimely} from '../entry/is-timely.js';
 import {latencyModel} from '../entry/latency-model.js';
 import {KindShares} from './kind-shares.js';
+import {memoize} from './memoize.js';
 import {PlacedWork} from './placed-work.js';
 import type {PromptRank} from './prompt-rank.js';
 import {rankPrompts} from './rank-prompts.js';
@@ -66,10 +67,10 @@
 			usedBy: team => this.#ledger.usedBy(team, now),
 			shareMilliseconds: this.#ledger.share(now),
 			isBelowFloor: team => this.#ledger.isBelowFloor(team, now),
-			isNeglected: prompt => this.#kinds.isNeglected(prompt, now),
-			precedesKinds: prompt => this.#kinds.precedesOthers(prompt, now),
+			isNeglected: this.#kinds.neglected(now),
+			precedesKinds: memoize(priority => this.#kinds.precedesOthers(priority, now)),
 			isTimely: prompt => isTimely(prompt, now),
-			rateBefore: rank => this.#work.rateBefore(rank, now),
+			rateBefore: this.#work.rates(now),
 			isReturning: ({id}) => this.#refused.isReturning(id, now),
 			costOf: ({tokens, sharedTokens}) => this.#decodeMilliseconds + latencyModel.prefill(Math.max(1, tokens - sharedTokens), sharedTokens),
 		});
@@ -85,7 +86,7 @@
 
 		const rank = this.#ranks.get(prompt);
 		if (rank !== undefined) {
-			this.#work.record(rank, prefillMilliseconds, now);
+			this.#work.record(rank.plainOrder, prefillMilliseconds, now);
 		}
 
 		const open = this.#open.get(id);
