--- a/test/decisions/fairness/call-admission.test.ts
+++ b/test/decisions/fairness/call-admission.test.ts
@@ -68,7 +68,7 @@
 		tally[0]!++;
 		const loads = ends.map((each, target) => {
 			ends[target] = each.filter(end => end > now);
-			return {attempts: ends[target]!.length, slots: 8};
+			return {attempts: ends[target]?.length ?? 0, slots: 8};
 		});
 		if (isAdmitting && admission.decide({...call([]), targets: loads, priority}, now).kind === 'refuse') {
 			continue;
--- a/test/decisions/fairness/rank-prompts.test.ts
+++ b/test/decisions/fairness/rank-prompts.test.ts
@@ -57,7 +57,9 @@
 	const waiting = [
 		prompt('small dossier', {team: 'small'}),
 		prompt('large question', {team: 'large', priority: 0, kind: 'question'}),
-		prompt('less urgent team', {team: 'later', teamPriority: 1, priority: 0, kind: 'question'}),
+		prompt('less urgent team', {
+			team: 'later', teamPriority: 1, priority: 0, kind: 'question',
+		}),
 	];
 	t.strictSame(idsInOrder(waiting, fairness, 0), ['large question', 'small dossier', 'less urgent team']);
 	t.end();
@@ -138,7 +140,15 @@
 test('only a few prompts are expedited at a time, as more would hide all others from a pass while no engine can take them', t => {
 	const waiting = Array.from({length: 50}, (_, index) => prompt(String(index), {team: `team-${index}`}));
 	const ranks = rankPrompts(waiting, {
-		usedBy: () => 0, shareMilliseconds: 1, isBelowFloor: () => true, isNeglected: () => true, precedesKinds: () => false, isTimely: () => true, rateBefore: () => 0, isReturning: () => false, costOf: () => 1,
+		usedBy: () => 0,
+		shareMilliseconds: 1,
+		isBelowFloor: () => true,
+		isNeglected: () => true,
+		precedesKinds: () => false,
+		isTimely: () => true,
+		rateBefore: () => 0,
+		isReturning: () => false,
+		costOf: () => 1,
 	});
 	t.equal([...ranks.values()].filter(({isExpedited}) => isExpedited).length, 4);
 	t.end();
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -51,6 +51,7 @@
 	readonly lines: string[] = [];
 	readonly beliefs = new TargetRegistry(1200);
 	readonly quarantine: PromptQuarantine;
+	readonly fairness: TeamFairness;
 	readonly name: string;
 	readonly startedAt: number;
 	readonly #process: VirtualProcess;
@@ -69,6 +70,7 @@
 		this.#process = new VirtualProcess(time);
 		this.startedAt = time.now;
 		this.quarantine = this.#createQuarantine();
+		this.fairness = new TeamFairness({metrics: {count: () => undefined}, now: () => time.now});
 		const context = this.#createContext();
 		this.#knowledge = new FleetState({
 			context,
@@ -234,7 +236,7 @@
 			settings: () => settings,
 			targetRegistry: this.beliefs,
 			loadTracker: new LoadTracker(),
-			fairness: new TeamFairness({metrics: {count: () => undefined}, now: () => time.now}),
+			fairness: this.fairness,
 			prefixCache: new PrefixCacheIndex(),
 			metrics: new EntryMetrics(name),
 			quarantine: this.quarantine,
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -82,12 +82,12 @@
 		}
 	}
 
-	/** Enqueues a long prompt. */
-	enqueue(id: string, decide: (verdict: Verdict) => void): void {
+	/** Enqueues a long prompt, of a team if one is given. */
+	enqueue(id: string, decide: (verdict: Verdict) => void, team?: string): void {
 		const {now} = this.#options.time;
 		const sharedParts = [{id: 'aa', tokens: 13_300}];
 		const prompt: WaitingPrompt = {
-			id, team: undefined, teamPriority: 0, kind: 'models', priority: 0, dueAt: now + 1500, giveUpAt: now + 6000, tokens: 17_000, sharedParts, sharedKey: 'aa', sharedTokens: 13_300, bodyBytes: 1000, avoid: new Set(), isInPlaceOnly: false,
+			id, team, teamPriority: 0, kind: 'models', priority: 0, dueAt: now + 1500, giveUpAt: now + 6000, tokens: 17_000, sharedParts, sharedKey: 'aa', sharedTokens: 13_300, bodyBytes: 1000, avoid: new Set(), isInPlaceOnly: false,
 		};
 		this.#queues.enqueue('models', prompt, decide);
 	}
