Count teams that wait for the first time as active

Callers of a team that was not active are no longer behind a burst of the only active one: the share of that one was all that was used, so nothing put its prompts above their share.

--- a/source/decisions/fairness/service-fairness.ts
+++ b/source/decisions/fairness/service-fairness.ts
@@ -65,7 +65,7 @@
 
 		this.#ranks = rankPrompts(waiting, {
 			usedBy: team => this.#ledger.usedBy(team, now),
-			shareMilliseconds: this.#ledger.share(now),
+			shareMilliseconds: this.#ledger.share(now, new Set(waiting.map(({team}) => team!))),
 			isBelowFloor: team => this.#ledger.isBelowFloor(team, now),
 			isNeglected: this.#kinds.neglected(now),
 			precedesKinds: memoize(priority => this.#kinds.precedesOthers(priority, now)),
--- a/source/decisions/fairness/team-ledger.ts
+++ b/source/decisions/fairness/team-ledger.ts
@@ -76,9 +76,10 @@
 		return this.#accounts.get(team)?.usedAt(now) ?? 0;
 	}
 
-	/** The equal share of each team that was active recently in the engine time that all have used. */
-	share(now: number): number {
-		return this.#total.usedAt(now) / Math.max(1, this.#accounts.size);
+	/** The equal share, in the engine time that all have used, of each team that was active recently or is one of `waiting`. */
+	share(now: number, waiting: ReadonlySet<string> = new Set()): number {
+		const newTeams = [...waiting].filter(team => !this.#accounts.has(team)).length;
+		return this.#total.usedAt(now) / Math.max(1, this.#accounts.size + newTeams);
 	}
 
 	/** True when so few of a team's requests were served that its next one has to be, whatever the team has used. */
--- a/test/decisions/fairness/team-ledger.test.ts
+++ b/test/decisions/fairness/team-ledger.test.ts
@@ -27,6 +27,14 @@
 	t.end();
 });
 
+test('a team that waits for the first time counts as active, so that the only team so far is above its share', t => {
+	const ledger = new TeamLedger();
+	ledger.charge('large', 100, 0);
+	t.equal(ledger.share(0), 100);
+	t.equal(ledger.share(0, new Set(['large', 'small'])), 50);
+	t.end();
+});
+
 test('accounts are bounded whatever the number of teams, and closed when they are not used, so that a day of teams does not fill the memory or lower the share', t => {
 	const ledger = new TeamLedger();
 	for (let team = 0; team < teamsOfDeployment; team++) {
