Count the work of prompts whose placement had to be granted

Callers of low rank are refused on arrival also where the work before them is of long prompts. Cause: a long prompt is placed only once its engine's owner gateway has granted it, and by then the ranks of its pass were gone, so its work was not counted. Change: the choice keeps the rank.

--- a/experiments/fairness/create-shares.ts
+++ b/experiments/fairness/create-shares.ts
@@ -20,8 +20,8 @@
 const sharesOf = (fairness: ServiceFairness, tick: SharedUse['tick']): SharedUse => ({
 	tick,
 	ranks: (waiting, now) => fairness.ranks(waiting, now),
-	recordPlaced(prompt, prefillMilliseconds, decodeMilliseconds, now) {
-		fairness.recordPlaced(prompt, prefillMilliseconds, now);
+	recordPlaced({prompt, rank}, prefillMilliseconds, decodeMilliseconds, now) {
+		fairness.recordPlaced(prompt, prefillMilliseconds, now, rank);
 		fairness.recordEnded(prompt.id, decodeMilliseconds, now);
 	},
 	recordRefused(prompt, now) {
--- a/experiments/fairness/fairness-replay.ts
+++ b/experiments/fairness/fairness-replay.ts
@@ -208,7 +208,7 @@
 			order = promptQueue.without(order, prompt);
 			waiting.delete(prompt);
 			this.#place(prompt, Number(placement.engine.id), placement.readMilliseconds, now);
-			shares.recordPlaced(prompt, placement.readMilliseconds, decodeMilliseconds, now);
+			shares.recordPlaced(chosen.value, placement.readMilliseconds, decodeMilliseconds, now);
 		}
 	}
 
--- a/experiments/fairness/leased-shares.ts
+++ b/experiments/fairness/leased-shares.ts
@@ -118,7 +118,7 @@
 		costOf: prompt => costOf(prompt) / this.#quotaOf(prompt.team ?? ''),
 	});
 
-	readonly recordPlaced = (prompt: WaitingPrompt, prefillMilliseconds: number, decodeMilliseconds: number, now: number): void => {
+	readonly recordPlaced: SharedUse['recordPlaced'] = ({prompt}, prefillMilliseconds, decodeMilliseconds, now) => {
 		const team = prompt.team ?? '';
 		add(this.#used, team, prefillMilliseconds + decodeMilliseconds);
 		add(this.demand, team, prefillMilliseconds + decodeMilliseconds);
--- a/experiments/fairness/shared-use.ts
+++ b/experiments/fairness/shared-use.ts
@@ -10,7 +10,7 @@
 export type SharedUse = {
 	readonly tick: (now: number) => void;
 	readonly ranks: (waiting: readonly WaitingPrompt[], now: number) => ReadonlyMap<WaitingPrompt, PromptRank> | undefined;
-	readonly recordPlaced: (prompt: WaitingPrompt, prefillMilliseconds: number, decodeMilliseconds: number, now: number) => void;
+	readonly recordPlaced: (placed: {readonly prompt: WaitingPrompt; readonly rank: PromptRank | undefined}, prefillMilliseconds: number, decodeMilliseconds: number, now: number) => void;
 	readonly recordRefused: (prompt: WaitingPrompt, now: number) => void;
 	readonly returnDelay: (hopeless: {readonly waitMilliseconds: number; readonly workMilliseconds: number}, now: number) => number;
 };
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -58,7 +58,13 @@
 
 type Lane = 'onTime' | 'late';
 
-type Choice = {readonly prompt: WaitingPrompt; readonly placement: PromptPlacement; readonly lane: Lane};
+type Choice = {
+	readonly prompt: WaitingPrompt;
+	readonly placement: PromptPlacement;
+	readonly lane: Lane;
+	/** Undefined when no teams are configured. */
+	readonly rank: PromptRank | undefined;
+};
 
 /** Prefill time of a prompt on an otherwise idle prefill engine, wherever it will be prefilled. */
 const idlePrefillMilliseconds = (prompt: WaitingPrompt, context: QueueContext): number => {
@@ -118,7 +124,7 @@
 	return option.isSome(first) && first.value.way === 'in place' ? placeOn(available.prefillingLong) : first;
 };
 
-const placeFirst = (prompts: readonly WaitingPrompt[], lane: Lane, context: QueueContext, isAcceptable: (prompt: WaitingPrompt, placement: PromptPlacement) => boolean): option.Option<Choice> => {
+const placeFirst = (prompts: readonly WaitingPrompt[], lane: Lane, context: QueueContext, isAcceptable: (prompt: WaitingPrompt, placement: PromptPlacement) => boolean): option.Option<Omit<Choice, 'rank'>> => {
 	const available = availableEngines(context, lane);
 	if (available.all.length === 0) {
 		return option.none;
@@ -179,11 +185,8 @@
 /** Returns the prompt to send now and its placement; none when all prompts have to wait. */
 const next = ({timely, byGiveUp, ranks}: QueueOrder, context: QueueContext, now: number): option.Option<Choice> => {
 	const onTime = placeFirst(timely, 'onTime', context, (prompt, {latency}) => now + latency + firstEventMilliseconds <= prompt.dueAt || ranks?.get(prompt)?.mayBeLate === true);
-	if (option.isSome(onTime)) {
-		return onTime;
-	}
-
-	return placeFirst(byGiveUp, 'late', context, () => true);
+	const chosen = option.isSome(onTime) ? onTime : placeFirst(byGiveUp, 'late', context, () => true);
+	return option.isNone(chosen) ? option.none : option.some({...chosen.value, rank: ranks?.get(chosen.value.prompt)});
 };
 
 /** Total prefill rate of all engines, in prefill engines. */
--- a/source/decisions/fairness/service-fairness.ts
+++ b/source/decisions/fairness/service-fairness.ts
@@ -35,7 +35,7 @@
 @example
 ```
 const order = promptQueue.order(waiting, now, fairness.ranks(waiting, now));
-fairness.recordPlaced(prompt, 94, now);
+fairness.recordPlaced(prompt, 94, now, rank);
 fairness.recordEnded(prompt.id, 41, now);
 ```
 */
@@ -47,8 +47,6 @@
 	readonly #unreported = new UnreportedUsage();
 	/** Prompts that were placed and whose request has not ended, by request. */
 	readonly #open = new Map<string, OpenPrompt>();
-	/** The ranks of the last pass, by which the work placed in it is recorded. */
-	#ranks: ReadonlyMap<WaitingPrompt, PromptRank> = new Map();
 	readonly #work = new PlacedWork();
 	#decodeMilliseconds = 0;
 
@@ -63,7 +61,7 @@
 			return undefined;
 		}
 
-		this.#ranks = rankPrompts(waiting, {
+		return rankPrompts(waiting, {
 			usedBy: team => this.#ledger.usedBy(team, now),
 			shareMilliseconds: this.#ledger.share(now, new Set(waiting.map(({team}) => team!))),
 			isBelowFloor: team => this.#ledger.isBelowFloor(team, now),
@@ -74,17 +72,15 @@
 			isReturning: ({id}) => this.#refused.isReturning(id, now),
 			costOf: ({tokens, sharedTokens}) => this.#decodeMilliseconds + latencyModel.prefill(Math.max(1, tokens - sharedTokens), sharedTokens),
 		});
-		return this.#ranks;
 	}
 
 	/** Charges a prompt that was placed: its prefill, and the decode of an average answer until its own is known. */
-	recordPlaced(prompt: WaitingPrompt, prefillMilliseconds: number, now: number): void {
+	recordPlaced(prompt: WaitingPrompt, prefillMilliseconds: number, now: number, rank?: PromptRank): void {
 		const {id, team} = prompt;
 		if (team === undefined) {
 			return;
 		}
 
-		const rank = this.#ranks.get(prompt);
 		if (rank !== undefined) {
 			this.#work.record(rank.plainOrder, prefillMilliseconds, now);
 		}
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -177,14 +177,14 @@
 	}
 
 	/** Places a prompt at its engine; a long one only after the engine's owner gateway was asked. */
-	#send(service: string, queue: Map<WaitingPrompt, Entry>, {prompt, placement, lane}: Choice, record: (id: string) => TargetRecord): void {
+	#send(service: string, queue: Map<WaitingPrompt, Entry>, {prompt, placement, lane, rank}: Choice, record: (id: string) => TargetRecord): void {
 		const {engine, fetchFrom, readMilliseconds} = placement;
 		const target = record(engine.id);
 		const entry = this.#context.loadTracker.add(engine.id, readMilliseconds);
 		const waiting = queue.get(prompt)!;
 		queue.delete(prompt);
 		const place = (grant: PlacedVerdict['grant']): void => {
-			this.#context.fairness.recordPlaced(service, prompt, readMilliseconds);
+			this.#context.fairness.recordPlaced(service, prompt, readMilliseconds, rank);
 			waiting.decide({
 				kind: 'placed', placement, lane, target, fetchFrom: fetchFrom === undefined ? undefined : record(fetchFrom.id), entry, grant, denials: waiting.denials,
 			});
--- a/source/entry/team-fairness.ts
+++ b/source/entry/team-fairness.ts
@@ -5,6 +5,7 @@
 Requests without a team, on deployments that configure none, are neither counted nor ordered.
 */
 import {CallAdmission} from '../decisions/fairness/call-admission.js';
+import type {PromptRank} from '../decisions/fairness/prompt-rank.js';
 import {reportRows} from '../decisions/fairness/report-rows.js';
 import {ServiceFairness} from '../decisions/fairness/service-fairness.js';
 import type {WaitingPrompt} from '../decisions/entry/waiting-prompt.js';
@@ -31,7 +32,7 @@
 @example
 ```
 const ranks = fairness.ranks('appraiser-models', [...queue.keys()]);
-fairness.recordPlaced('appraiser-models', prompt, placement.readMilliseconds);
+fairness.recordPlaced('appraiser-models', prompt, placement.readMilliseconds, rank);
 ```
 */
 export class TeamFairness {
@@ -74,12 +75,12 @@
 		return this.#has(waiting[0]) ? this.#of(service).fairness.ranks(waiting, this.#now()) : undefined;
 	}
 
-	/** Records that a prompt was placed on an engine. */
-	recordPlaced(service: string, prompt: WaitingPrompt, prefillMilliseconds: number): void {
+	/** Records that a prompt, which had this rank when its engine was chosen, was placed. */
+	recordPlaced(service: string, prompt: WaitingPrompt, prefillMilliseconds: number, rank: PromptRank | undefined): void {
 		if (this.#has(prompt)) {
 			const {fairness} = this.#of(service);
 			this.#countPlaced(prompt, fairness);
-			fairness.recordPlaced(prompt, prefillMilliseconds, this.#now());
+			fairness.recordPlaced(prompt, prefillMilliseconds, this.#now(), rank);
 		}
 	}
 
--- a/test/decisions/fairness/without-teams.test.ts
+++ b/test/decisions/fairness/without-teams.test.ts
@@ -104,7 +104,7 @@
 	} as unknown as Parameters<TeamFairness['admitCall']>[0];
 	t.strictSame(fairness.accountOf({kind: 'none'}), {team: undefined, teamPriority: 0});
 	t.equal(fairness.ranks('models', [prompt]), undefined);
-	fairness.recordPlaced('models', prompt, 100);
+	fairness.recordPlaced('models', prompt, 100, undefined);
 	fairness.recordRefused('models', prompt);
 	fairness.recordEnded(request, 100, 64);
 	fairness.recordAnsweredCall(request, 100, {attempts: 100}, {slots: 8});
