--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -248,7 +248,7 @@
 		});
 		this.#unchangedDigests = text === this.#lastDigest ? this.#unchangedDigests + 1 : 0;
 		const maxSkipped = digestPace(gatewayCount()).ticks > 1 ? 0 : maxSkippedDigests;
-		if (digest.usage !== undefined || this.#unchangedDigests % (maxSkipped + 1) === 0) {
+		if (this.#unchangedDigests % (maxSkipped + 1) === 0) {
 			this.#lastDigest = text;
 			this.#options.peers.broadcast(digest);
 		}
