--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -9,10 +9,17 @@
 While engines have spare capacity, late prompts follow, first the one whose caller
 gives up soonest. A prompt that cannot start before its caller gives up is rejected at
 once, with the time after which there will be capacity.
+
+Where teams are configured, the rank of a prompt (source/decisions/fairness/) precedes
+these times in both lanes. Late prompts of urgent kinds, and prompts that are served too
+seldom, are then placed as if they could be on time.
 */
 import * as option from 'fp-ts/lib/Option.js';
+import type {PromptRank} from '../fairness/prompt-rank.js';
 import {rendezvousOrder} from '../routing/rendezvous-order.js';
 import {hasCapacity} from './has-capacity.js';
+import {firstEventMilliseconds} from './first-event-milliseconds.js';
+import {isTimely} from './is-timely.js';
 import {latencyModel} from './latency-model.js';
 import type {EngineView} from './engine-view.js';
 import {placePrompt} from './place-prompt.js';
@@ -23,8 +30,6 @@
 const longPrefillMilliseconds = 25;
 /** A decode engine that runs more requests than this prefills no long prompt in place. */
 const maxRunningForLongPrefill = 20;
-/** Time from the end of the prefill to the first event at the caller, spent in engines and on the network. */
-const firstEventMilliseconds = 190;
 /** How long before its caller gives up the prefill of a prompt must be due to end: of a short one, and of a long one, whose prefill rarely runs alone. */
 const giveUpMargin = {short: 500, long: 900} as const;
 
@@ -32,6 +37,10 @@
 const inPlacePrefillShare = 0.3;
 /** Share of the decode engines that prefill in place while there are prefill engines. */
 const inPlaceEngineShare = 0.4;
+/** Share of the slots that must be in use before the first waiting prompt of a ranked queue is rejected. */
+const minUsedSlotShare = 0.5;
+/** Share of the prefill rate that is assumed to be left for a prompt, however much work of higher rank arrives. */
+const minRateShare = 0.3;
 /** Prompts examined for each choice, so that the cost of a choice does not grow with the queue. */
 const maxCompared = 12;
 
@@ -49,7 +58,13 @@
 
 type Lane = 'onTime' | 'late';
 
-type Choice = {readonly prompt: WaitingPrompt; readonly placement: PromptPlacement; readonly lane: Lane};
+type Choice = {
+	readonly prompt: WaitingPrompt;
+	readonly placement: PromptPlacement;
+	readonly lane: Lane;
+	/** Undefined when no teams are configured. */
+	readonly rank: PromptRank | undefined;
+};
 
 /** Prefill time of a prompt on an otherwise idle prefill engine, wherever it will be prefilled. */
 const idlePrefillMilliseconds = (prompt: WaitingPrompt, context: QueueContext): number => {
@@ -109,7 +124,7 @@
 	return option.isSome(first) && first.value.way === 'in place' ? placeOn(available.prefillingLong) : first;
 };
 
-const placeFirst = (prompts: readonly WaitingPrompt[], lane: Lane, context: QueueContext, isAcceptable: (prompt: WaitingPrompt, placement: PromptPlacement) => boolean): option.Option<Choice> => {
+const placeFirst = (prompts: readonly WaitingPrompt[], lane: Lane, context: QueueContext, isAcceptable: (prompt: WaitingPrompt, placement: PromptPlacement) => boolean): option.Option<Omit<Choice, 'rank'>> => {
 	const available = availableEngines(context, lane);
 	if (available.all.length === 0) {
 		return option.none;
@@ -131,53 +146,79 @@
 type QueueOrder = {
 	/** Prompts whose first event can still be on time, the most urgent first. */
 	readonly timely: readonly WaitingPrompt[];
-	/** All prompts, the one whose caller gives up soonest first. */
+	/** All prompts, the one whose caller gives up soonest first; those of higher rank before. */
 	readonly byGiveUp: readonly WaitingPrompt[];
+	/** Undefined when no teams are configured. */
+	readonly ranks: PromptRanks | undefined;
 };
 
-/** Orders the prompts that wait now. */
-const order = (waiting: readonly WaitingPrompt[], now: number): QueueOrder => ({
-	timely: waiting.filter(({dueAt}) => now + firstEventMilliseconds < dueAt).toSorted(byUrgency),
-	byGiveUp: waiting.toSorted((first, second) => first.giveUpAt - second.giveUpAt),
-});
+type PromptRanks = ReadonlyMap<WaitingPrompt, PromptRank>;
+
+type RankedPrompt = {readonly prompt: WaitingPrompt; readonly rank: PromptRank};
+
+const byGiveUpTime = (first: WaitingPrompt, second: WaitingPrompt): number => first.giveUpAt - second.giveUpAt;
+
+const orderRanked = (ranks: PromptRanks, now: number): QueueOrder => {
+	const ranked = [...ranks].map(([prompt, rank]): RankedPrompt => ({prompt, rank}));
+	const sort = (prompts: readonly RankedPrompt[], compare: typeof byUrgency): readonly WaitingPrompt[] => prompts
+		.toSorted((first, second) => first.rank.order - second.rank.order || compare(first.prompt, second.prompt))
+		.map(({prompt}) => prompt);
+	return {
+		timely: sort(ranked.filter(({prompt, rank}) => rank.mayBeLate || isTimely(prompt, now)), byUrgency),
+		byGiveUp: sort(ranked, byGiveUpTime),
+		ranks,
+	};
+};
+
+/** Orders the prompts that wait now, by their ranks first where they have some. */
+const order = (waiting: readonly WaitingPrompt[], now: number, ranks?: PromptRanks): QueueOrder => ranks === undefined
+	? {timely: waiting.filter(prompt => isTimely(prompt, now)).toSorted(byUrgency), byGiveUp: waiting.toSorted(byGiveUpTime), ranks}
+	: orderRanked(ranks, now);
 
 /** Returns the order without a prompt that was placed. */
-const without = ({timely, byGiveUp}: QueueOrder, placed: WaitingPrompt): QueueOrder => ({
+const without = ({timely, byGiveUp, ranks}: QueueOrder, placed: WaitingPrompt): QueueOrder => ({
 	timely: timely.filter(prompt => prompt !== placed),
 	byGiveUp: byGiveUp.filter(prompt => prompt !== placed),
+	ranks,
 });
 
 /** Returns the prompt to send now and its placement; none when all prompts have to wait. */
-const next = ({timely, byGiveUp}: QueueOrder, context: QueueContext, now: number): option.Option<Choice> => {
-	const onTime = placeFirst(timely, 'onTime', context, ({dueAt}, {latency}) => now + latency + firstEventMilliseconds <= dueAt);
-	if (option.isSome(onTime)) {
-		return onTime;
-	}
-
-	return placeFirst(byGiveUp, 'late', context, () => true);
+const next = ({timely, byGiveUp, ranks}: QueueOrder, context: QueueContext, now: number): option.Option<Choice> => {
+	const onTime = placeFirst(timely, 'onTime', context, (prompt, {latency}) => now + latency + firstEventMilliseconds <= prompt.dueAt || ranks?.get(prompt)?.mayBeLate === true);
+	const chosen = option.isSome(onTime) ? onTime : placeFirst(byGiveUp, 'late', context, () => true);
+	return option.isNone(chosen) ? option.none : option.some({...chosen.value, rank: ranks?.get(chosen.value.prompt)});
 };
 
 /** Total prefill rate of all engines, in prefill engines. */
 const totalPrefillRate = (engines: readonly EngineView[]): number => engines
 	.reduce((sum, {role}) => sum + (role === 'prefill' ? 1 : inPlacePrefillShare), 0);
 
+/** Share of the decode engines' slots that are in use. */
+const usedSlotShare = (engines: readonly EngineView[]): number => {
+	const decodeEngines = engines.filter(({role}) => role === 'decode');
+	return decodeEngines.reduce((sum, {attempts}) => sum + attempts, 0) / Math.max(1, decodeEngines.reduce((sum, {slots}) => sum + slots, 0));
+};
+
 /**
 Returns the prompts that cannot start before their callers give up, at the rate at
 which engines prefill, and how long each would have to wait. They are determined on
-arrival, so that no caller waits only to be rejected later.
+arrival, so that no caller waits only to be rejected later. `workMilliseconds` is the time
+that this gateway's share of the engines needs for the prompt.
 */
-const unservable = ({byGiveUp}: QueueOrder, context: QueueContext, gateways: number, now: number): ReadonlyArray<{readonly prompt: WaitingPrompt; readonly waitMilliseconds: number}> => {
+const unservable = ({byGiveUp, ranks}: QueueOrder, context: QueueContext, gateways: number, now: number): ReadonlyArray<{readonly prompt: WaitingPrompt; readonly waitMilliseconds: number; readonly workMilliseconds: number}> => {
 	const prefillRate = Math.max(inPlacePrefillShare, totalPrefillRate(context.engines)) / Math.max(1, gateways);
 	const averageBacklog = context.engines.reduce((sum, {readMilliseconds}) => sum + readMilliseconds, 0) / Math.max(1, context.engines.length);
+	const mayRejectFirst = ranks === undefined || usedSlotShare(context.engines) >= minUsedSlotShare;
 	let queuedMilliseconds = 0;
 	return byGiveUp
 		.flatMap(prompt => {
-			const waitMilliseconds = averageBacklog + (queuedMilliseconds / prefillRate);
+			const rate = Math.max(prefillRate * minRateShare, prefillRate - (ranks?.get(prompt)?.rateBefore ?? 0));
+			const waitMilliseconds = averageBacklog + (queuedMilliseconds / rate);
 			const prefillMilliseconds = idlePrefillMilliseconds(prompt, context);
 			const margin = prefillMilliseconds + (prefillMilliseconds < longPrefillMilliseconds ? giveUpMargin.short : giveUpMargin.long);
-			const isUnservable = now + waitMilliseconds + margin > prompt.giveUpAt;
+			const isUnservable = now + waitMilliseconds + margin > prompt.giveUpAt && (mayRejectFirst || queuedMilliseconds > 0);
 			queuedMilliseconds += isUnservable ? 0 : prefillMilliseconds;
-			return isUnservable ? [{prompt, waitMilliseconds}] : [];
+			return isUnservable ? [{prompt, waitMilliseconds, workMilliseconds: prefillMilliseconds / prefillRate}] : [];
 		});
 };
 
--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -217,10 +217,12 @@
 	/**
 	Ends the request with an error that says that it has not run; fails it instead if an attempt may have run.
 
-	`wantedMilliseconds` is the time until there may be room for it.
+	`wantedMilliseconds` is the time until there may be room for it; `isSpread` is true when that differs between callers already.
 	*/
-	refuse(code: number, wantedMilliseconds = 300): void {
-		this.#refuseAfter(code, retryAfter({wantedMilliseconds, remainingMilliseconds: this.remaining, random: this.#context.random}));
+	refuse(code: number, wantedMilliseconds = 300, isSpread = false): void {
+		this.#refuseAfter(code, retryAfter({
+			wantedMilliseconds, remainingMilliseconds: this.remaining, isSpread, random: this.#context.random,
+		}));
 	}
 
 	/** Ends the request because no target can take it now: none is known, or all have asked for a pause. */
@@ -271,6 +273,7 @@
 			firstEvent: this.#firstEventAt === undefined ? undefined : Math.round(this.#firstEventAt - startedAt),
 			ran: this.#ran,
 			arrivals: this.#permit.arrivals,
+			...this.#recordUse(now),
 			...ending,
 		}, now);
 		const isOnTime = ending.outcome === 'answered' && (this.#firstEventAt ?? now) - startedAt <= route.targetLatencyMilliseconds;
@@ -321,6 +324,13 @@
 		}
 	}
 
+	/** Charges the request to its team, and returns what the team has used, for the log. */
+	#recordUse(now: number): ReturnType<EntryContext['fairness']['facts']> {
+		const {fairness, service} = this.#context;
+		fairness.recordEnded(this.request, this.#firstEventAt === undefined ? undefined : now - this.#firstEventAt, service(this.request.service)?.engine?.slots ?? 1);
+		return fairness.facts(this.request);
+	}
+
 	#refusalCode(outcome: AttemptOutcome['kind']): number {
 		return outcome === 'not run' ? resultCode.queueFull : resultCode.targetUnreachable;
 	}
--- a/test/decisions/teams/urgency.test.ts
+++ b/test/decisions/teams/urgency.test.ts
@@ -70,7 +70,7 @@
 test('in a burst, the prompts of a more urgent team go first at the gateway', t => {
 	const levels = new UrgencyLevels({teams: teamsOf([0, 5]), routes: [route(0), route(1)]});
 	const prompt = (id: string, team: RequestTeam, routePriority: number): WaitingPrompt => ({
-		id, priority: levels.of(team, route(routePriority)).order, dueAt: 800, giveUpAt: 3200, tokens: 100, sharedParts: [], sharedKey: '', sharedTokens: 0, bodyBytes: 0, avoid: new Set(), isInPlaceOnly: false,
+		id, team: undefined, teamPriority: 0, kind: 'questions', priority: levels.of(team, route(routePriority)).order, dueAt: 800, giveUpAt: 3200, tokens: 100, sharedParts: [], sharedKey: '', sharedTokens: 0, bodyBytes: 0, avoid: new Set(), isInPlaceOnly: false,
 	});
 	const burst = Array.from({length: 50}, (_, index) => prompt(`burst-${index}`, requestTeam(5), 0));
 	const waiting = [...burst, prompt('urgent', requestTeam(0), 1), prompt('most urgent', requestTeam(0), 0)];
--- a/test/entry/request-lifecycle.test.ts
+++ b/test/entry/request-lifecycle.test.ts
@@ -8,6 +8,7 @@
 import type {CallerRequest} from '../../source/entry/caller-request.js';
 import type {EntryContext} from '../../source/entry/entry-context.js';
 import {RequestLifecycle} from '../../source/entry/request-lifecycle.js';
+import {TeamFairness} from '../../source/entry/team-fairness.js';
 import {LoneGateway} from '../support/lone-gateway.js';
 
 const target = LoneGateway.target('i-1');
@@ -49,6 +50,7 @@
 		random: () => 0,
 		timers: {after: () => () => undefined},
 		openRequests: new Set(),
+		fairness: new TeamFairness({metrics: {count: () => undefined}, now: () => 0}),
 		metrics: {
 			count(name: string) {
 				state.counted.push(name);
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -14,6 +14,7 @@
 import {PromptQuarantine} from '../../source/entry/prompt-quarantine.js';
 import type {PrefillGrants} from '../../source/entry/prefill-grants.js';
 import {QuarantineStore} from '../../source/entry/quarantine-store.js';
+import {TeamFairness} from '../../source/entry/team-fairness.js';
 import type {Timers} from '../../source/shared/timers.js';
 import type {StoreFault} from './store-fault.js';
 import type {VirtualLinks} from './virtual-links.js';
@@ -50,6 +51,7 @@
 	readonly lines: string[] = [];
 	readonly beliefs = new TargetRegistry(1200);
 	readonly quarantine: PromptQuarantine;
+	readonly fairness: TeamFairness;
 	readonly name: string;
 	readonly startedAt: number;
 	readonly #process: VirtualProcess;
@@ -68,6 +70,7 @@
 		this.#process = new VirtualProcess(time);
 		this.startedAt = time.now;
 		this.quarantine = this.#createQuarantine();
+		this.fairness = new TeamFairness({metrics: {count: () => undefined}, now: () => time.now});
 		const context = this.#createContext();
 		this.#knowledge = new FleetState({
 			context,
@@ -236,6 +239,7 @@
 			settings: () => settings,
 			targetRegistry: this.beliefs,
 			loadTracker: new LoadTracker(),
+			fairness: this.fairness,
 			prefixCache: new PrefixCacheIndex(),
 			metrics: new EntryMetrics(),
 			quarantine: this.quarantine,
