--- a/test/entry/request-lifecycle.test.ts
+++ b/test/entry/request-lifecycle.test.ts
@@ -51,6 +51,7 @@
 		timers: {after: () => () => undefined},
 		openRequests: new Set(),
 		fairness: new TeamFairness({metrics: {count: () => undefined}, now: () => 0}),
+		service: () => undefined,
 		metrics: {
 			count(name: string) {
 				state.counted.push(name);
