Decode the load that targets report with their answers

AnswerFacts gets load (running, waiting, slots, slowdown) from X-Replica-Load, whose fourth figure is optional. Callers see no change: the header is still not forwarded. A malformed header leaves load undefined and is counted as target.load-malformed.

Evidence: test/platform/decode.test.ts has a table of valid and malformed headers, among them a header of 200 KB and a repeated one.

--- a/source/entry/record-target-state.ts
+++ b/source/entry/record-target-state.ts
@@ -1,6 +1,6 @@
 /**
 Records what a target says of itself in the head of any of its answers: that it is leaving,
-and that it asks for a pause.
+that it asks for a pause, and a load that cannot be decoded.
 */
 import type {AnswerFacts} from '../fleet/answer-facts.js';
 import type {TargetRecord} from '../fleet/target-record.js';
@@ -9,7 +9,7 @@
 type Context = Pick<EntryContext, 'targetRegistry' | 'pauses' | 'metrics' | 'log' | 'now'>;
 
 /**
-Both facts hold for the incarnation that was asked, not for its address: a new incarnation
+The first two hold for the incarnation that was asked, not for its address: a new incarnation
 at the same address neither leaves nor pauses. Peers learn of a leaving target by the next digest.
 
 @example
@@ -17,8 +17,12 @@
 recordTargetState(context, target, facts);
 ```
 */
-export const recordTargetState = ({targetRegistry, pauses, metrics, log, now}: Context, target: TargetRecord, {isLeaving, pauseMilliseconds}: AnswerFacts): void => {
+export const recordTargetState = ({targetRegistry, pauses, metrics, log, now}: Context, target: TargetRecord, {isLeaving, pauseMilliseconds, isLoadMalformed}: AnswerFacts): void => {
 	const {incarnation, id, address} = target;
+	if (isLoadMalformed) {
+		metrics.count('target.load-malformed');
+	}
+
 	if (isLeaving && targetRegistry.markLeaving(incarnation, now())) {
 		metrics.count('target.leaving.answer');
 		log.info({
--- a/source/fleet/answer-facts.ts
+++ b/source/fleet/answer-facts.ts
@@ -2,6 +2,15 @@
 Facts from the status line and headers of a target's answer.
 */
 
+/** Load of a target at the moment of its answer, by its own account. */
+type ReportedLoad = {
+	readonly running: number;
+	readonly waiting: number;
+	readonly slots: number;
+	/** How many times as long as usual work takes on the target's VM at this moment; undefined when the target does not say. */
+	readonly slowdown: number | undefined;
+};
+
 /**
 Facts by which an answer is classified. `headers` are the ones to forward to the caller.
 */
@@ -21,5 +30,9 @@
 	readonly isLeaving: boolean;
 	/** How long the target wants nothing from this gateway, counted from its answer; undefined when it does not say. */
 	readonly pauseMilliseconds: number | undefined;
+	/** Load that the target reports; undefined when it reports none, or one that cannot be decoded. */
+	readonly load: ReportedLoad | undefined;
+	/** True when the target reports a load that cannot be decoded. */
+	readonly isLoadMalformed: boolean;
 	readonly headers: Readonly<Record<string, string | readonly string[]>>;
 };
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -129,3 +129,30 @@
 	t.equal(headers.filter(name => name.toLowerCase() === 'last-event-id').length, 1);
 	t.end();
 });
+
+// Guards against a wrong load header that ends an answer, or that is taken for a load.
+test('the load that a target reports is decoded, and a malformed one is ignored and marked', t => {
+	const read = (load: string | readonly string[] | undefined) => {
+		const facts = targetProtocol.readAnswer(200, load === undefined ? {} : {'x-replica-load': load});
+		return {load: facts.load, isLoadMalformed: facts.isLoadMalformed};
+	};
+
+	t.strictSame(read(undefined), {load: undefined, isLoadMalformed: false});
+	t.strictSame(read('3,0,8'), {
+		load: {
+			running: 3, waiting: 0, slots: 8, slowdown: undefined,
+		}, isLoadMalformed: false,
+	});
+	t.strictSame(read(' 12, 4 ,8,250'), {
+		load: {
+			running: 12, waiting: 4, slots: 8, slowdown: 2.5,
+		}, isLoadMalformed: false,
+	});
+	const malformed = ['', '3', '3,0', '3,0,8,', '3,0,8,100,1', '3,0,0', '-1,0,8', '1.5,0,8', '1e3,0,8', '0x3,0,8', 'NaN,0,8', '3,0,99999999', '3,0,8,0', '3,0,8,10001', '3;0;8', `${'1,'.repeat(100_000)}8`, ['3,0,8', '3,0,8']];
+	for (const load of malformed) {
+		t.strictSame(read(load), {load: undefined, isLoadMalformed: true}, String(load).slice(0, 40));
+	}
+
+	t.notOk('x-replica-load' in targetProtocol.readAnswer(200, {'x-replica-load': '3,0,8'}).headers);
+	t.end();
+});
