Place prompts and calls by the learned speed of targets

Callers see shorter waits where targets of one service differ in speed, or slow down before their slots are full: until now each engine was estimated with the same constants, and plain calls went to the lowest share of slots in use.

Change: the views have the speed of each target (1 when unknown), and for plain targets their learned limit, their slowdown of the moment and the usual time of a call. place-prompt, place-decode, has-capacity, grant-prefill and the estimates of prompt-queue count backlog, prefill and steps in the engine's own time; trackers and peer messages keep the time of speed 1. A long prompt goes to an engine on which it meets its objective. The base rates of a service are learned, with the former constants as starting values.

Evidence: test/decisions/capacity/unchanged-decisions.test.ts compares each decision with a copy of the former one (speed 1, no fourth figure) on 400 random inputs; placement-by-speed.test.ts has the new cases.

--- a/source/decisions/entry/engine-view.ts
+++ b/source/decisions/entry/engine-view.ts
@@ -12,7 +12,9 @@
 	readonly slots: number;
 	/** Attempts in progress. */
 	readonly attempts: number;
-	/** Prefill backlog of these attempts: the time that an otherwise idle prefill engine would need for it. */
+	/** Speed relative to the median of the service's engines of its role; 1 when left out. */
+	readonly speed?: number;
+	/** Prefill backlog of these attempts: the time that an otherwise idle prefill engine of speed 1 would need for it. */
 	readonly readMilliseconds: number;
 	/** True while outlier detection avoids the engine because of its recent failures. */
 	readonly isAvoided: boolean;
--- a/source/decisions/entry/grant-prefill.ts
+++ b/source/decisions/entry/grant-prefill.ts
@@ -25,5 +25,5 @@
 grantPrefill(view, {lane: 'onTime', assumedMilliseconds: 40});
 ```
 */
-export const grantPrefill = (view: Pick<EngineView, 'role' | 'slots' | 'attempts' | 'readMilliseconds'>, {lane, assumedMilliseconds}: PrefillRequest): boolean =>
+export const grantPrefill = (view: Pick<EngineView, 'role' | 'slots' | 'attempts' | 'readMilliseconds' | 'speed'>, {lane, assumedMilliseconds}: PrefillRequest): boolean =>
 	hasCapacity(view, lane) && view.readMilliseconds <= assumedMilliseconds + backlogToleranceMilliseconds;
--- a/source/decisions/entry/has-capacity.ts
+++ b/source/decisions/entry/has-capacity.ts
@@ -3,7 +3,7 @@
 */
 import type {EngineView} from './engine-view.js';
 
-/** Prefill backlog, in milliseconds, below which a prefill engine takes a prompt that can be on time, and one that is late. */
+/** Prefill backlog, in milliseconds of the engine's own time, below which a prefill engine takes a prompt that can be on time, and one that is late. */
 const maxBacklog = {onTime: 260, late: 150} as const;
 /** The same for a decode engine, which prefills in place, between the decode steps of other requests. */
 const maxBacklogInPlace = {onTime: 45, late: 25} as const;
@@ -20,6 +20,6 @@
 hasCapacity(view, 'onTime');
 ```
 */
-export const hasCapacity = ({role, slots, attempts, readMilliseconds}: Pick<EngineView, 'role' | 'slots' | 'attempts' | 'readMilliseconds'>, lane: Lane): boolean => role === 'prefill'
-	? readMilliseconds < maxBacklog[lane]
-	: attempts < slots * maxUsedSlotShare && readMilliseconds < maxBacklogInPlace[lane];
+export const hasCapacity = ({role, slots, attempts, readMilliseconds, speed = 1}: Pick<EngineView, 'role' | 'slots' | 'attempts' | 'readMilliseconds' | 'speed'>, lane: Lane): boolean => role === 'prefill'
+	? readMilliseconds / speed < maxBacklog[lane]
+	: attempts < slots * maxUsedSlotShare && readMilliseconds / speed < maxBacklogInPlace[lane];
--- a/source/decisions/entry/latency-model.ts
+++ b/source/decisions/entry/latency-model.ts
@@ -1,21 +1,21 @@
 /**
 Estimates how long an engine takes to prefill a prompt and to transfer its KV cache.
 
-The constants are those of the users' engines; docs/CAPACITY.md has the slopes.
+The rates are those learned for the service; until then, the ones of the first deployments.
 */
+import type {EngineRates} from '../capacity/engine-rates.js';
+import {startingRates} from '../capacity/starting-rates.js';
 
-/** Prompt tokens that an otherwise idle engine prefills in a millisecond. */
-const tokensPerMillisecond = 61.4;
-/** Each token attends to all tokens before it: prefill time, in milliseconds, for a million such pairs. */
-const millisecondsPerMillionPairs = 0.525;
 /** Time to set up a transfer between engines. */
 const transferSetupMilliseconds = 4;
 const crossZoneFactor = 2;
 
+type PrefillRates = Pick<EngineRates, 'tokensPerMillisecond' | 'millisecondsPerMillionPairs'>;
+
 type Transfer = {readonly tokens: number; readonly bytesPerToken: number; readonly linkMegabitsPerSecond: number; readonly isSameZone: boolean};
 
 /**
-Estimates, in milliseconds, for an engine that does nothing else.
+Estimates, in milliseconds, for an engine of speed 1 that does nothing else.
 
 @example
 ```
@@ -24,7 +24,7 @@
 */
 export const latencyModel = {
 	/** Time to prefill `uncachedTokens` that follow `cachedTokens` in the prompt. */
-	prefill(uncachedTokens: number, cachedTokens: number): number {
+	prefill(uncachedTokens: number, cachedTokens: number, {tokensPerMillisecond, millisecondsPerMillionPairs}: PrefillRates = startingRates): number {
 		const pairs = uncachedTokens * (cachedTokens + (uncachedTokens / 2));
 		return (uncachedTokens / tokensPerMillisecond) + (pairs / 1_000_000 * millisecondsPerMillionPairs);
 	},
--- a/source/decisions/entry/place-decode.ts
+++ b/source/decisions/entry/place-decode.ts
@@ -5,11 +5,11 @@
 since the prompt was placed.
 */
 import * as option from 'fp-ts/lib/Option.js';
+import type {EngineRates} from '../capacity/engine-rates.js';
+import {startingRates} from '../capacity/starting-rates.js';
 import type {EngineView} from './engine-view.js';
 import {withoutAvoided} from './without-avoided.js';
 
-/** A decode step generates one token for each running request: its fixed time, and what each request adds. */
-const decodeStep = {milliseconds: 4.55, millisecondsPerRequest: 0.181} as const;
 /** What in-place prefill adds to a decode step, and the prefill backlog from which it is added to every step. */
 const inPlacePrefill = {milliseconds: 16.7, fullBacklogMilliseconds: 30} as const;
 /** Penalty for another availability zone, in milliseconds of a step: for transferring the KV cache, and for each 10 KB of the body. */
@@ -25,14 +25,16 @@
 	readonly prefillZone: string;
 	readonly bodyBytes: number;
 	readonly avoid: ReadonlySet<string>;
+	/** Rates of the service's engines; the starting ones when left out. */
+	readonly rates?: EngineRates;
 };
 
 /** Estimated time of one token on the engine with this request added. */
-const tokenMilliseconds = ({attempts, readMilliseconds}: EngineView): number => decodeStep.milliseconds
+const tokenMilliseconds = ({attempts, readMilliseconds, speed = 1}: EngineView, {decodeStep}: EngineRates): number => (decodeStep.milliseconds
 	+ ((attempts + 1) * decodeStep.millisecondsPerRequest)
-	+ (Math.min(1, readMilliseconds / inPlacePrefill.fullBacklogMilliseconds) * inPlacePrefill.milliseconds);
+	+ (Math.min(1, readMilliseconds / inPlacePrefill.fullBacklogMilliseconds) * inPlacePrefill.milliseconds)) / speed;
 
-const cost = (engine: EngineView, {availabilityZone, prefillZone, bodyBytes}: DecodeContext): number => tokenMilliseconds(engine)
+const cost = (engine: EngineView, {availabilityZone, prefillZone, bodyBytes, rates = startingRates}: DecodeContext): number => tokenMilliseconds(engine, rates)
 	+ (engine.availabilityZone === availabilityZone ? 0 : crossZonePenalty.body * (1 + (bodyBytes / 10_000)))
 	+ (engine.availabilityZone === prefillZone ? 0 : crossZonePenalty.kvCache)
 	+ (engine.failureShare * failurePenaltyMilliseconds);
--- a/source/decisions/entry/place-prompt.ts
+++ b/source/decisions/entry/place-prompt.ts
@@ -10,18 +10,18 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {rendezvousOrder} from '../routing/rendezvous-order.js';
+import type {EngineRates} from '../capacity/engine-rates.js';
+import {startingRates} from '../capacity/starting-rates.js';
 import {latencyModel} from './latency-model.js';
 import type {EngineView} from './engine-view.js';
 import type {PromptPlacement} from './prompt-placement.js';
 import {withoutAvoided} from './without-avoided.js';
 
-/** How many times as long a prefill takes on a decode engine, where it runs between the decode steps of other requests. */
-const inPlaceSlowdown = 2.5;
 /** Weight of the engine time taken from other requests against the request's own latency. */
 const engineTimeWeight = 1;
 /** Number of running requests whose delay by an in-place prefill costs as much as the prefill itself. */
 const requestsPerDelayedPrefill = 16;
-/** Time that each running request adds to one step of a decode engine. */
+/** Time that each running request adds to one step of a decode engine of the starting rates. It grows with what a request adds by the learned rates. */
 const stepMillisecondsPerRequest = 0.6;
 /** A shared part below this size is prefilled again wherever it is cached. */
 const minSharedTokens = 1000;
@@ -52,6 +52,10 @@
 	readonly linkMegabitsPerSecond: number;
 	/** Engines that must not be used for this request. */
 	readonly avoid: ReadonlySet<string>;
+	/** Rates of the service's engines; the starting ones when left out. */
+	readonly rates?: EngineRates;
+	/** True for a placement that meets the prompt's objective. While engines differ in speed, the others are chosen only if no engine meets it. */
+	readonly isAcceptable?: (placement: PromptPlacement) => boolean;
 };
 
 const candidatesOf = ({engines, avoid}: PlaceContext, role: EngineView['role']): readonly EngineView[] =>
@@ -81,15 +85,19 @@
 			linkMegabitsPerSecond: context.linkMegabitsPerSecond,
 			isSameZone: source.availabilityZone === engine.availabilityZone,
 		});
-	const slowdown = engine.role === 'prefill' ? 1 : inPlaceSlowdown;
-	const idlePrefillMilliseconds = latencyModel.prefill(Math.max(1, prompt.tokens - cachedTokens), cachedTokens);
-	const prefillMilliseconds = (idlePrefillMilliseconds * slowdown) + fetchMilliseconds;
-	const waitMilliseconds = engine.readMilliseconds * slowdown;
+	const {rates = startingRates} = context;
+	const {speed = 1} = engine;
+	const slowdown = engine.role === 'prefill' ? 1 : rates.inPlaceSlowdown;
+	const idlePrefillMilliseconds = latencyModel.prefill(Math.max(1, prompt.tokens - cachedTokens), cachedTokens, rates);
+	const prefillMilliseconds = (idlePrefillMilliseconds * slowdown / speed) + fetchMilliseconds;
+	// The time of a fast engine is worth more to other requests, so what is taken from them is the same on all engines: that of one of speed 1.
+	const takenMilliseconds = (idlePrefillMilliseconds * slowdown) + fetchMilliseconds;
+	const waitMilliseconds = engine.readMilliseconds * slowdown / speed;
 	const handOverMilliseconds = engine.role === 'prefill'
 		? latencyModel.transfer({
 			tokens: prompt.tokens, bytesPerToken: context.bytesPerToken, linkMegabitsPerSecond: context.linkMegabitsPerSecond, isSameZone: false,
 		})
-		: engine.attempts * stepMillisecondsPerRequest;
+		: engine.attempts * stepMillisecondsPerRequest * (rates.decodeStep.millisecondsPerRequest / startingRates.decodeStep.millisecondsPerRequest) / speed;
 	const delayFactor = engine.role === 'prefill' ? 1 : 1 + (engine.attempts / requestsPerDelayedPrefill);
 	const zonePenalty = engine.availabilityZone === context.availabilityZone ? 0 : crossZonePenalty.milliseconds + (prompt.bodyBytes / 1000 * crossZonePenalty.millisecondsPerKilobyte);
 	const affinityPenalty = affinityEngine !== undefined && engine.id !== affinityEngine && cachedTokens < minSharedTokens ? affinityPenaltyMilliseconds : 0;
@@ -101,10 +109,17 @@
 		fetchFrom: source,
 		latency: waitMilliseconds + prefillMilliseconds + handOverMilliseconds,
 		cost: waitMilliseconds + prefillMilliseconds + handOverMilliseconds + zonePenalty + affinityPenalty
-			+ (prefillMilliseconds * engineTimeWeight * delayFactor) + (engine.failureShare * failurePenaltyMilliseconds),
+			+ (takenMilliseconds * engineTimeWeight * delayFactor) + (engine.failureShare * failurePenaltyMilliseconds),
 	};
 };
 
+/** While engines differ in speed, the placements that meet the objective, if there are any: a long prompt may meet it on a fast engine only. */
+const preferred = (placements: readonly PromptPlacement[], {isAcceptable = () => true}: PlaceContext): readonly PromptPlacement[] => {
+	const isAlike = placements.every(({engine: {speed = 1}}) => speed === 1);
+	const acceptable = isAlike ? [] : placements.filter(placed => isAcceptable(placed));
+	return acceptable.length > 0 ? acceptable : placements;
+};
+
 /** The engine that every gateway prefers for a part that no engine is known to have cached. */
 const affinityEngineOf = (engines: readonly EngineView[], key: string): string | undefined => rendezvousOrder(key, engines.map(({id}) => id))[0];
 
@@ -122,7 +137,8 @@
 	const prefillEngines = hasDecodeEngine ? candidatesOf(context, 'prefill') : [];
 	const affinityEngine = prompt.sharedTokens >= minSharedTokens ? affinityEngineOf(prefillEngines, prompt.sharedKey) : undefined;
 	const placements = [...prefillEngines, ...decodeEngines].map(engine => placement(engine, prompt, affinityEngine, context));
-	return placements.length === 0
+	const candidates = preferred(placements, context);
+	return candidates.length === 0
 		? option.none
-		: option.some(placements.reduce((best, candidate) => candidate.cost < best.cost ? candidate : best));
+		: option.some(candidates.reduce((best, candidate) => candidate.cost < best.cost ? candidate : best));
 };
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -12,6 +12,7 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {rendezvousOrder} from '../routing/rendezvous-order.js';
+import type {EngineRates} from '../capacity/engine-rates.js';
 import {hasCapacity} from './has-capacity.js';
 import {latencyModel} from './latency-model.js';
 import type {EngineView} from './engine-view.js';
@@ -45,16 +46,18 @@
 	readonly inPlaceEngines: ReadonlySet<string>;
 	/** Estimated tokens of a prompt's shared parts that an engine has cached. */
 	readonly cachedTokens: (prompt: WaitingPrompt, engine: string) => number;
+	/** Rates of the service's engines; the starting ones when left out. */
+	readonly rates?: EngineRates;
 };
 
 type Lane = 'onTime' | 'late';
 
 type Choice = {readonly prompt: WaitingPrompt; readonly placement: PromptPlacement; readonly lane: Lane};
 
-/** Prefill time of a prompt on an otherwise idle prefill engine, wherever it will be prefilled. */
+/** Prefill time of a prompt on an otherwise idle prefill engine of speed 1, wherever it will be prefilled. */
 const idlePrefillMilliseconds = (prompt: WaitingPrompt, context: QueueContext): number => {
 	const cachedTokens = prompt.sharedTokens === 0 ? 0 : context.engines.reduce((highest, {id}) => Math.max(highest, context.cachedTokens(prompt, id)), 0);
-	return latencyModel.prefill(Math.max(1, prompt.tokens - cachedTokens), cachedTokens);
+	return latencyModel.prefill(Math.max(1, prompt.tokens - cachedTokens), cachedTokens, context.rates);
 };
 
 /**
@@ -89,7 +92,7 @@
 /** Places a prompt on one of the engines with capacity; none when it has to wait. */
 const place = (prompt: WaitingPrompt, available: AvailableEngines, context: QueueContext, isAcceptable: (placement: PromptPlacement) => boolean): option.Option<PromptPlacement> => {
 	const placeContext = {
-		...context, allEngines: context.engines, cachedTokens: (engine: string) => context.cachedTokens(prompt, engine), avoid: prompt.avoid,
+		...context, allEngines: context.engines, cachedTokens: (engine: string) => context.cachedTokens(prompt, engine), avoid: prompt.avoid, isAcceptable,
 	};
 	const placeOn = (engines: readonly EngineView[]): option.Option<PromptPlacement> => {
 		const placement = engines.length === 0 ? option.none : placePrompt(prompt, {...placeContext, engines});
@@ -157,9 +160,9 @@
 	return placeFirst(byGiveUp, 'late', context, () => true);
 };
 
-/** Total prefill rate of all engines, in prefill engines. */
+/** Total prefill rate of all engines, in prefill engines of speed 1. */
 const totalPrefillRate = (engines: readonly EngineView[]): number => engines
-	.reduce((sum, {role}) => sum + (role === 'prefill' ? 1 : inPlacePrefillShare), 0);
+	.reduce((sum, {role, speed = 1}) => sum + (speed * (role === 'prefill' ? 1 : inPlacePrefillShare)), 0);
 
 /**
 Returns the prompts that cannot start before their callers give up, at the rate at
@@ -168,7 +171,7 @@
 */
 const unservable = ({byGiveUp}: QueueOrder, context: QueueContext, gateways: number, now: number): ReadonlyArray<{readonly prompt: WaitingPrompt; readonly waitMilliseconds: number}> => {
 	const prefillRate = Math.max(inPlacePrefillShare, totalPrefillRate(context.engines)) / Math.max(1, gateways);
-	const averageBacklog = context.engines.reduce((sum, {readMilliseconds}) => sum + readMilliseconds, 0) / Math.max(1, context.engines.length);
+	const averageBacklog = context.engines.reduce((sum, {readMilliseconds, speed = 1}) => sum + (readMilliseconds / speed), 0) / Math.max(1, context.engines.length);
 	let queuedMilliseconds = 0;
 	return byGiveUp
 		.flatMap(prompt => {
--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -2,6 +2,7 @@
 The components that all parts of an entry gateway share.
 */
 import type {Logger} from 'roarr';
+import type {LearnedCapacity} from '../decisions/capacity/learned-capacity.js';
 import type {PrefixCacheIndex} from '../decisions/entry/prefix-cache-index.js';
 import type {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
 import type {TargetRegistry} from '../decisions/entry/target-registry.js';
@@ -32,6 +33,8 @@
 	readonly health: TargetHealth;
 	/** Targets that have asked this gateway for a pause. */
 	readonly pauses: TargetPauses;
+	/** How fast targets are, learned from outcomes. */
+	readonly capacity: LearnedCapacity;
 	readonly connections: TargetConnections;
 	/** Keeps the reading of large answers from taking the event loop's time from everything else. */
 	readonly pacer: AnswerPacer;
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -4,6 +4,7 @@
 */
 import type http from 'node:http';
 import type {Logger} from 'roarr';
+import {LearnedCapacity} from '../decisions/capacity/learned-capacity.js';
 import {PrefixCacheIndex} from '../decisions/entry/prefix-cache-index.js';
 import {RateLimit} from '../decisions/entry/rate-limit.js';
 import {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
@@ -43,6 +44,7 @@
 import {startOperatorServer} from './start-operator-server.js';
 import {startStatusServer} from './status-server.js';
 import {TargetConnections} from './target-connections.js';
+import {TargetMaintenance} from './target-maintenance.js';
 
 type EntryOptions = {
 	readonly settings: EntrySettings;
@@ -100,6 +102,7 @@
 	readonly #knowledge: FleetState;
 	readonly #quarantineStore: QuarantineStore;
 	readonly #loopMonitor: EventLoopMonitor;
+	readonly #targetMaintenance: TargetMaintenance;
 
 	constructor(options: EntryOptions) {
 		this.#options = options;
@@ -107,6 +110,7 @@
 		this.#log = options.log;
 		this.#context = this.#createContext();
 		this.#loopMonitor = new EventLoopMonitor(this.#context);
+		this.#targetMaintenance = new TargetMaintenance(this.#context);
 		this.#knowledge = new FleetState({
 			context: this.#context,
 			createStore: options.createStore,
@@ -246,6 +250,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
+			capacity: new LearnedCapacity(),
 			connections: new TargetConnections(pacer),
 			pacer,
 			openRequests: new Set(),
@@ -367,23 +372,14 @@
 
 	/** Drops the state of targets that are gone, and updates pollers and gauges. */
 	#runMaintenance(): void {
-		const {targetRegistry, prefixCache, health, pauses, connections, bufferedAnswers, pacer, crashMonitor, quarantine, metrics} = this.#context;
+		const {targetRegistry, connections, bufferedAnswers, pacer, crashMonitor, quarantine, metrics} = this.#context;
 		const records = targetRegistry.all();
-		const incarnations = new Set(records.map(record => record.incarnation));
-		for (const target of health.takeSilent(clock())) {
-			metrics.count('target.silent');
-			this.#log.warn({event: 'target avoided', target, reason: 'silent'}, 'target avoided because it does not answer');
-		}
-
 		this.#knowledge.updateFeed(this.#peers?.members ?? []);
 		this.#cachePollers.update(records, this.#settings.name, this.#peers?.names ?? []);
-		prefixCache.retainOnly(incarnations);
-		health.keepOnly(incarnations);
-		pauses.keepOnly(incarnations);
+		this.#targetMaintenance.run(records);
 		crashMonitor.forgetOld();
 		quarantine.maintain();
 		this.#quarantineStore.recordEra(this.#knowledge.era);
-		connections.keepOnly(new Set(records.map(({address}) => address)));
 		metrics.gauge('requests.open', this.#callerServer.open);
 		metrics.gauge('requests.waiting', this.#queues.waitingCount);
 		metrics.gauge('answers.buffered-bytes', bufferedAnswers.total);
--- a/source/entry/load-tracker.ts
+++ b/source/entry/load-tracker.ts
@@ -37,8 +37,8 @@
 		this.#onLongPrefillEnd = onLongPrefillEnd;
 	}
 
-	add(target: string, readMilliseconds: number): LoadEntry {
-		const entry: LoadEntry = {target, readMilliseconds};
+	add(target: string, readMilliseconds: number, prefill?: LoadEntry['prefill']): LoadEntry {
+		const entry: LoadEntry = {target, readMilliseconds, prefill};
 		this.#ownEntries.add(entry);
 		const sum = this.#ownSums.get(target) ?? {attempts: 0, readMilliseconds: 0};
 		this.#ownSums.set(target, {attempts: sum.attempts + 1, readMilliseconds: sum.readMilliseconds + readMilliseconds});
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -61,7 +61,7 @@
 		const {random, settings} = this.#context;
 		const {views, record} = targetViews(this.#context, this.#request.service);
 		const chosen = placeCall({
-			targets: views, availabilityZone: settings().availabilityZone, avoid: this.#lifecycle.avoid, random,
+			targets: views, availabilityZone: settings().availabilityZone, bodyBytes: this.#request.body?.byteLength ?? 0, avoid: this.#lifecycle.avoid, random,
 		});
 		return option.isNone(chosen) ? option.none : option.some(record(chosen.value.id));
 	}
--- a/source/entry/prefill-grants.ts
+++ b/source/entry/prefill-grants.ts
@@ -84,7 +84,9 @@
 		const {context, send} = this.#options;
 		const target = context.targetRegistry.find(ask.target);
 		const load = context.loadTracker.totalLoad(ask.target, context.now());
-		const view: Pick<EngineView, 'role' | 'slots' | 'attempts' | 'readMilliseconds'> = {role: target?.role ?? 'decode', slots: target?.slots ?? 0, ...load};
+		const view: Pick<EngineView, 'role' | 'slots' | 'attempts' | 'readMilliseconds' | 'speed'> = {
+			role: target?.role ?? 'decode', slots: target?.slots ?? 0, ...load, speed: target === undefined ? 1 : context.capacity.of(target, context.now()).speed,
+		};
 		// This gateway has no load data on an unknown engine, so it has no reason to deny the grant.
 		const isGranted = target === undefined || grantPrefill(view, ask);
 		if (isGranted) {
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -50,6 +50,13 @@
 	checkedChanges: number;
 };
 
+/** What the time of the prefill is measured by; none for a prompt whose cached parts are fetched, as that takes a time of its own. */
+const prefillWork = ({tokens}: WaitingPrompt, {cachedTokens, readMilliseconds, engine, fetchFrom}: PromptPlacement): LoadEntry['prefill'] => fetchFrom === undefined
+	? {
+		uncachedTokens: Math.max(1, tokens - cachedTokens), cachedTokens, estimatedMilliseconds: readMilliseconds, backlogMilliseconds: engine.readMilliseconds,
+	}
+	: undefined;
+
 /**
 Holds one queue for each service. A prompt leaves its queue with a verdict, or when it is withdrawn.
 
@@ -176,7 +183,7 @@
 	#send(queue: Map<WaitingPrompt, Entry>, {prompt, placement, lane}: Choice, record: (id: string) => TargetRecord): void {
 		const {engine, fetchFrom, readMilliseconds} = placement;
 		const target = record(engine.id);
-		const entry = this.#context.loadTracker.add(engine.id, readMilliseconds);
+		const entry = this.#context.loadTracker.add(engine.id, readMilliseconds, prefillWork(prompt, placement));
 		const waiting = queue.get(prompt)!;
 		queue.delete(prompt);
 		const place = (grant: PlacedVerdict['grant']): void => {
@@ -234,6 +241,7 @@
 			availabilityZone: this.#context.settings().availabilityZone,
 			bytesPerToken,
 			linkMegabitsPerSecond,
+			rates: this.#context.capacity.rates(service, now),
 			cachedTokens: (prompt, id) => {
 				const byEngine = cachedTokensByParts.get(prompt.sharedKey) ?? new Map<string, number>();
 				cachedTokensByParts.set(prompt.sharedKey, byEngine);
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -249,7 +249,7 @@
 	async #decodeWithHandle(handle: Handle): Promise<boolean> {
 		const {views, record} = targetViews(this.#context, this.#request.service);
 		const chosen = placeDecode({
-			engines: views, availabilityZone: this.#context.settings().availabilityZone, prefillZone: handle.engine.availabilityZone, bodyBytes: this.#request.body?.byteLength ?? 0, avoid: this.#lifecycle.avoid,
+			engines: views, availabilityZone: this.#context.settings().availabilityZone, prefillZone: handle.engine.availabilityZone, bodyBytes: this.#request.body?.byteLength ?? 0, avoid: this.#lifecycle.avoid, rates: this.#context.capacity.rates(this.#request.service, this.#context.now()),
 		});
 		if (option.isNone(chosen)) {
 			this.#lifecycle.refuseWithoutTarget();
--- a/source/entry/target-attempt.ts
+++ b/source/entry/target-attempt.ts
@@ -9,6 +9,7 @@
 */
 import {classifyAnswer} from '../decisions/entry/classify-answer.js';
 import {sharedParts} from '../decisions/entry/shared-parts.js';
+import {AttemptTiming} from './attempt-timing.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {AttemptPlan} from './attempt-plan.js';
 import type {EntryContext} from './entry-context.js';
@@ -25,6 +26,10 @@
 const foreignReason = 'answer of another request';
 const discardedReason = 'nobody waits for the body';
 const allOwnReasons: ReadonlySet<string> = new Set(Object.values(ownReasons));
+/** What an answer tells of how long its target takes. */
+const answerKinds = {
+	answer: 'answer', 'not run': 'refusal', failure: 'other', 'other target': 'other', foreign: 'other', unattributed: 'other',
+} as const;
 /** Interval at which an attempt checks whether its target is silent. */
 const silenceCheckMilliseconds = 200;
 /** Time for a body that nobody waits for to end, so that its connection can be used again. */
@@ -48,6 +53,7 @@
 	readonly #context: EntryContext;
 	readonly #onCapacity: () => void;
 	readonly #received: ReceivedAnswer;
+	readonly #timing: AttemptTiming;
 	readonly #startedAt: number;
 	#resolve: ((outcome: AttemptOutcome) => void) | undefined;
 	#abort: ((reason: string) => void) | undefined;
@@ -63,6 +69,7 @@
 		this.#context = context;
 		this.#onCapacity = onCapacity;
 		this.#received = new ReceivedAnswer(plan, context.bufferedAnswers);
+		this.#timing = new AttemptTiming(plan, entry, context);
 		this.#startedAt = context.now();
 		this.outcome = new Promise(resolve => {
 			this.#resolve = resolve;
@@ -109,6 +116,7 @@
 
 		health.recordSent(target.incarnation, expectedMilliseconds, now());
 		this.#isSent = true;
+		this.#timing.recordSent();
 		this.#startSilenceTimer();
 		return true;
 	}
@@ -158,6 +166,7 @@
 		this.#received.receiveHead(facts, kind);
 		if (!this.#received.isOfOther && kind !== 'other target') {
 			recordTargetState(this.#context, target, facts);
+			this.#timing.recordHead(facts, answerKinds[kind]);
 		}
 
 		if (this.#received.isDecided) {
@@ -183,6 +192,7 @@
 		const {loadTracker, health, now} = this.#context;
 		if (!this.#isSettled) {
 			loadTracker.endPrefill(this.#entry);
+			this.#timing.recordData();
 			health.recordReceived(this.#plan.target.incarnation, now());
 		}
 
@@ -215,6 +225,7 @@
 		const end = this.#received.checkEnd(connectionEnd);
 		clearInterval(this.#silenceTimer);
 		loadTracker.remove(this.#entry);
+		this.#timing.recordEnd();
 		if (this.#isSent) {
 			health.recordEnded(this.#plan.target.incarnation);
 		}
--- a/source/entry/target-views.ts
+++ b/source/entry/target-views.ts
@@ -1,11 +1,12 @@
 /**
 Builds the views of a service's targets that the scheduling decisions use.
 */
+import type {CallTarget} from '../decisions/entry/call-target.js';
 import type {EngineView} from '../decisions/entry/engine-view.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {EntryContext} from './entry-context.js';
 
-type TargetViews = {readonly views: readonly EngineView[]; readonly record: (id: string) => TargetRecord};
+type TargetViews = {readonly views: ReadonlyArray<EngineView & CallTarget>; readonly record: (id: string) => TargetRecord};
 
 /**
 Returns one view for each usable target that has not asked for a pause, and a function that finds a target's record.
@@ -17,21 +18,30 @@
 const {views, record} = targetViews(context, 'appraiser-models');
 ```
 */
-export const targetViews = ({targetRegistry, loadTracker, health, pauses, now}: EntryContext, service: string): TargetViews => {
+export const targetViews = ({targetRegistry, loadTracker, health, pauses, capacity, now}: EntryContext, service: string): TargetViews => {
 	const at = now();
 	const records = new Map(targetRegistry.usable(service)
 		.filter(({incarnation}) => !pauses.isPaused(incarnation, at))
 		.map(record => [record.id, record]));
 	return {
-		views: [...records.values()].map(record => ({
-			id: record.id,
-			availabilityZone: record.availabilityZone,
-			role: record.role ?? 'decode',
-			slots: record.slots,
-			...loadTracker.totalLoad(record.id, at),
-			isAvoided: health.isAvoided(record.incarnation, at),
-			failureShare: health.failureShare(record.incarnation),
-		})),
+		views: [...records.values()].map(record => {
+			const {speed, limit, callMilliseconds, reported} = capacity.of(record, at);
+			const {attempts, readMilliseconds} = loadTracker.totalLoad(record.id, at);
+			return {
+				id: record.id,
+				availabilityZone: record.availabilityZone,
+				role: record.role ?? 'decode',
+				slots: record.slots,
+				attempts: record.role === undefined ? Math.max(attempts, reported?.requests ?? 0) : attempts,
+				readMilliseconds,
+				isAvoided: health.isAvoided(record.incarnation, at),
+				failureShare: health.failureShare(record.incarnation),
+				speed,
+				capacity: limit,
+				slowdown: reported?.slowdown,
+				callMilliseconds,
+			};
+		}),
 		record: id => records.get(id)!,
 	};
 };
--- /dev/null
+++ b/test/decisions/capacity/unchanged-decisions.test.ts
@@ -0,0 +1,99 @@
+/**
+Decisions on targets of speed 1 whose reports have no fourth figure, against those of the version
+before speeds were learned.
+*/
+import * as option from 'fp-ts/lib/Option.js';
+import fc from 'fast-check';
+import {test} from 'tap';
+import {LearnedCapacity} from '../../../source/decisions/capacity/learned-capacity.js';
+import {startingRates} from '../../../source/decisions/capacity/starting-rates.js';
+import type {EngineView} from '../../../source/decisions/entry/engine-view.js';
+import {hasCapacity} from '../../../source/decisions/entry/has-capacity.js';
+import {latencyModel} from '../../../source/decisions/entry/latency-model.js';
+import {placeCall} from '../../../source/decisions/entry/place-call.js';
+import {placeDecode} from '../../../source/decisions/entry/place-decode.js';
+import {placePrompt} from '../../../source/decisions/entry/place-prompt.js';
+import {hasCapacity as formerHasCapacity} from '../../support/former/has-capacity.js';
+import {latencyModel as formerLatencyModel} from '../../support/former/latency-model.js';
+import {placeCall as formerPlaceCall} from '../../support/former/place-call.js';
+import {placeDecode as formerPlaceDecode} from '../../support/former/place-decode.js';
+import {placePrompt as formerPlacePrompt} from '../../support/former/place-prompt.js';
+import {SeededChance} from '../../support/seeded-chance.js';
+
+const zone = fc.constantFrom('a', 'b');
+const view = fc.record({
+	availabilityZone: zone,
+	role: fc.constantFrom('prefill' as const, 'decode' as const),
+	slots: fc.integer({min: 1, max: 64}),
+	attempts: fc.integer({min: 0, max: 70}),
+	readMilliseconds: fc.double({min: 0, max: 900, noNaN: true}),
+	isAvoided: fc.boolean(),
+	failureShare: fc.double({min: 0, max: 1, noNaN: true}),
+	cachedTokens: fc.integer({min: 0, max: 20_000}),
+});
+const engines = fc.array(view, {minLength: 0, maxLength: 8}).map(views => views.map((one, index) => ({...one, id: `e-${index}`})));
+const prompt = fc.record({
+	tokens: fc.integer({min: 1, max: 40_000}), sharedKey: fc.constantFrom('x', 'y', 'z'), sharedTokens: fc.integer({min: 0, max: 20_000}), bodyBytes: fc.integer({min: 0, max: 200_000}),
+});
+/** The forms in which a view may say that a target is ordinary. */
+const ordinary = fc.constantFrom({}, {speed: 1}, {
+	speed: 1, capacity: undefined, slowdown: undefined, callMilliseconds: 40,
+});
+const isAcceptable = fc.constantFrom(undefined, () => false, () => true);
+
+// Guards against earlier deployments that are served otherwise than before.
+test('with speed 1, the starting rates and no fourth figure, each decision is as before', t => {
+	fc.assert(fc.property(engines, prompt, fc.tuple(ordinary, isAcceptable), fc.integer({min: 1, max: 1_000_000}), (views, asked, [more, accepts], seed) => {
+		const extended = views.map(engine => ({...engine, ...more}));
+		const cachedTokens = (id: string): number => views.find(engine => engine.id === id)!.cachedTokens;
+		const context = {
+			availabilityZone: 'a', cachedTokens, bytesPerToken: 35_136, linkMegabitsPerSecond: 270_000, avoid: new Set(['e-3']),
+		};
+		const placed = placePrompt(asked, {
+			...context, engines: extended, rates: startingRates, ...accepts === undefined ? {} : {isAcceptable: accepts},
+		});
+		const formerPlaced = formerPlacePrompt(asked, {...context, engines: views});
+		t.equal(option.isSome(placed), option.isSome(formerPlaced));
+		if (option.isSome(placed) && option.isSome(formerPlaced)) {
+			const {engine, fetchFrom, ...figures} = placed.value;
+			const {engine: formerEngine, fetchFrom: formerSource, ...formerFigures} = formerPlaced.value;
+			t.strictSame({...figures, engine: engine.id, fetchFrom: fetchFrom?.id}, {...formerFigures, engine: formerEngine.id, fetchFrom: formerSource?.id});
+		}
+
+		const decodeContext = {
+			availabilityZone: 'a', prefillZone: 'b', bodyBytes: asked.bodyBytes, avoid: new Set(['e-2']),
+		};
+		const decode = placeDecode({...decodeContext, engines: extended, rates: startingRates});
+		const formerDecode = formerPlaceDecode({...decodeContext, engines: views});
+		t.equal(option.isSome(decode) ? decode.value.id : '', option.isSome(formerDecode) ? formerDecode.value.id : '');
+		const callContext = {availabilityZone: 'a', avoid: new Set(['e-1'])};
+		const call = placeCall({
+			...callContext, targets: extended, bodyBytes: asked.bodyBytes, random: new SeededChance(seed).random,
+		});
+		const formerCall = formerPlaceCall({...callContext, targets: views, random: new SeededChance(seed).random});
+		t.equal(option.isSome(call) ? call.value.id : '', option.isSome(formerCall) ? formerCall.value.id : '');
+		t.ok(extended.every((engine: EngineView, index) => (['onTime', 'late'] as const).every(lane => hasCapacity(engine, lane) === formerHasCapacity(views[index]!, lane))));
+		t.equal(latencyModel.prefill(asked.tokens, asked.sharedTokens), formerLatencyModel.prefill(asked.tokens, asked.sharedTokens));
+	}), {seed: 41, numRuns: 400});
+	t.end();
+});
+
+// Guards against speeds that follow chance on a deployment whose targets are all alike, and against reports of three figures that change decisions.
+test('targets that are alike keep speed 1, no limit and no report, although their outcomes differ by chance', t => {
+	const chance = new SeededChance(11);
+	const capacity = new LearnedCapacity();
+	const targets = Array.from({length: 5}, (_, index) => ({
+		incarnation: `i-${index} 1`, service: 's', role: undefined, slots: 8,
+	}));
+	for (let now = 0; now < 60_000; now += 100) {
+		const target = chance.pick(targets);
+		const running = chance.whole(8);
+		capacity.recordCall(target, {milliseconds: 40 * Math.exp(chance.between(-0.8, 0.8)), running}, now);
+		capacity.recordLoad(target, {
+			running, waiting: 0, slots: 8, slowdown: undefined,
+		}, now);
+		t.match(capacity.of(target, now), {speed: 1, limit: undefined, reported: undefined});
+	}
+
+	t.end();
+});
--- a/test/entry/attempt-sender.test.ts
+++ b/test/entry/attempt-sender.test.ts
@@ -4,6 +4,7 @@
 import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
 import type {Logger} from 'roarr';
+import {LearnedCapacity} from '../../source/decisions/capacity/learned-capacity.js';
 import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
 import {TargetHealth} from '../../source/decisions/entry/target-health.js';
 import {TargetPauses} from '../../source/decisions/entry/target-pauses.js';
@@ -40,7 +41,8 @@
 	};
 	const connections: Pick<TargetConnections, 'acquire'> = {acquire: () => option.some(connection as TargetConnection)};
 	const parts: Partial<EntryContext> = {
-		targetRegistry: beliefs, protocol: targetProtocol, loadTracker: new LoadTracker(), health: new TargetHealth(), pauses: new TargetPauses(), metrics: new EntryMetrics('gateway'),
+		targetRegistry: beliefs, protocol: targetProtocol, loadTracker: new LoadTracker(), health: new TargetHealth(), pauses: new TargetPauses(),
+		capacity: new LearnedCapacity(), metrics: new EntryMetrics('gateway'),
 		connections: connections as TargetConnections,
 		log: {info: write, warn: write, debug: () => undefined} as unknown as Logger, now: () => 100, gatewayCount: () => 20, service: () => undefined,
 	};
--- /dev/null
+++ b/test/support/former/has-capacity.ts
@@ -0,0 +1,27 @@
+/**
+As it was before speeds were learned; kept to compare decisions with it.
+
+Decides whether an engine has capacity for one more prompt.
+*/
+import type {EngineView} from '../../../source/decisions/entry/engine-view.js';
+
+/** Prefill backlog, in milliseconds, below which a prefill engine takes a prompt that can be on time, and one that is late. */
+const maxBacklog = {onTime: 260, late: 150} as const;
+/** The same for a decode engine, which prefills in place, between the decode steps of other requests. */
+const maxBacklogInPlace = {onTime: 45, late: 25} as const;
+/** Share of a decode engine's slots that may be in use. The more are in use, the slower each token comes. */
+const maxUsedSlotShare = 0.85;
+
+type Lane = 'onTime' | 'late';
+
+/**
+True when the engine may get a prompt of that lane.
+
+@example
+```
+hasCapacity(view, 'onTime');
+```
+*/
+export const hasCapacity = ({role, slots, attempts, readMilliseconds}: Pick<EngineView, 'role' | 'slots' | 'attempts' | 'readMilliseconds'>, lane: Lane): boolean => role === 'prefill'
+	? readMilliseconds < maxBacklog[lane]
+	: attempts < slots * maxUsedSlotShare && readMilliseconds < maxBacklogInPlace[lane];
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -4,6 +4,7 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import type {Logger} from 'roarr';
+import {LearnedCapacity} from '../../source/decisions/capacity/learned-capacity.js';
 import {PrefixCacheIndex} from '../../source/decisions/entry/prefix-cache-index.js';
 import {WindowedRetryBudget} from '../../source/decisions/entry/windowed-retry-budget.js';
 import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
@@ -240,6 +241,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
+			capacity: new LearnedCapacity(),
 			openRequests: new Set(),
 			metrics: metrics as EntryMetrics,
 			log: {info: () => undefined, warn: () => undefined} as unknown as Logger,
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -2,6 +2,7 @@
 One gateway's queue of prompts and its grants, in virtual time, beside other such gateways.
 */
 import type {Logger} from 'roarr';
+import {LearnedCapacity} from '../../source/decisions/capacity/learned-capacity.js';
 import {PrefixCacheIndex} from '../../source/decisions/entry/prefix-cache-index.js';
 import {TargetHealth} from '../../source/decisions/entry/target-health.js';
 import {TargetPauses} from '../../source/decisions/entry/target-pauses.js';
@@ -150,6 +151,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
+			capacity: new LearnedCapacity(),
 			metrics: new EntryMetrics(name),
 			log: {info: () => undefined, warn: () => undefined} as unknown as Logger,
 			activity: new LoopActivity(() => time.now),
