Keep learning the speed of engines under lasting load

Cause: only prefills with hardly anything ahead of them counted. Under lasting load there are few of these at each gateway, so that after a minute all engines would have counted as equal again. Change: a prefill with a backlog up to its own length counts by the sum of both, observations of engines count for longer, and a speed that differed needs less weight to be kept. The rates of a service are still learned from idle engines only.

--- a/source/decisions/capacity/learned-capacity.ts
+++ b/source/decisions/capacity/learned-capacity.ts
@@ -19,11 +19,12 @@
 import {ReportedLoads} from './reported-loads.js';
 import {ServiceRates} from './service-rates.js';
 
-const observations = {size: 32, halfLifeMilliseconds: 20_000} as const;
+/** Engines get a long prompt from this gateway every few seconds only, so what they did counts longer than a call. */
+const observations = {size: 32, halfLifeMilliseconds: 30_000} as const;
 /** Prefills with an estimate below this are mostly set-up and network, and tell little of the speed. */
 const minPrefillMilliseconds = 25;
-/** Share of a prefill's own time that may be queued ahead of it for its time to count. */
-const maxBacklogShare = 0.15;
+/** Backlog ahead of a prompt, as a multiple of its own prefill, up to which its time tells the engine's speed, and up to which it tells the rates of the service. Under lasting load few prompts find an idle engine. */
+const maxBacklogFactor = {speed: 1, rates: 0.15} as const;
 /** Time for which the figures of a group of targets are kept. */
 const figuresMilliseconds = 500;
 /** How much later than the first figures of its group a target must appear to be a new one. */
@@ -112,21 +113,20 @@
 	readonly #groups = new Map<string, GroupFigures>();
 	readonly #rates = new Map<string, ServiceRates>();
 
-	/** Records a prefill on an engine; one with a backlog ahead of it, or a short one, tells nothing. */
+	/** Records a prefill on an engine; one with a long backlog ahead of it, or a short one, tells nothing. */
 	recordPrefill(engine: Target, observation: PrefillObservation, now: number): void {
 		const {estimatedMilliseconds, backlogMilliseconds, milliseconds} = observation;
-		if (estimatedMilliseconds < minPrefillMilliseconds || backlogMilliseconds > estimatedMilliseconds * maxBacklogShare) {
+		if (estimatedMilliseconds < minPrefillMilliseconds || backlogMilliseconds > estimatedMilliseconds * maxBacklogFactor.speed) {
 			return;
 		}
 
-		const {speed} = this.of(engine, now);
-		if (engine.role === 'decode') {
-			this.#ratesOf(engine.service).recordInPlace({estimatedMilliseconds, milliseconds: milliseconds * speed}, now);
-			return;
+		if (engine.role !== 'decode') {
+			this.#state(engine, now).times.record(milliseconds / (estimatedMilliseconds + backlogMilliseconds), now);
 		}
 
-		this.#state(engine, now).times.record(milliseconds / estimatedMilliseconds, now);
-		this.#ratesOf(engine.service).recordPrefill({...observation, milliseconds: milliseconds * speed}, now);
+		if (backlogMilliseconds <= estimatedMilliseconds * maxBacklogFactor.rates) {
+			this.#recordRates(engine, observation, now);
+		}
 	}
 
 	/** Records the mean time between the events of a stream, beside other requests on the engine. */
@@ -183,6 +183,16 @@
 		}
 	}
 
+	#recordRates(engine: Target, observation: PrefillObservation, now: number): void {
+		const rates = this.#ratesOf(engine.service);
+		const milliseconds = observation.milliseconds * this.of(engine, now).speed;
+		if (engine.role === 'decode') {
+			rates.recordInPlace({estimatedMilliseconds: observation.estimatedMilliseconds, milliseconds}, now);
+		} else {
+			rates.recordPrefill({...observation, milliseconds}, now);
+		}
+	}
+
 	#withSlowStart({speed, limit, weight}: Figures, {role, slots}: Target, {firstSeenAt}: TargetState, {measuredSince, slowest}: GroupFigures): Pick<Capacity, 'speed' | 'limit'> {
 		const isNew = measuredSince !== undefined && firstSeenAt > measuredSince + newcomerMilliseconds;
 		if (!isNew || slowest === undefined) {
--- a/source/decisions/capacity/relative-speeds.ts
+++ b/source/decisions/capacity/relative-speeds.ts
@@ -9,6 +9,8 @@
 
 /** Weight of observations from which a target counts for the median, and from which its speed may differ from 1. */
 const minWeight = 3;
+/** The same for a target whose speed differed before. */
+const minRetainedWeight = 1;
 /** Smallest difference from the median that counts, as a logarithm: 25 %. */
 const minDifference = Math.log(1.25);
 /** A difference counts beyond this number of standard errors. Figures are compared twice a second, so two would often be exceeded by chance. */
@@ -50,7 +52,7 @@
 	const difference = medianLogarithm - Math.log(value);
 	const error = medianErrorFactor * Math.max(minSpread, spread) / Math.sqrt(weight);
 	const isConsiderable = Math.abs(difference) > Math.max(minDifference, significantErrors * error) * (hasDiffered ? retentionShare : 1);
-	return weight >= minWeight && isConsiderable ? Math.min(range.max, Math.max(range.min, Math.exp(difference))) : 1;
+	return weight >= (hasDiffered ? minRetainedWeight : minWeight) && isConsiderable ? Math.min(range.max, Math.max(range.min, Math.exp(difference))) : 1;
 };
 
 /**
@@ -62,10 +64,11 @@
 ```
 */
 export const relativeSpeeds = (targets: readonly Measured[], previous: ReadonlyMap<string, {readonly speed: number}> = new Map()): ReadonlyMap<string, Speed> => {
-	const measured = targets.filter(({weight}) => weight >= minWeight);
+	const hasDiffered = (id: string): boolean => (previous.get(id)?.speed ?? 1) !== 1;
+	const measured = targets.filter(({id, weight}) => weight >= (hasDiffered(id) ? minRetainedWeight : minWeight));
 	const medianLogarithm = measured.length < 2 ? undefined : median(measured.map(({value}) => Math.log(value)));
 	return new Map(targets.map(target => [target.id, {
-		speed: medianLogarithm === undefined ? 1 : speedOf(target, medianLogarithm, (previous.get(target.id)?.speed ?? 1) !== 1),
+		speed: medianLogarithm === undefined ? 1 : speedOf(target, medianLogarithm, hasDiffered(target.id)),
 		confidence: target.weight / (target.weight + halfConfidenceWeight),
 	}]));
 };
--- a/test/decisions/capacity/learned-capacity.test.ts
+++ b/test/decisions/capacity/learned-capacity.test.ts
@@ -156,6 +156,24 @@
 	t.end();
 });
 
+// Guards against speeds that are forgotten under lasting load, when no prompt finds an idle engine.
+test('the speed of prefill engines is learned from prompts with a known backlog ahead of them', t => {
+	const capacity = new LearnedCapacity();
+	const chance = new SeededChance(10);
+	for (let now = 0; now < 60_000; now += 3000) {
+		for (const [index, speed] of speeds.entries()) {
+			const [estimatedMilliseconds, backlogMilliseconds] = [chance.between(100, 200), chance.between(60, 100)];
+			capacity.recordPrefill(engine(index, 'prefill'), {
+				uncachedTokens: 6000, cachedTokens: 0, estimatedMilliseconds, backlogMilliseconds, milliseconds: (estimatedMilliseconds + (backlogMilliseconds * chance.between(0.3, 1.2))) / speed,
+			}, now);
+		}
+	}
+
+	const learned = speeds.map((_, index) => capacity.of(engine(index, 'prefill'), 60_500).speed);
+	t.ok(learned.every((speed, index) => isNear(speed, speeds[index]!)), String(learned));
+	t.end();
+});
+
 // Guards against long prompts on slow engines, and against speeds that are learned from waiting.
 test('the speed of prefill engines is learned from long prompts with nothing ahead of them', t => {
 	const capacity = new LearnedCapacity();
@@ -170,7 +188,7 @@
 	for (let now = 0; now < 12_000; now += 1000) {
 		for (const [index, speed] of speeds.entries()) {
 			prefill(index, speed, {estimate: chance.between(60, 300), backlog: 0, wait: 0}, now);
-			prefill(index, speed, {estimate: 100, backlog: 200, wait: 200}, now + 100);
+			prefill(index, speed, {estimate: 100, backlog: 200, wait: 900}, now + 100);
 			prefill(index, speed, {estimate: 4, backlog: 0, wait: 0}, now + 200);
 		}
 	}
--- a/test/entry/learned-capacity.test.ts
+++ b/test/entry/learned-capacity.test.ts
@@ -39,12 +39,13 @@
 	const each = Array.from({length: atOnce}, async (_, line) => {
 		const statuses = [];
 		for (let index = 0; index < count / atOnce; index++) {
-			statuses.push((await fleet.ask(gateway, {path: '/prices/1', requestId: `${name} ${line} ${index}`})).status); // eslint-disable-line no-await-in-loop
+			statuses.push(await fleet.status(gateway, {path: '/prices/1', requestId: `${name} ${line} ${index}`})); // eslint-disable-line no-await-in-loop
 		}
 
 		return statuses;
 	});
-	return (await Promise.all(each)).flat();
+	const statuses = await Promise.all(each);
+	return statuses.flat();
 };
 
 // Guards against outcomes that are not reported to what learns from them, and against figures that no decision reads.
