Halve the processor time of learned figures, and end a slow start for good

Figures of a group are compared once a second instead of twice, and a target's result is kept until then. A limit at or above the slots no longer counts as a difference between targets, and a target whose observations grow old is not taken for a new one.

--- a/source/decisions/capacity/learned-capacity.ts
+++ b/source/decisions/capacity/learned-capacity.ts
@@ -26,7 +26,7 @@
 /** Backlog ahead of a prompt, as a multiple of its own prefill, up to which its time tells the engine's speed, and up to which it tells the rates of the service. Under lasting load few prompts find an idle engine. */
 const maxBacklogFactor = {speed: 1, rates: 0.15} as const;
 /** Time for which the figures of a group of targets are kept. */
-const figuresMilliseconds = 500;
+const figuresMilliseconds = 1000;
 /** How much later than the first figures of its group a target must appear to be a new one. */
 const newcomerMilliseconds = 5000;
 /** Weight of observations at which a slow start ends, and the share of its slots that a plain target takes at first. */
@@ -60,7 +60,13 @@
 
 type TargetState = {
 	readonly group: string;
+	readonly role: Target['role'];
+	readonly slots: number;
 	readonly firstSeenAt: number;
+	/** True once enough was observed to end a slow start, for good: a target that gets no work later is not new again. */
+	isStarted: boolean;
+	/** The last result, and the figures from which it was made. */
+	last: {readonly figures: GroupFigures; readonly capacity: Capacity} | undefined;
 	readonly times: RecentValues;
 	readonly calls: CallTimes;
 	readonly loads: ReportedLoads;
@@ -87,14 +93,34 @@
 const groupOf = ({service, role}: Target): string => `${role ?? 'plain'} ${service}`;
 
 /** The target's time for a unit of work; none while it is unknown. */
-const measure = (id: string, {times, calls}: TargetState, now: number): readonly MeasuredTarget[] => {
+const measure = (id: string, {times, calls, slots}: TargetState, now: number): readonly MeasuredTarget[] => {
 	const time = times.estimate(now);
 	if (option.isSome(time)) {
 		return [{...time.value, id, limit: undefined}];
 	}
 
 	const model = calls.model(now);
-	return option.isSome(model) ? [{...model.value, id, value: model.value.milliseconds}] : [];
+	if (option.isNone(model)) {
+		return [];
+	}
+
+	const {milliseconds, limit = slots} = model.value;
+	return [{
+		...model.value, id, value: milliseconds, limit: limit < slots ? limit : undefined,
+	}];
+};
+
+/** A target that appeared beside others of different speeds counts as slow, or takes a part of its slots, until enough was observed. */
+const withSlowStart = ({speed, limit, weight}: Figures, {role, slots, firstSeenAt, isStarted}: TargetState, {measuredSince, slowest}: GroupFigures): Pick<Capacity, 'speed' | 'limit'> => {
+	const isNew = !isStarted && measuredSince !== undefined && firstSeenAt > measuredSince + newcomerMilliseconds;
+	if (!isNew || slowest === undefined) {
+		return {speed, limit};
+	}
+
+	const share = slowStart.firstShare + ((1 - slowStart.firstShare) * weight / slowStart.callWeight);
+	return role === undefined
+		? {speed, limit: Math.max(1, Math.floor(Math.min(slots, limit ?? slots) * Math.min(1, share)))}
+		: {speed: Math.min(1, slowest), limit};
 };
 
 const median = (values: readonly number[]): number | undefined => values.toSorted((first, second) => first - second)[Math.floor(values.length / 2)];
@@ -144,10 +170,9 @@
 
 	/** Records that a plain target refused a call beside others in progress there. */
 	recordRefusal(target: Target, running: number, now: number): void {
-		const {calls} = this.#state(target, now);
-		const model = calls.model(now);
-		if (option.isSome(model)) {
-			calls.record({milliseconds: model.value.milliseconds * refusalFactor, running}, now);
+		const {callMilliseconds, speed} = this.of(target, now);
+		if (callMilliseconds !== undefined) {
+			this.#state(target, now).calls.record({milliseconds: callMilliseconds / speed * refusalFactor, running}, now);
 		}
 	}
 
@@ -158,15 +183,14 @@
 
 	of(target: Target, now: number): Capacity {
 		const state = this.#state(target, now);
-		const group = this.#group(groupOf(target), now);
-		const figures = group.byTarget.get(target.incarnation) ?? unmeasured;
-		const reported = state.loads.current(now);
-		return {
-			...this.#withSlowStart({...figures, limit: (figures.limit ?? target.slots) < target.slots ? figures.limit : undefined}, target, state, group),
-			confidence: figures.confidence,
-			callMilliseconds: group.callMilliseconds,
-			reported: option.isSome(reported) ? reported.value : undefined,
-		};
+		const group = this.#group(state.group, now);
+		if (state.last?.figures !== group) {
+			state.last = {figures: group, capacity: this.#capacityOf(target.incarnation, state, group)};
+		}
+
+		const {capacity} = state.last;
+		const reported = target.role === undefined ? state.loads.current(now) : option.none;
+		return option.isSome(reported) ? {...capacity, reported: reported.value} : capacity;
 	}
 
 	/** Rates of the service's engines. */
@@ -193,23 +217,17 @@
 		}
 	}
 
-	#withSlowStart({speed, limit, weight}: Figures, {role, slots}: Target, {firstSeenAt}: TargetState, {measuredSince, slowest}: GroupFigures): Pick<Capacity, 'speed' | 'limit'> {
-		const isNew = measuredSince !== undefined && firstSeenAt > measuredSince + newcomerMilliseconds;
-		if (!isNew || slowest === undefined) {
-			return {speed, limit};
-		}
-
-		if (role !== undefined) {
-			return {speed: weight < slowStart.engineWeight ? Math.min(1, slowest) : speed, limit};
-		}
-
-		const share = slowStart.firstShare + ((1 - slowStart.firstShare) * weight / slowStart.callWeight);
-		return {speed, limit: share < 1 ? Math.max(1, Math.floor(Math.min(slots, limit ?? slots) * share)) : limit};
+	#capacityOf(incarnation: string, state: TargetState, group: GroupFigures): Capacity {
+		const figures = group.byTarget.get(incarnation) ?? unmeasured;
+		state.isStarted ||= figures.weight >= (state.role === undefined ? slowStart.callWeight : slowStart.engineWeight);
+		return {
+			...withSlowStart(figures, state, group), confidence: figures.confidence, callMilliseconds: group.callMilliseconds, reported: undefined,
+		};
 	}
 
 	#state(target: Target, now: number): TargetState {
 		const state = this.#targets.get(target.incarnation) ?? {
-			group: groupOf(target), firstSeenAt: now, times: new RecentValues(observations), calls: new CallTimes(), loads: new ReportedLoads(),
+			group: groupOf(target), role: target.role, slots: target.slots, firstSeenAt: now, isStarted: false, last: undefined, times: new RecentValues(observations), calls: new CallTimes(), loads: new ReportedLoads(),
 		};
 		this.#targets.set(target.incarnation, state);
 		return state;
--- a/source/decisions/capacity/relative-speeds.ts
+++ b/source/decisions/capacity/relative-speeds.ts
@@ -13,7 +13,7 @@
 const minRetainedWeight = 1;
 /** Smallest difference from the median that counts, as a logarithm: 25 %. */
 const minDifference = Math.log(1.25);
-/** A difference counts beyond this number of standard errors. Figures are compared twice a second, so two would often be exceeded by chance. */
+/** A difference counts beyond this number of standard errors. Figures are compared every second, so two would often be exceeded by chance. */
 const significantErrors = 3;
 /** Spread that is assumed at least, because a few observations may lie close together by chance. */
 const minSpread = 0.1;
