--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompt-queue.ts
@@ -17,6 +17,7 @@
 import * as option from 'fp-ts/lib/Option.js';
 import type {PromptRank} from '../fairness/prompt-rank.js';
 import {rendezvousOrder} from '../routing/rendezvous-order.js';
+import type {EngineRates} from '../capacity/engine-rates.js';
 import {hasCapacity} from './has-capacity.js';
 import {firstEventMilliseconds} from './first-event-milliseconds.js';
 import {isTimely} from './is-timely.js';
@@ -54,6 +55,8 @@
 	readonly inPlaceEngines: ReadonlySet<string>;
 	/** Estimated tokens of a prompt's shared parts that an engine has cached. */
 	readonly cachedTokens: (prompt: WaitingPrompt, engine: string) => number;
+	/** Rates of the service's engines; the starting ones when left out. */
+	readonly rates?: EngineRates;
 };
 
 type Lane = 'onTime' | 'late';
@@ -66,10 +69,10 @@
 	readonly rank: PromptRank | undefined;
 };
 
-/** Prefill time of a prompt on an otherwise idle prefill engine, wherever it will be prefilled. */
+/** Prefill time of a prompt on an otherwise idle prefill engine of speed 1, wherever it will be prefilled. */
 const idlePrefillMilliseconds = (prompt: WaitingPrompt, context: QueueContext): number => {
 	const cachedTokens = prompt.sharedTokens === 0 ? 0 : context.engines.reduce((highest, {id}) => Math.max(highest, context.cachedTokens(prompt, id)), 0);
-	return latencyModel.prefill(Math.max(1, prompt.tokens - cachedTokens), cachedTokens);
+	return latencyModel.prefill(Math.max(1, prompt.tokens - cachedTokens), cachedTokens, context.rates);
 };
 
 /**
@@ -104,7 +107,7 @@
 /** Places a prompt on one of the engines with capacity; none when it has to wait. */
 const place = (prompt: WaitingPrompt, available: AvailableEngines, context: QueueContext, isAcceptable: (placement: PromptPlacement) => boolean): option.Option<PromptPlacement> => {
 	const placeContext = {
-		...context, allEngines: context.engines, cachedTokens: (engine: string) => context.cachedTokens(prompt, engine), avoid: prompt.avoid,
+		...context, allEngines: context.engines, cachedTokens: (engine: string) => context.cachedTokens(prompt, engine), avoid: prompt.avoid, isAcceptable,
 	};
 	const placeOn = (engines: readonly EngineView[]): option.Option<PromptPlacement> => {
 		const placement = engines.length === 0 ? option.none : placePrompt(prompt, {...placeContext, engines});
@@ -189,9 +192,9 @@
 	return option.isNone(chosen) ? option.none : option.some({...chosen.value, rank: ranks?.get(chosen.value.prompt)});
 };
 
-/** Total prefill rate of all engines, in prefill engines. */
+/** Total prefill rate of all engines, in prefill engines of speed 1. */
 const totalPrefillRate = (engines: readonly EngineView[]): number => engines
-	.reduce((sum, {role}) => sum + (role === 'prefill' ? 1 : inPlacePrefillShare), 0);
+	.reduce((sum, {role, speed = 1}) => sum + (speed * (role === 'prefill' ? 1 : inPlacePrefillShare)), 0);
 
 /** Share of the decode engines' slots that are in use. */
 const usedSlotShare = (engines: readonly EngineView[]): number => {
@@ -207,7 +210,7 @@
 */
 const unservable = ({byGiveUp, ranks}: QueueOrder, context: QueueContext, gateways: number, now: number): ReadonlyArray<{readonly prompt: WaitingPrompt; readonly waitMilliseconds: number; readonly workMilliseconds: number}> => {
 	const prefillRate = Math.max(inPlacePrefillShare, totalPrefillRate(context.engines)) / Math.max(1, gateways);
-	const averageBacklog = context.engines.reduce((sum, {readMilliseconds}) => sum + readMilliseconds, 0) / Math.max(1, context.engines.length);
+	const averageBacklog = context.engines.reduce((sum, {readMilliseconds, speed = 1}) => sum + (readMilliseconds / speed), 0) / Math.max(1, context.engines.length);
 	const mayRejectFirst = ranks === undefined || usedSlotShare(context.engines) >= minUsedSlotShare;
 	let queuedMilliseconds = 0;
 	return byGiveUp
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -4,6 +4,7 @@
 */
 import type http from 'node:http';
 import type {Logger} from 'roarr';
+import {LearnedCapacity} from '../decisions/capacity/learned-capacity.js';
 import {PrefixCacheIndex} from '../decisions/entry/prefix-cache-index.js';
 import {RateLimit} from '../decisions/entry/rate-limit.js';
 import {TargetRegistry} from '../decisions/entry/target-registry.js';
@@ -45,6 +46,7 @@
 import {startOperatorServer} from './start-operator-server.js';
 import {startStatusServer} from './status-server.js';
 import {TargetConnections} from './target-connections.js';
+import {TargetMaintenance} from './target-maintenance.js';
 import {TeamFairness} from './team-fairness.js';
 
 type EntryOptions = {
@@ -104,6 +106,7 @@
 	readonly #knowledge: FleetState;
 	readonly #quarantineStore: QuarantineStore;
 	readonly #loopMonitor: EventLoopMonitor;
+	readonly #targetMaintenance: TargetMaintenance;
 
 	constructor(options: EntryOptions) {
 		this.#options = options;
@@ -111,6 +114,7 @@
 		this.#log = options.log;
 		this.#context = this.#createContext();
 		this.#loopMonitor = new EventLoopMonitor(this.#context);
+		this.#targetMaintenance = new TargetMaintenance(this.#context);
 		this.#knowledge = new FleetState({
 			context: this.#context,
 			createStore: options.createStore,
@@ -254,6 +258,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
+			capacity: new LearnedCapacity(),
 			connections: new TargetConnections(pacer),
 			pacer,
 			openRequests: new Set(),
@@ -370,23 +375,14 @@
 
 	/** Drops the state of targets that are gone, and updates pollers and gauges. */
 	#runMaintenance(): void {
-		const {targetRegistry, prefixCache, health, pauses, connections, crashMonitor, quarantine, metrics} = this.#context;
+		const {targetRegistry, crashMonitor, quarantine} = this.#context;
 		const records = targetRegistry.all();
-		const incarnations = new Set(records.map(record => record.incarnation));
-		for (const target of health.takeSilent(clock())) {
-			metrics.count('target.silent');
-			this.#log.warn({event: 'target avoided', target, reason: 'silent'}, 'target avoided because it does not answer');
-		}
-
 		this.#knowledge.updateFeed(this.#peers?.members ?? []);
 		this.#cachePollers.update(records, this.#settings, this.#peers?.members ?? []);
-		prefixCache.retainOnly(incarnations);
-		health.keepOnly(incarnations);
-		pauses.keepOnly(incarnations);
+		this.#targetMaintenance.run(records);
 		crashMonitor.forgetOld();
 		quarantine.maintain();
 		this.#quarantineStore.recordEra(this.#knowledge.era);
-		connections.keepOnly(new Set(records.map(({address}) => address)));
 		recordGauges(this.#context, {open: this.#callerServer.open, waiting: this.#queues.waitingCount, peers: this.#peers?.names.length ?? 0});
 	}
 }
