Do not take a process for ended because it passes on the counts of its former one

Reports lacked about 1 % of the counts after gateways had been restarted: a gateway that forwards what its own former process had counted was taken to be that process, so the present one was no longer waited for. Peers' clocks are now the median of their samples, so that a jump of a few seconds does not show.

--- a/source/decisions/duties/shared-time.ts
+++ b/source/decisions/duties/shared-time.ts
@@ -118,9 +118,10 @@
 		this.#clockCount = Math.max(this.#clockCount, offsets.length);
 	}
 
-	/** One offset per clock. A peer's is its largest sample, which has the least delay; the own clock's samples have none. */
+	/** One offset per clock: the median of its samples, so that a jump of a few seconds does not show. */
 	#offsets(): readonly number[] {
-		const own = this.#own.length > 0 ? [median(this.#own.map(({offset}) => offset))] : [];
-		return [...own, ...[...this.#peers.values()].map(samples => Math.max(...samples.map(({offset}) => offset)))];
+		return [this.#own, ...this.#peers.values()]
+			.filter(samples => samples.length > 0)
+			.map(samples => median(samples.map(({offset}) => offset)));
 	}
 }
--- a/source/duties/usage-exchange.ts
+++ b/source/duties/usage-exchange.ts
@@ -161,7 +161,8 @@
 
 	#receiveCounts(peer: string, message: UsageMessage): void {
 		const {collected, plan, reach, metrics, now} = this.#options;
-		const isDirect = counterId.gatewayOf(message.counter) === peer;
+		// A gateway that has started again may forward the counts of its own former process.
+		const isDirect = this.#peerCounters.get(peer) === message.counter;
 		const late = collected.record(message, isDirect, now()).filter(window => plan.isDecided(window));
 		if (late.length > 0) {
 			metrics.count('usage.late', late.length);
