Bound what clients that are not controlled make the entry gateway hold and do

Callers see: ordinary requests are answered beside clients that cut bodies into chunks of one byte, pipeline requests without a pause, or read no answers.

Cause: each chunk became an object; the HTTP parser begins all requests of the bytes that it is handed, over a thousand in 64 KB; nothing bounded bodies, unread answers and connections in sum, and answers held for targets only by a constant of 64 MB.

Change: bytes of a connection reach the parser one request at a time (message-cutter, request-feed); steps of busy connections take turns, 8 in a turn of the event loop (caller-turns); bodies are kept by their bytes (byte-pieces); all connections share a limit derived from memoryMb, taken back from the address and connection that hold most (caller-holdings, memory-shares); at the limit of connections, derived from maxFds, a silent or idle one is closed for a new one; one target holds half of the bytes of requests and of unfinished answers at most (target-holdings). Log lines, counters, gauges and docs for each.

Charging finely cut bodies by time (reading-share) was tried and replaced: an idle gateway used half of its time.

--- /dev/null
+++ b/source/callers/caller-guard.ts
@@ -0,0 +1,157 @@
+/**
+Keeps what all callers together make the gateway hold within its limits.
+*/
+import type {Socket} from 'node:net';
+import type {Logger} from 'roarr';
+import {CallerHoldings} from '../decisions/callers/caller-holdings.js';
+import {chooseIdleConnection} from '../decisions/callers/choose-idle-connection.js';
+import {CallerTurns} from '../decisions/callers/caller-turns.js';
+import {RateLimit} from '../decisions/entry/rate-limit.js';
+import type {EntryMetrics} from '../entry/entry-metrics.js';
+import {RequestFeed} from './request-feed.js';
+
+type GuardOptions = {
+	/** Bytes that callers may make the gateway hold. */
+	readonly callerBytes: number;
+	/** Connections that callers may have. */
+	readonly connections: number;
+	readonly metrics: EntryMetrics;
+	readonly log: Logger;
+	readonly now: () => number;
+};
+
+type Reason = 'memory' | 'connections' | 'silent';
+
+type Kind = Parameters<CallerHoldings<RequestFeed>['set']>[2];
+
+/** Lines of closed connections and refused requests that are written each second. */
+const maxLinesPerSecond = 2;
+
+/**
+One instance a server for callers.
+
+@example
+```
+server.on('connection', socket => {
+	guard.add(socket);
+});
+```
+*/
+export class CallerGuard {
+	readonly now: () => number;
+	#isScheduled = false;
+	#unlogged = 0;
+	readonly #feeds = new Map<Socket, RequestFeed>();
+	readonly #turns = new CallerTurns<RequestFeed>();
+	readonly #holdings: CallerHoldings<RequestFeed>;
+	readonly #lines = new RateLimit(maxLinesPerSecond);
+	readonly #options: GuardOptions;
+
+	constructor(options: GuardOptions) {
+		this.#options = options;
+		this.now = options.now;
+		this.#holdings = new CallerHoldings(options.callerBytes);
+	}
+
+	/** Takes a connection over that the HTTP server has just set up, and closes another one if there are too many. */
+	add(socket: Socket): void {
+		this.#feeds.set(socket, new RequestFeed(socket, this));
+		if (this.#feeds.size <= this.#options.connections) {
+			return;
+		}
+
+		const victim = chooseIdleConnection([...this.#feeds.values()].filter(feed => feed.socket !== socket)) ?? this.#feeds.get(socket)!;
+		this.#log('connections', victim, 'closed');
+		victim.socket.destroy();
+		this.remove(victim);
+	}
+
+	feedOf(socket: Socket): RequestFeed | undefined {
+		return this.#feeds.get(socket);
+	}
+
+	remove(feed: RequestFeed): void {
+		this.#feeds.delete(feed.socket);
+		this.#turns.remove(feed);
+		this.#holdings.remove(feed);
+	}
+
+	setHolding(feed: RequestFeed, kind: Kind, bytes: number): void {
+		if (this.#feeds.has(feed.socket)) {
+			this.#holdings.set(feed, feed.address, kind, bytes);
+		}
+	}
+
+	/** Takes memory back from those who hold most until the total is within its limit. */
+	enforce(): void {
+		if (!this.#holdings.isOver) {
+			return;
+		}
+
+		const now = this.now();
+		const victim = this.#holdings.chooseVictim(feed => feed.isStalled(now));
+		if (victim === undefined) {
+			return;
+		}
+
+		const bytes = this.#holdings.heldBy(victim);
+		const outcome = victim.giveUp();
+		this.#holdings.remove(victim);
+		this.#log('memory', victim, outcome, bytes);
+		this.enforce();
+	}
+
+	askForTurn(feed: RequestFeed): void {
+		this.#turns.ask(feed);
+		this.#schedule();
+	}
+
+	/** Closes connections whose request has stopped in its middle for this long. */
+	closeSilent(milliseconds: number): void {
+		const now = this.now();
+		for (const feed of this.#feeds.values()) {
+			if (feed.phase === 'incoming' && feed.pendingBytes === 0 && now - feed.activeAt > milliseconds) {
+				this.#log('silent', feed, 'closed', this.#holdings.heldBy(feed));
+				feed.socket.destroy();
+			}
+		}
+	}
+
+	recordGauges(): void {
+		const {metrics} = this.#options;
+		metrics.gauge('callers.connections', this.#feeds.size);
+		metrics.gauge('callers.held-bytes', this.#holdings.total);
+		metrics.gauge('callers.waiting-turns', this.#turns.waitingCount);
+	}
+
+	/** Gives turns in a later turn of the event loop, so that other callers come between. */
+	#schedule(): void {
+		if (this.#isScheduled || this.#turns.waitingCount === 0) {
+			return;
+		}
+
+		this.#isScheduled = true;
+		setImmediate(() => {
+			this.#isScheduled = false;
+			for (const feed of this.#turns.takeNext()) {
+				feed.takeTurn();
+			}
+
+			this.#schedule();
+		});
+	}
+
+	#log(reason: Reason, feed: RequestFeed, outcome: 'refused' | 'closed', bytes = 0): void {
+		const {metrics, log} = this.#options;
+		metrics.count(`caller.${outcome}.${reason}`);
+		if (!this.#lines.tryTake(this.now())) {
+			this.#unlogged++;
+			return;
+		}
+
+		log.warn({
+			event: `caller ${outcome}`, reason, address: feed.address, phase: feed.phase, bytes, heldBytes: this.#holdings.total, connections: this.#feeds.size, unlogged: this.#unlogged,
+		}, outcome === 'refused' ? 'request refused because callers make the gateway hold too much' : 'connection of a caller closed');
+		this.#unlogged = 0;
+	}
+}
--- a/source/entry/caller-answer.ts
+++ b/source/entry/caller-answer.ts
@@ -6,6 +6,9 @@
 import {resultCodeDetails} from '../generated/result-codes.js';
 import type {AnswerFacts} from '../fleet/answer-facts.js';
 
+/** Fewer bytes that wait for a caller are not counted. */
+const countedBytes = 16_384;
+
 type Flow = {readonly pause: () => void; readonly resume: () => void};
 
 /** Bytes buffered for a slow caller from which on reading from its target is paused. */
@@ -35,10 +38,14 @@
 	#onDisconnect: (() => void) | undefined;
 	readonly #response: http.ServerResponse;
 	readonly #mustClose: () => boolean;
+	readonly #onUnread: (bytes: number) => void;
+	#unreadBytes = 0;
 
-	constructor(response: http.ServerResponse, mustClose: () => boolean) {
+	/** `onUnread` is called with the bytes that wait for the caller, whenever they become many or few. */
+	constructor(response: http.ServerResponse, mustClose: () => boolean, onUnread: (bytes: number) => void = () => undefined) {
 		this.#response = response;
 		this.#mustClose = mustClose;
+		this.#onUnread = onUnread;
 		const {socket} = response.req;
 		const onEnd = (): void => {
 			this.#handleDisconnect();
@@ -87,6 +94,7 @@
 		}
 
 		this.#bufferedPieces = this.#response.write(chunk) ? 0 : this.#bufferedPieces + 1;
+		this.#recordUnread();
 		const isTooMuch = this.#response.writableLength > maxBufferedBytes || this.#bufferedPieces > maxBufferedPieces;
 		if (isTooMuch && this.#pausedFlow !== flow) {
 			this.#pauseUntilDrained(flow);
@@ -109,6 +117,7 @@
 		this.#writeHead(facts.status, {...facts.headers, ...facts.status === 204 || facts.status === 304 ? {} : {'content-length': String(body.byteLength)}});
 		this.#isDone = true;
 		this.#response.end(body);
+		this.#recordUnread();
 	}
 
 	/** Sends an error of the gateway itself, with its result code. */
@@ -155,6 +164,24 @@
 		});
 	}
 
+	/** Counts what waits for the caller: each piece that is added while much waits, and once that it is little again. */
+	#recordUnread(): void {
+		const bytes = this.#response.writableLength;
+		if (bytes < countedBytes && this.#unreadBytes < countedBytes) {
+			return;
+		}
+
+		if (this.#unreadBytes < countedBytes) {
+			this.#response.once('drain', () => {
+				this.#unreadBytes = 0;
+				this.#onUnread(0);
+			});
+		}
+
+		this.#unreadBytes = bytes;
+		this.#onUnread(bytes);
+	}
+
 	#handleDisconnect(): void {
 		if (!this.#isDone) {
 			this.#isDone = true;
--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -4,21 +4,26 @@
 It uses Node's HTTP server directly: bodies and request targets are forwarded byte for
 byte, so a framework's routing and body parsing would have to be bypassed.
 */
-import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {isWellFormedRequest} from '../decisions/entry/is-well-formed-request.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
+import {CallerMessage} from '../callers/caller-message.js';
+import type {CallerGuard} from '../callers/caller-guard.js';
+import type {RequestFeed} from '../callers/request-feed.js';
+import {BytePieces} from '../shared/byte-pieces.js';
 import {CallerAnswer} from './caller-answer.js';
 import {CallerConnections} from './caller-connections.js';
 
+type RefusalReason = 'improper' | 'header too large' | 'body too large' | 'memory';
+
 type CallerServerHandlers = {
+	readonly guard: CallerGuard;
 	readonly limits: () => FleetConfiguration['limits'] | undefined;
 	/** True once each answer has to close its connection. */
 	readonly isClosing: () => boolean;
 	readonly onRequest: (request: http.IncomingMessage, body: Uint8Array | undefined, answer: CallerAnswer, startedAt: number) => void;
-	readonly onRefused: (request: http.IncomingMessage, answer: CallerAnswer, reason: 'improper' | 'header too large' | 'body too large') => void;
-	readonly now: () => number;
+	readonly onRefused: (request: http.IncomingMessage, answer: CallerAnswer, reason: RefusalReason) => void;
 };
 
 /** The limit of Node's parser; the configured limit is checked on each request. */
@@ -27,6 +32,9 @@
 
 const headerBytes = (request: http.IncomingMessage): number => request.rawHeaders.reduce((sum, part) => sum + part.length + 2, (request.url ?? '').length);
 
+/** Bytes of the body that the request announces; undefined for a chunked one. */
+const bodyBytes = ({headers}: http.IncomingMessage): number | undefined => headers['transfer-encoding'] === undefined ? Number(headers['content-length'] ?? 0) : undefined;
+
 /**
 Listens for callers and refuses malformed and oversized requests itself.
 
@@ -41,16 +49,17 @@
 	readonly #handlers: CallerServerHandlers;
 	readonly #connections = new CallerConnections();
 	#open = 0;
-	/** Connections on which a request was refused. Nothing that follows on them is read as a request, because it may be a smuggled one. */
-	readonly #refused = new WeakSet<Socket>();
 
 	constructor(handlers: CallerServerHandlers) {
 		this.#handlers = handlers;
 		this.#server = http.createServer({
-			maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true, connectionsCheckingInterval: connectionCheckMilliseconds, requestTimeout: 60_000,
+			maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true, connectionsCheckingInterval: connectionCheckMilliseconds, requestTimeout: 60_000, IncomingMessage: CallerMessage, // eslint-disable-line @typescript-eslint/naming-convention
 		}, (request, response) => {
 			this.#receive(request, response);
 		});
+		this.#server.on('connection', (socket: Socket) => {
+			handlers.guard.add(socket);
+		});
 		// The server calls this too when it is closed.
 		this.#server.closeIdleConnections = () => {
 			this.#connections.closeIdle();
@@ -80,66 +89,106 @@
 		this.#server.closeIdleConnections();
 	}
 
+	/** Closes connections whose request has stopped in its middle, and records what callers hold; called at an interval. */
+	maintain(): void {
+		const limits = this.#handlers.limits();
+		if (limits !== undefined) {
+			this.#handlers.guard.closeSilent(limits.idleMilliseconds);
+		}
+
+		this.#handlers.guard.recordGauges();
+	}
+
 	/** Accepts no more connections, and closes the idle ones. */
 	close(): void {
 		this.#server.close();
 	}
 
-	#receive(request: http.IncomingMessage, response: http.ServerResponse): void {
-		if (this.#refused.has(request.socket)) {
+	#receive(request: CallerMessage, response: http.ServerResponse): void {
+		const {socket} = request;
+		const feed = this.#handlers.guard.feedOf(socket);
+		if (feed === undefined) {
 			return;
 		}
 
-		const startedAt = this.#handlers.now();
-		const answer = new CallerAnswer(response, this.#handlers.isClosing);
-		const {socket} = request;
+		const answer = new CallerAnswer(response, this.#handlers.isClosing, bytes => {
+			feed.setUnread(bytes);
+		});
 		this.#open++;
 		this.#connections.begin(socket);
 		response.once('close', () => {
 			this.#open--;
 			this.#connections.end(socket);
+			feed.end();
 		});
 		request.on('error', () => {
 			// A caller that disconnects in the middle of its request is noticed by the close of the response.
 		});
+		const refuse = (reason: RefusalReason): void => {
+			this.#refuse(feed, request, answer, reason);
+		};
+
+		feed.begin({
+			bodyBytes: bodyBytes(request),
+			isAnswered: () => answer.isDone,
+			refuse() {
+				refuse('memory');
+			},
+		});
 		const limits = this.#handlers.limits();
 		if (!isWellFormedRequest(request.url ?? '', request.rawHeaders)) {
-			this.#refuse(request, answer, 'improper');
+			refuse('improper');
 			return;
 		}
 
 		if (limits !== undefined && headerBytes(request) > limits.headerBytes) {
-			this.#refuse(request, answer, 'header too large');
+			refuse('header too large');
 			return;
 		}
 
-		this.#readBody(request, answer, limits?.bodyBytes ?? Number.POSITIVE_INFINITY, startedAt);
+		this.#readBody(request, feed, answer, limits?.bodyBytes ?? Number.POSITIVE_INFINITY);
 	}
 
-	#readBody(request: http.IncomingMessage, answer: CallerAnswer, maxBytes: number, startedAt: number): void {
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
-		request.on('data', (chunk: Uint8Array) => {
-			bytes += chunk.byteLength;
-			if (bytes > maxBytes) {
-				this.#refuse(request, answer, 'body too large');
-				return;
-			}
-
-			chunks.push(chunk);
-		});
+	#readBody(request: CallerMessage, feed: RequestFeed, answer: CallerAnswer, maxBytes: number): void {
+		const body = new BytePieces();
+		const startedAt = feed.activeAt;
+		request.receiver = {
+			receive: piece => {
+				if (answer.isDone) {
+					body.clear();
+					return;
+				}
+
+				body.append(piece);
+				if (body.length > maxBytes) {
+					body.clear();
+					this.#refuse(feed, request, answer, 'body too large');
+					return;
+				}
+
+				feed.takeBody(piece.length, body.capacity);
+			},
+			complete() {
+				feed.completeBody();
+			},
+		};
 		request.once('end', () => {
 			if (!answer.isDone) {
 				const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
-				this.#handlers.onRequest(request, hasBody ? Buffer.concat(chunks) : undefined, answer, startedAt);
+				this.#handlers.onRequest(request, hasBody ? body.take() : undefined, answer, startedAt);
 			}
 		});
+		request.once('close', () => {
+			body.clear();
+		});
+		request.resume();
 	}
 
-	#refuse(request: http.IncomingMessage, answer: CallerAnswer, reason: 'improper' | 'header too large' | 'body too large'): void {
+	/** Refuses a request that has not been accepted. Nothing that follows on its connection is read as a request, because it may be a smuggled one. */
+	#refuse(feed: RequestFeed, request: CallerMessage, answer: CallerAnswer, reason: RefusalReason): void {
 		if (!answer.isDone) {
 			answer.closeAfterAnswer();
-			this.#refused.add(request.socket);
+			feed.stop();
 			this.#handlers.onRefused(request, answer, reason);
 		}
 	}
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -4,13 +4,14 @@
 */
 import type http from 'node:http';
 import type {Logger} from 'roarr';
+import {createCallerServer} from '../callers/create-caller-server.js';
+import {memoryShares} from '../decisions/callers/memory-shares.js';
 import {PrefixCacheIndex} from '../decisions/entry/prefix-cache-index.js';
 import {RateLimit} from '../decisions/entry/rate-limit.js';
 import {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
 import {TargetRegistry} from '../decisions/entry/target-registry.js';
 import {TargetHealth} from '../decisions/entry/target-health.js';
 import {TargetPauses} from '../decisions/entry/target-pauses.js';
-import {resultCode} from '../generated/result-codes.js';
 import type {FleetStore} from '../ports/fleet-store.js';
 import type {TargetProtocol} from '../ports/target-protocol.js';
 import {clock} from '../shared/clock.js';
@@ -20,7 +21,7 @@
 import {AnswerPacer} from './answer-pacer.js';
 import {AttemptSender} from './attempt-sender.js';
 import {BufferedBytes} from './buffered-bytes.js';
-import {CallerServer} from './caller-server.js';
+import type {CallerServer} from './caller-server.js';
 import {drainRequests} from './drain-requests.js';
 import {EngineCachePollers} from './engine-cache-pollers.js';
 import {CrashMonitor} from './crash-monitor.js';
@@ -52,16 +53,10 @@
 	readonly log: Logger;
 };
 
-const refusalCodes = {
-	improper: resultCode.malformedRequest, 'header too large': resultCode.headerTooLarge, 'body too large': resultCode.requestTooLarge,
-} as const;
-
 /** How long the platform's load balancer may still open new connections after the readiness check fails. */
 const balancerLagMilliseconds = 2600;
 /** Time left between the end of the drain and the moment when the platform kills the process. */
 const killMarginMilliseconds = 400;
-/** Bytes of all answers together that are held until they are whole. */
-const maxBufferedAnswersBytes = 67_108_864;
 const maintenanceIntervalMilliseconds = 1000;
 /** Successful requests per second whose log lines are written. */
 const maxLoggedRequestsPerSecond = 10;
@@ -93,6 +88,8 @@
 	readonly #router: RequestRouter;
 	readonly #callerServer: CallerServer;
 	readonly #servers: http.Server[] = [];
+	/** Who may make the process hold how much. */
+	readonly #shares: ReturnType<typeof memoryShares>;
 	readonly #peers: Peers | undefined;
 	readonly #exchange: PeerExchange | undefined;
 	readonly #cachePollers: EngineCachePollers;
@@ -104,6 +101,7 @@
 	constructor(options: EntryOptions) {
 		this.#options = options;
 		this.#settings = options.settings;
+		this.#shares = memoryShares(options.settings.resources);
 		this.#log = options.log;
 		this.#context = this.#createContext();
 		this.#loopMonitor = new EventLoopMonitor(this.#context);
@@ -143,11 +141,13 @@
 		});
 		this.#sender = new AttemptSender(this.#context, () => {
 			this.#queues.processSoon();
-		});
+		}, this.#shares.targetBytes);
 		this.#router = new RequestRouter({
 			context: this.#context, inForce: this.#knowledge.inForce, sender: this.#sender, queues: this.#queues, isDraining: () => this.#isDraining, storeReadAt: () => this.#knowledge.storeReadAt,
 		});
-		this.#callerServer = this.#createCallerServer();
+		this.#callerServer = createCallerServer({
+			context: this.#context, router: this.#router, shares: this.#shares, limits: () => this.#knowledge.inForce.current?.limits, isClosing: () => this.#isStopping,
+		});
 		const {peers: address} = options.settings.listen;
 		if (address !== undefined) {
 			this.#peers = this.#createPeers(address);
@@ -249,7 +249,7 @@
 			connections: new TargetConnections(pacer),
 			pacer,
 			openRequests: new Set(),
-			bufferedAnswers: new BufferedBytes(maxBufferedAnswersBytes),
+			bufferedAnswers: new BufferedBytes(this.#shares.answerBytes),
 			crashMonitor: this.#createCrashMonitor(),
 			quarantine: new PromptQuarantine({
 				name: settings.name,
@@ -298,25 +298,6 @@
 		return window;
 	}
 
-	#createCallerServer(): CallerServer {
-		return new CallerServer({
-			limits: () => this.#knowledge.inForce.current?.limits,
-			isClosing: () => this.#isStopping,
-			onRequest: (request, body, answer, startedAt) => {
-				this.#context.activity.measure('request', body?.byteLength ?? 0, () => {
-					this.#router.route(request, body, answer, startedAt);
-				});
-			},
-			onRefused: (request, answer, reason) => {
-				const code = refusalCodes[reason];
-				this.#context.metrics.count(`request.refused.${code}`);
-				this.#log.info({event: 'request refused', reason, bytes: request.rawHeaders.length}, 'request refused before routing');
-				answer.sendError(code, {});
-			},
-			now: clock,
-		});
-	}
-
 	#createPeers(address: {readonly host: string; readonly port: number}): Peers {
 		return new Peers({
 			name: this.#settings.name,
@@ -384,9 +365,11 @@
 		quarantine.maintain();
 		this.#quarantineStore.recordEra(this.#knowledge.era);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
+		this.#callerServer.maintain();
 		metrics.gauge('requests.open', this.#callerServer.open);
 		metrics.gauge('requests.waiting', this.#queues.waitingCount);
 		metrics.gauge('answers.buffered-bytes', bufferedAnswers.total);
+		metrics.gauge('targets.largest-holding-bytes', this.#sender.largestHolding);
 		metrics.gauge('answers.paused', pacer.waitingCount);
 		metrics.gauge('peers', this.#peers?.names.length ?? 0);
 		metrics.gauge('connections.opened', connections.opened());
--- a/source/entry/entry-settings.ts
+++ b/source/entry/entry-settings.ts
@@ -15,6 +15,8 @@
 	readonly isFirstStart: boolean;
 	/** Bandwidth of the VM's network link, in megabits per second. */
 	readonly linkMegabits: number;
+	/** Memory of the VM and descriptors that the process may open, as far as the settings tell. */
+	readonly resources?: {readonly memoryMegabytes: number | undefined; readonly descriptors: number | undefined};
 	readonly peerSeeds: readonly string[];
 	readonly store: {readonly address: string; readonly readsPerSecond: number};
 	readonly bounds: {
--- a/source/entry/received-answer.ts
+++ b/source/entry/received-answer.ts
@@ -9,7 +9,7 @@
 */
 import type {classifyAnswer} from '../decisions/entry/classify-answer.js';
 import type {AnswerFacts} from '../fleet/answer-facts.js';
-import {ByteAccumulator} from '../shared/byte-accumulator.js';
+import {BytePieces} from '../shared/byte-pieces.js';
 import type {AnswerSink} from './answer-sink.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {AttemptPlan} from './attempt-plan.js';
@@ -51,11 +51,14 @@
 	#heldBytes = 0;
 	#sink: AnswerSink | undefined;
 	/** What has arrived of an answer that is kept until it is whole. */
-	readonly #kept = new ByteAccumulator();
+	readonly #kept = new BytePieces();
 	readonly #sinks: Sinks;
 	readonly #buffered: BufferedBytes;
+	readonly #target: string;
 
-	constructor(sinks: Sinks, buffered: BufferedBytes) {
+	/** `target` is the one whose answer it is, or empty. */
+	constructor(sinks: Sinks, buffered: BufferedBytes, target = '') {
+		this.#target = target;
 		this.#sinks = sinks;
 		this.#buffered = buffered;
 	}
@@ -170,7 +173,7 @@
 
 	/** Counts what is held now; false when that is too much, for this answer or for all. */
 	#tryHold(bytes: number): boolean {
-		const isHeld = bytes <= maxBufferedAnswerBytes && this.#buffered.tryReplace(this.#heldBytes, bytes);
+		const isHeld = bytes <= maxBufferedAnswerBytes && this.#buffered.tryReplace(this.#heldBytes, bytes, this.#target);
 		this.#heldBytes = isHeld ? bytes : this.#heldBytes;
 		return isHeld;
 	}
--- a/source/entry/target-attempt.ts
+++ b/source/entry/target-attempt.ts
@@ -62,7 +62,7 @@
 		this.#entry = entry;
 		this.#context = context;
 		this.#onCapacity = onCapacity;
-		this.#received = new ReceivedAnswer(plan, context.bufferedAnswers);
+		this.#received = new ReceivedAnswer(plan, context.bufferedAnswers, plan.target.id);
 		this.#startedAt = context.now();
 		this.outcome = new Promise(resolve => {
 			this.#resolve = resolve;
