Join small chunks of callers' bodies before the HTTP parser sees them

Cause: for each chunk the parser makes a call (6.6 s of the profile) and a buffer (2.1 s of collections).

Change: chunks of one or two hexadecimal digits without extension, whole in the bytes at hand, are joined; everything else is handed over as it came, and nothing more of a body after anything that the parser might read in another way.

Chunks with extensions are not joined.

--- a/source/callers/request-feed.ts
+++ b/source/callers/request-feed.ts
@@ -6,6 +6,7 @@
 not read meanwhile. What waits is one or two reads of the socket.
 */
 import type {Socket} from 'node:net';
+import {ChunkJoiner} from '../decisions/callers/chunk-joiner.js';
 import {MessageCutter} from '../decisions/callers/message-cutter.js';
 import type {CallerGuard} from './caller-guard.js';
 
@@ -67,6 +68,7 @@
 	#needsTurn = false;
 	readonly #guard: CallerGuard;
 	readonly #cutter = new MessageCutter();
+	readonly #joiner = new ChunkJoiner();
 	readonly #parse: Parse;
 	readonly #resumeSocket: () => Socket;
 
@@ -116,6 +118,9 @@
 		// A body counts as what it is announced to be, so that one for which there is no room is refused before it is read.
 		this.#heldBodyBytes = request.bodyBytes ?? 0;
 		this.#state = 'body';
+		if (request.bodyBytes === undefined) {
+			this.#joiner.begin();
+		}
 	}
 
 	/** A piece of the body was parsed; all of it holds this many bytes of memory. */
@@ -249,7 +254,7 @@
 		}
 
 		const formerChunks = this.#chunks;
-		this.#parse(piece);
+		this.#parse(this.#remaining === undefined ? this.#joiner.join(piece) : piece);
 		if (this.#state === 'body' && this.#chunks - formerChunks > maxChunksWithoutTurn) {
 			this.#askForTurn();
 		}
