Take the limit of a plain target from the throughput beyond it

Cause: the limit was the number from which calls take considerably longer, which lies in the middle of the rise: 7 to 12 for targets that slow down from the fifth call on. Change: the limit is the throughput reached beyond that number times the time of a call below it (Little's law).

--- a/source/decisions/capacity/call-times.ts
+++ b/source/decisions/capacity/call-times.ts
@@ -4,8 +4,9 @@
 
 Load: a target has six slots, but from the fourth call on all of its calls take longer, so the
 slots say nothing of what it takes well. The times of calls are compared by the number of calls
-that were in progress at the target: the limit is the number from which they take considerably
-longer than below it. While fewer calls are in progress than that, the observations beyond the
+that were in progress at the target. If they take considerably longer beyond a number, the limit
+is the calls in progress that would give the throughput reached there at the time of a call below
+it (Little's law). While fewer calls are in progress than that, the observations beyond the
 limit grow old and the limit is unknown again, so that it is tried anew; when nobody sends
 calls, nothing is observed and nothing changes but the weights.
 */
@@ -28,7 +29,13 @@
 /** Spread that is assumed at least, because a few calls may take alike by chance. */
 const minSpread = 0.1;
 
-type Call = {readonly milliseconds: number; readonly running: number; readonly at: number};
+type Call = {
+	readonly milliseconds: number;
+	readonly running: number;
+	/** True for a call that the target refused because it was full. */
+	readonly isRefused: boolean;
+	readonly at: number;
+};
 
 type CallModel = {
 	/** Time of a call while the target has few others. */
@@ -47,6 +54,7 @@
 	/** Number of standard errors by which the times differ. */
 	readonly errors: number;
 	readonly below: Estimate;
+	readonly beyond: readonly Call[];
 };
 
 const countErrors = (ratio: number, below: Estimate, beyond: Estimate): number => {
@@ -78,10 +86,21 @@
 
 	const ratio = timeBeyond.value.value / timeBelow.value.value;
 	return [{
-		limit, ratio, errors: countErrors(ratio, timeBelow.value, timeBeyond.value), below: timeBelow.value,
+		limit, ratio, errors: countErrors(ratio, timeBelow.value, timeBeyond.value), below: timeBelow.value, beyond,
 	}];
 };
 
+/** Calls in progress for which the throughput beyond the split suffices, at the time of a call below it; at most where the split is. */
+const limitOf = ({limit, below, beyond}: Split, now: number): number => {
+	const values = new RecentValues({size: maxCalls, halfLifeMilliseconds});
+	for (const {milliseconds, running, isRefused, at} of beyond) {
+		values.record(isRefused ? running : (running + 1) * below.value / milliseconds, at);
+	}
+
+	const estimate = values.estimate(now);
+	return option.isNone(estimate) ? limit : Math.min(limit, Math.max(1, Math.round(estimate.value.value)));
+};
+
 /**
 Times are in milliseconds, on the gateway's monotonic clock.
 
@@ -96,9 +115,11 @@
 	#next = 0;
 
 	/** Records a call that was answered; `running` are the calls that were in progress at the target beside it. */
-	record({milliseconds, running}: Omit<Call, 'at'>, now: number): void {
+	record({milliseconds, running, isRefused = false}: Omit<Call, 'at' | 'isRefused'> & {readonly isRefused?: boolean}, now: number): void {
 		if (milliseconds > 0 && Number.isFinite(milliseconds) && running >= 0 && Number.isFinite(running)) {
-			this.#calls[this.#next] = {milliseconds, running, at: now};
+			this.#calls[this.#next] = {
+				milliseconds, running, isRefused, at: now,
+			};
 			this.#next = (this.#next + 1) % maxCalls;
 		}
 	}
@@ -112,7 +133,7 @@
 		if (clearest !== undefined && clearest.ratio >= slowdownBeyondLimit && clearest.errors >= significantErrors) {
 			const {value, weight, spread} = clearest.below;
 			return option.some({
-				milliseconds: value, weight, spread, limit: clearest.limit,
+				milliseconds: value, weight, spread, limit: limitOf(clearest, now),
 			});
 		}
 
--- a/source/decisions/capacity/learned-capacity.ts
+++ b/source/decisions/capacity/learned-capacity.ts
@@ -172,7 +172,7 @@
 	recordRefusal(target: Target, running: number, now: number): void {
 		const {callMilliseconds, speed} = this.of(target, now);
 		if (callMilliseconds !== undefined) {
-			this.#state(target, now).calls.record({milliseconds: callMilliseconds / speed * refusalFactor, running}, now);
+			this.#state(target, now).calls.record({milliseconds: callMilliseconds / speed * refusalFactor, running, isRefused: true}, now);
 		}
 	}
 
