--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -365,6 +365,8 @@
 		quarantine.maintain();
 		this.#quarantineStore.recordEra(this.#knowledge.era);
 		this.#callerServer.maintain();
-		recordGauges(this.#context, {open: this.#callerServer.open, waiting: this.#queues.waitingCount, peers: this.#peers?.names.length ?? 0, largestHolding: this.#sender.largestHolding});
+		recordGauges(this.#context, {
+			open: this.#callerServer.open, waiting: this.#queues.waitingCount, peers: this.#peers?.names.length ?? 0, largestHolding: this.#sender.largestHolding,
+		});
 	}
 }
--- a/test/support/virtual-duty-gateway.ts
+++ b/test/support/virtual-duty-gateway.ts
@@ -162,6 +162,7 @@
 			case 'fresh':
 			case 'crashes':
 			case 'want':
+			case 'zone load':
 			case 'targets':
 			case 'configuration': {
 				throw new Error(`unexpected message ${message.kind}`);
