--- a/source/decisions/capacity/learned-capacity.ts
+++ b/source/decisions/capacity/learned-capacity.ts
@@ -14,6 +14,7 @@
 import type {TargetRecord} from '../../fleet/target-record.js';
 import {CallTimes} from './call-times.js';
 import type {EngineRates} from './engine-rates.js';
+import {ObservedTimes} from './observed-times.js';
 import {RecentValues} from './recent-values.js';
 import {relativeSpeeds} from './relative-speeds.js';
 import {ReportedLoads} from './reported-loads.js';
@@ -135,6 +136,8 @@
 ```
 */
 export class LearnedCapacity {
+	/** What this gateway has observed of engines, for its peers. */
+	readonly observed = new ObservedTimes();
 	readonly #targets = new Map<string, TargetState>();
 	readonly #groups = new Map<string, GroupFigures>();
 	readonly #rates = new Map<string, ServiceRates>();
@@ -147,7 +150,7 @@
 		}
 
 		if (engine.role !== 'decode') {
-			this.#state(engine, now).times.record(milliseconds / (estimatedMilliseconds + backlogMilliseconds), now);
+			this.#recordTime(engine, milliseconds / (estimatedMilliseconds + backlogMilliseconds), now);
 		}
 
 		if (backlogMilliseconds <= estimatedMilliseconds * maxBacklogFactor.rates) {
@@ -159,10 +162,15 @@
 	recordDecode(engine: Target, {gapMilliseconds, running}: {readonly gapMilliseconds: number; readonly running: number}, now: number): void {
 		const {speed} = this.of(engine, now);
 		const {decodeStep} = this.rates(engine.service, now);
-		this.#state(engine, now).times.record(gapMilliseconds / (decodeStep.milliseconds + (running * decodeStep.millisecondsPerRequest)), now);
+		this.#recordTime(engine, gapMilliseconds / (decodeStep.milliseconds + (running * decodeStep.millisecondsPerRequest)), now);
 		this.#ratesOf(engine.service).recordDecode({gapMilliseconds: gapMilliseconds * speed, running}, now);
 	}
 
+	/** Records a time that a peer has observed on an engine, as `observed` holds it. */
+	recordPeerTime(engine: Target, time: number, now: number): void {
+		this.#state(engine, now).times.record(time, now);
+	}
+
 	/** Records a call that a plain target answered, beside others in progress there. */
 	recordCall(target: Target, call: {readonly milliseconds: number; readonly running: number}, now: number): void {
 		this.#state(target, now).calls.record(call, now);
@@ -207,6 +215,11 @@
 		}
 	}
 
+	#recordTime(engine: Target, time: number, now: number): void {
+		this.#state(engine, now).times.record(time, now);
+		this.observed.add({engine: engine.incarnation, time});
+	}
+
 	#recordRates(engine: Target, observation: PrefillObservation, now: number): void {
 		const rates = this.#ratesOf(engine.service);
 		const milliseconds = observation.milliseconds * this.of(engine, now).speed;
