Log the learned figures by which a request was placed

The lines 'placed', 'tokens placed' and 'call placed' have the speed of the target, and for calls its limit, slowdown and calls in progress. The fields of 'placed' are made in a module of their own, which shortens stream-relay.ts. The time after which an engine counts as silent grows with a speed below 1.

--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -2,6 +2,7 @@
 Relays one call to a target of a plain service, and retries it at other targets.
 */
 import * as option from 'fp-ts/lib/Option.js';
+import type {CallTarget} from '../decisions/entry/call-target.js';
 import {placeCall} from '../decisions/entry/place-call.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {TargetRecord} from '../fleet/target-record.js';
@@ -12,6 +13,8 @@
 import {RequestLifecycle} from './request-lifecycle.js';
 import {targetViews} from './target-views.js';
 
+type Chosen = {readonly target: TargetRecord; readonly view: CallTarget};
+
 /**
 One instance a call. Selects a target, sends the call, and passes its answer on to the caller.
 
@@ -45,31 +48,33 @@
 	}
 
 	async #runAttempts(): Promise<void> {
-		const target = this.#selectTarget();
-		if (option.isNone(target)) {
+		const chosen = this.#selectTarget();
+		if (option.isNone(chosen)) {
 			this.#lifecycle.refuseWithoutTarget();
 			return;
 		}
 
-		const shouldRetry = await this.#sendTo(target.value);
+		const shouldRetry = await this.#sendTo(chosen.value);
 		if (shouldRetry) {
 			await this.#runAttempts();
 		}
 	}
 
-	#selectTarget(): option.Option<TargetRecord> {
+	#selectTarget(): option.Option<Chosen> {
 		const {random, settings} = this.#context;
 		const {views, record} = targetViews(this.#context, this.#request.service);
 		const chosen = placeCall({
 			targets: views, availabilityZone: settings().availabilityZone, bodyBytes: this.#request.body?.byteLength ?? 0, avoid: this.#lifecycle.avoid, random,
 		});
-		return option.isNone(chosen) ? option.none : option.some(record(chosen.value.id));
+		return option.isNone(chosen) ? option.none : option.some({target: record(chosen.value.id), view: chosen.value});
 	}
 
 	/** Sends one attempt; true when the call is to be sent again. */
-	async #sendTo(target: TargetRecord): Promise<boolean> {
+	async #sendTo({target, view: {attempts, speed, capacity, slowdown}}: Chosen): Promise<boolean> {
 		const {facts, answer, method, path, body} = this.#request;
-		this.#lifecycle.log.add('call placed', {target: target.id, ...targetListStatus(this.#context)}, this.#context.now());
+		this.#lifecycle.log.add('call placed', {
+			target: target.id, attempts, speed, limit: capacity, slowdown, ...targetListStatus(this.#context),
+		}, this.#context.now());
 		const {outcome, cancel} = this.#sender.send({
 			target,
 			facts,
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -20,6 +20,7 @@
 import {targetListStatus} from './target-list-status.js';
 import {targetViews} from './target-views.js';
 import type {LoadEntry} from './load-entry.js';
+import {placedFacts} from './placed-facts.js';
 import type {PromptQueues} from './prompt-queues.js';
 import type {AttemptSender} from './attempt-sender.js';
 import type {CallerRequest} from './caller-request.js';
@@ -149,31 +150,20 @@
 		});
 	}
 
-	async #sendPlaced({placement, lane, target, fetchFrom, entry, grant, denials}: Extract<Verdict, {readonly kind: 'placed'}>): Promise<boolean> {
+	async #sendPlaced(verdict: Extract<Verdict, {readonly kind: 'placed'}>): Promise<boolean> {
+		const {placement: {way, latency}, lane, target, fetchFrom, entry} = verdict;
 		if (this.#lifecycle.isEnded) {
 			this.#context.loadTracker.remove(entry);
 			return false;
 		}
 
-		const {way, readMilliseconds, cost, engine, latency} = placement;
 		this.#lane = lane;
 		this.#recordCachedParts(target);
 		this.#context.metrics.count(`placed.${way.replace(' ', '-')}`);
 		this.#lifecycle.log.add('placed', {
-			target: target.id,
-			way,
-			lane,
+			...placedFacts(verdict),
 			sharedPart: this.#sharedPrefix.key,
-			readMilliseconds: Math.round(readMilliseconds),
-			cost: Math.round(cost),
-			latency: Math.round(latency),
-			fetchFrom: fetchFrom?.id,
-			keptTokens: placement.cachedTokens,
 			isKeptTold: this.#context.prefixCache.hasFreshReport(target.incarnation, this.#context.now()),
-			waitingMilliseconds: Math.round(engine.readMilliseconds),
-			grant,
-			denials,
-			attempts: engine.attempts,
 			...targetListStatus(this.#context),
 		}, this.#context.now());
 		return way === 'prefill first' ? this.#prefillPrompt(target, entry, latency, fetchFrom?.address) : this.#sendStream(target, entry, {fetchFrom: fetchFrom?.address});
@@ -260,7 +250,7 @@
 		this.#handleAttempts++;
 		this.#recordCachedParts(target);
 		this.#lifecycle.log.add('tokens placed', {
-			target: target.id, attempts: chosen.value.attempts, readMilliseconds: Math.round(chosen.value.readMilliseconds), ...targetListStatus(this.#context),
+			target: target.id, attempts: chosen.value.attempts, readMilliseconds: Math.round(chosen.value.readMilliseconds), speed: chosen.value.speed, ...targetListStatus(this.#context),
 		}, this.#context.now());
 		const shouldContinue = await this.#sendStream(target, this.#context.loadTracker.add(target.id, 0), {handle: {address: handle.engine.address, id: handle.id}});
 		if (shouldContinue && this.#handleAttempts > 1) {
@@ -274,6 +264,8 @@
 	async #sendStream(target: TargetRecord, entry: LoadEntry, parts: Partial<SendInstructions>): Promise<boolean> {
 		const {facts, method, path, body} = this.#request;
 		const splitter = new EventSplitter();
+		// A slow engine is not silent while it prefills for longer than one of speed 1 would.
+		const expectedMilliseconds = entry.readMilliseconds * 4 / Math.min(1, this.#context.capacity.of(target, this.#context.now()).speed);
 		const {outcome, cancel} = this.#sender.send({
 			target,
 			facts,
@@ -283,9 +275,9 @@
 			instructions: this.#createInstructions(target, parts),
 			readMilliseconds: entry.readMilliseconds,
 			entry,
-			expectedMilliseconds: entry.readMilliseconds * 4,
+			expectedMilliseconds,
 			// Only a repeatable stream is aborted when its engine is silent.
-			answerDueMilliseconds: this.#isRepeatable ? (entry.readMilliseconds * 4) + overdueMarginMilliseconds : undefined,
+			answerDueMilliseconds: this.#isRepeatable ? expectedMilliseconds + overdueMarginMilliseconds : undefined,
 			mayStart: () => {
 				this.#hasLiveAttempt = this.#gate.mayStartAttempt();
 				return this.#hasLiveAttempt;
