Read a body of a known length into one block

Cause: the pieces of a body were kept until it was whole and then joined, so it took its memory twice for a moment; and with little memory the least that callers may hold left too little room. Change: one block for a body of a known length up to 4 MB; at least 8 MB for callers in place of 12.

--- a/source/decisions/callers/memory-shares.ts
+++ b/source/decisions/callers/memory-shares.ts
@@ -24,8 +24,8 @@
 const uncollectedMegabytes = 64;
 /** Share of the rest that callers may use; the other part is for answers of targets. */
 const callerShare = 2 / 3;
-/** Room for a request of 4 MB, the copy that joins its pieces, and small ones beside it. */
-const minCallerBytes = 12 * bytesPerMegabyte;
+/** Room for a request of 4 MB, and for small ones beside it. */
+const minCallerBytes = 8 * bytesPerMegabyte;
 const minAnswerBytes = 4 * bytesPerMegabyte;
 const maxAnswerBytes = 64 * bytesPerMegabyte;
 /** Share of the descriptors that callers' connections may use; the rest is for targets, peers, the store and operators. */
--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -150,7 +150,7 @@
 	}
 
 	#readBody(request: CallerMessage, feed: RequestFeed, answer: CallerAnswer, maxBytes: number): void {
-		const body = new BytePieces();
+		const body = new BytePieces(bodyBytes(request));
 		const startedAt = feed.activeAt;
 		request.receiver = {
 			receive: piece => {
--- a/test/shared/byte-pieces.test.ts
+++ b/test/shared/byte-pieces.test.ts
@@ -37,3 +37,27 @@
 	t.ok(pieces.capacity <= pieces.length + 65_536, `${pieces.capacity} bytes`);
 	t.end();
 });
+
+// Guards against a body whose memory is taken twice while its pieces are joined, and against one that brings more or less than was announced.
+test('a body of a known length takes its length of memory, whatever it brings', t => {
+	fc.assert(fc.property(fc.integer({min: 65_536, max: 300_000}), fc.array(fc.integer({min: 1, max: 65_536}), {minLength: 1, maxLength: 8}), (expected, lengths) => {
+		const pieces = new BytePieces(expected);
+		const given = lengths.map((length, index) => Buffer.alloc(length, index));
+		for (const piece of given) {
+			pieces.append(piece);
+		}
+
+		const whole = Buffer.concat(given);
+		const bound = Math.max(expected, whole.length) + 65_536;
+		return pieces.capacity <= bound && pieces.length === whole.length && Buffer.compare(pieces.take(), whole) === 0;
+	}), {seed, numRuns: numberRuns});
+	t.pass();
+	t.end();
+});
+
+test('a length that is announced beyond all bounds allocates nothing', t => {
+	const pieces = new BytePieces(Number.MAX_SAFE_INTEGER);
+	pieces.append(Buffer.alloc(10));
+	t.ok(pieces.capacity < 65_536);
+	t.end();
+});
