Check a peer's message against the schema of its kind only

What callers see: a gateway that has just started answers sooner, as it has less to do while its peers connect. Cause: each message was checked against the schemas of all 14 kinds, with an error object for each that did not fit. Change: `kind` selects the schema (discriminator).

--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -33,7 +33,7 @@
 
 const generateValidators = ({names, from, to}) => {
 	const ajv = new Ajv({
-		allErrors: true, verbose: true, strict: false, discriminator: false, code: {source: true, esm: true, lines: false},
+		allErrors: true, verbose: true, strict: false, discriminator: true, code: {source: true, esm: true, lines: false},
 	});
 	for (const name of names) {
 		ajv.addSchema(readJson(`${from}/${name}.json`), name);
