--- a/source/callers/caller-guard.ts
+++ b/source/callers/caller-guard.ts
@@ -20,7 +20,7 @@
 	readonly now: () => number;
 };
 
-type Reason = 'memory' | 'connections' | 'silent';
+type Reason = 'memory' | 'connections' | 'stalled';
 
 type Kind = Parameters<CallerHoldings<RequestFeed>['set']>[2];
 
@@ -95,9 +95,10 @@
 		}
 
 		const bytes = this.#holdings.heldBy(victim);
+		const {phase} = victim;
 		const outcome = victim.giveUp();
 		this.#holdings.remove(victim);
-		this.#log('memory', victim, outcome, bytes);
+		this.#log('memory', victim, outcome, {bytes, phase});
 		this.enforce();
 	}
 
@@ -107,11 +108,11 @@
 	}
 
 	/** Closes connections whose request has stopped in its middle for this long. */
-	closeSilent(milliseconds: number): void {
+	closeStalled(milliseconds: number): void {
 		const now = this.now();
 		for (const feed of this.#feeds.values()) {
 			if (feed.phase === 'incoming' && feed.pendingBytes === 0 && now - feed.activeAt > milliseconds) {
-				this.#log('silent', feed, 'closed', this.#holdings.heldBy(feed));
+				this.#log('stalled', feed, 'closed', {bytes: this.#holdings.heldBy(feed)});
 				feed.socket.destroy();
 			}
 		}
@@ -141,7 +142,7 @@
 		});
 	}
 
-	#log(reason: Reason, feed: RequestFeed, outcome: 'refused' | 'closed', bytes = 0): void {
+	#log(reason: Reason, feed: RequestFeed, outcome: 'refused' | 'closed', {bytes = 0, phase = feed.phase}: {readonly bytes?: number; readonly phase?: RequestFeed['phase']} = {}): void {
 		const {metrics, log} = this.#options;
 		metrics.count(`caller.${outcome}.${reason}`);
 		if (!this.#lines.tryTake(this.now())) {
@@ -150,7 +151,7 @@
 		}
 
 		log.warn({
-			event: `caller ${outcome}`, reason, address: feed.address, phase: feed.phase, bytes, heldBytes: this.#holdings.total, connections: this.#feeds.size, unlogged: this.#unlogged,
+			event: `caller ${outcome}`, reason, address: feed.address, phase, bytes, heldBytes: this.#holdings.total, connections: this.#feeds.size, unlogged: this.#unlogged,
 		}, outcome === 'refused' ? 'request refused because callers make the gateway hold too much' : 'connection of a caller closed');
 		this.#unlogged = 0;
 	}
--- a/source/decisions/fairness/rank-prompts.ts
+++ b/source/decisions/fairness/rank-prompts.ts
@@ -45,6 +45,7 @@
 */
 export const rankPrompts = (waiting: readonly WaitingPrompt[], context: RankContext): ReadonlyMap<WaitingPrompt, PromptRank> => {
 	const usedByTeam = new Map<string, number>();
+	const leastUrgentTeam = waiting.reduce((least, {teamPriority}) => Math.max(least, teamPriority), mostUrgent);
 	let expedited = 0;
 	const rankOf = (prompt: WaitingPrompt): PromptRank => {
 		const {team = '', priority} = prompt;
@@ -60,7 +61,9 @@
 		const plainOrder = rankOrder({
 			teamPriority, priority, level, isExpedited: false, isLate: false, isReturning: false,
 		});
-		const mayBeLate = isExpedited || context.precedesKinds(priority);
+		// Otherwise prompts of less urgent teams that can still be on time would pass it.
+		const precedesTeams = teamPriority < leastUrgentTeam;
+		const mayBeLate = isExpedited || precedesTeams || context.precedesKinds(priority);
 		return {
 			order: rankOrder({
 				teamPriority, priority, level, isExpedited, isLate: !context.isTimely(prompt), isReturning: context.isReturning(prompt),
--- a/source/decisions/fairness/unreported-usage.ts
+++ b/source/decisions/fairness/unreported-usage.ts
@@ -7,11 +7,11 @@
 
 /** Upper bound of the teams with unreported usage. Beyond it, further teams count only at this gateway. */
 const maxTeams = 1024;
-/** Smaller usage waits until it is worth its bytes. */
+/** Smaller usage waits until it is worth its bytes, and is dropped first when there are too many teams. */
 const minMilliseconds = 1;
 
 /**
-Invariant: usage is reported once.
+Invariant: usage is reported once at most.
 
 @example
 ```
@@ -24,16 +24,20 @@
 
 	add(team: string, milliseconds: number): void {
 		const before = this.#byTeam.get(team);
+		if (before === undefined && this.#byTeam.size >= maxTeams) {
+			this.#dropSmall();
+		}
+
 		if (before !== undefined || this.#byTeam.size < maxTeams) {
 			this.#byTeam.set(team, (before ?? 0) + milliseconds);
 		}
 	}
 
-	/** Removes and returns the largest amounts, rounded to milliseconds. */
+	/** Removes and returns the largest amounts, refunds too, rounded to milliseconds. */
 	take(limit: number): {readonly teams: readonly string[]; readonly milliseconds: readonly number[]} {
 		const rows = [...this.#byTeam]
 			.filter(([, milliseconds]) => Math.abs(milliseconds) >= minMilliseconds)
-			.toSorted(([, first], [, second]) => second - first)
+			.toSorted(([, first], [, second]) => Math.abs(second) - Math.abs(first))
 			.slice(0, limit);
 		for (const [team] of rows) {
 			this.#byTeam.delete(team);
@@ -41,4 +45,12 @@
 
 		return {teams: rows.map(([team]) => team), milliseconds: rows.map(([, milliseconds]) => Math.round(milliseconds))};
 	}
+
+	#dropSmall(): void {
+		for (const [team, milliseconds] of this.#byTeam) {
+			if (Math.abs(milliseconds) < minMilliseconds) {
+				this.#byTeam.delete(team);
+			}
+		}
+	}
 }
--- a/source/decisions/load/is-large-fleet.ts
+++ b/source/decisions/load/is-large-fleet.ts
@@ -6,6 +6,8 @@
 const smallFleetGateways = 8;
 
 /**
+True for more than eight gateways, the own one included.
+
 @example
 ```
 isLargeFleet(31); // true
--- a/source/decisions/load/owner-candidates.ts
+++ b/source/decisions/load/owner-candidates.ts
@@ -6,10 +6,9 @@
 of its own zone, which tells the gateways that send this engine the most work about its
 backlog. Asking the owner also takes a shorter round trip from there.
 */
+import type {Gateway} from './gateway.js';
 import {isLargeFleet} from './is-large-fleet.js';
 
-export type Gateway = {readonly name: string; readonly availabilityZone: string};
-
 /**
 Returns the names of the candidates: in a large fleet the gateways of the engine's zone,
 if there are any; otherwise all.
--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -93,7 +93,7 @@
 	maintain(): void {
 		const limits = this.#handlers.limits();
 		if (limits !== undefined) {
-			this.#handlers.guard.closeSilent(limits.idleMilliseconds);
+			this.#handlers.guard.closeStalled(limits.idleMilliseconds);
 		}
 
 		this.#handlers.guard.recordGauges();
--- a/source/entry/engine-cache-pollers.ts
+++ b/source/entry/engine-cache-pollers.ts
@@ -2,7 +2,8 @@
 Runs a cache poller for each engine that this gateway owns.
 */
 import {engineOwner} from '../decisions/entry/engine-owner.js';
-import {ownerCandidates, type Gateway} from '../decisions/load/owner-candidates.js';
+import type {Gateway} from '../decisions/load/gateway.js';
+import {ownerCandidates} from '../decisions/load/owner-candidates.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import {EngineCachePoller} from './engine-cache-poller.js';
 import type {EntryContext} from './entry-context.js';
--- a/source/entry/team-fairness.ts
+++ b/source/entry/team-fairness.ts
@@ -42,7 +42,7 @@
 	readonly #metrics: Pick<EntryMetrics, 'count'>;
 	readonly #now: () => number;
 	#reportedAt = Number.NEGATIVE_INFINITY;
-	/** Least urgent priority of any team that has sent a request, which anonymous requests share. */
+	/** Least urgent priority of any team that has sent a request; anonymous requests come after it. */
 	#leastUrgent = 0;
 
 	constructor({metrics, now}: {readonly metrics: Pick<EntryMetrics, 'count'>; readonly now: () => number}) {
@@ -63,7 +63,7 @@
 			}
 
 			case 'anonymous': {
-				return {team: anonymousAccount, teamPriority: this.#leastUrgent};
+				return {team: anonymousAccount, teamPriority: this.#leastUrgent + 1};
 			}
 
 			case 'team': {
--- a/source/load/zone-load-exchange.ts
+++ b/source/load/zone-load-exchange.ts
@@ -24,8 +24,8 @@
 const tickMilliseconds = 50;
 /** Peers of the zone that are sent a report on every tick; with more, reports come less often, so that a gateway's messages stay the same. */
 const peersPerTick = 8;
-/** How long an owner's report of an engine's backlog counts. It is repeated while the backlog changes. */
-const ownerReportLifetimeMilliseconds = 150;
+/** Reports after which an owner's report of an engine's backlog no longer counts. It is repeated while the backlog changes. */
+const ownerReportLifetimeReports = 3;
 
 /**
 One instance a process.
@@ -38,6 +38,7 @@
 */
 export class ZoneLoadExchange {
 	#ticks = 0;
+	#ticksPerReport = 1;
 	#stopTimer: (() => void) | undefined;
 	readonly #options: ZoneLoadOptions;
 	readonly #outstanding = new LoadChanges();
@@ -61,9 +62,10 @@
 	receive(peer: string, {outstanding, owned, observed}: ZoneLoad): void {
 		const {loadTracker, now} = this.#options.context;
 		const at = now();
+		const lifetimeMilliseconds = ownerReportLifetimeReports * this.#ticksPerReport * tickMilliseconds;
 		loadTracker.updatePeerLoad(peer, outstanding.ids.map((id, row) => ({id, attempts: outstanding.attempts[row] ?? 0, readMilliseconds: outstanding.readMilliseconds[row] ?? 0})), at);
 		for (const [row, id] of owned.ids.entries()) {
-			loadTracker.setOwnerBacklog(id, owned.readMilliseconds[row] ?? 0, at, ownerReportLifetimeMilliseconds);
+			loadTracker.setOwnerBacklog(id, owned.readMilliseconds[row] ?? 0, at, lifetimeMilliseconds);
 		}
 
 		if (observed !== undefined) {
@@ -91,8 +93,8 @@
 		}
 
 		const near = peers.members.filter(({availabilityZone}) => availabilityZone === settings().availabilityZone);
-		const ticksPerReport = Math.ceil(near.length / peersPerTick);
-		if (near.length > 0 && this.#ticks % ticksPerReport === 0) {
+		this.#ticksPerReport = Math.max(1, Math.ceil(near.length / peersPerTick));
+		if (near.length > 0 && this.#ticks % this.#ticksPerReport === 0) {
 			this.#report(near.map(({name}) => name));
 		}
 	}
--- a/test/entry/request-usage.test.ts
+++ b/test/entry/request-usage.test.ts
@@ -16,6 +16,8 @@
 import type {CallerAnswer} from '../../source/entry/caller-answer.js';
 import type {CallerRequest} from '../../source/entry/caller-request.js';
 import type {EntryContext} from '../../source/entry/entry-context.js';
+import {LearnedCapacity} from '../../source/decisions/capacity/learned-capacity.js';
+import {TeamFairness} from '../../source/entry/team-fairness.js';
 import type {EntryMetrics} from '../../source/entry/entry-metrics.js';
 import {LoadTracker} from '../../source/entry/load-tracker.js';
 import {PlainRelay} from '../../source/entry/plain-relay.js';
@@ -67,6 +69,8 @@
 		protocol: {writeRefusal: () => ({})} as unknown as TargetProtocol,
 		targetRegistry,
 		loadTracker: new LoadTracker(),
+		capacity: new LearnedCapacity(),
+		fairness: new TeamFairness({metrics: {count: () => undefined}, now: () => now}),
 		prefixCache: new PrefixCacheIndex(),
 		health: new TargetHealth(),
 		pauses: new TargetPauses(),
@@ -106,6 +110,8 @@
 		startedAt: now,
 		deadlineAt: now + 5000,
 		team: requestTeam,
+		urgency: {order: 0, levels: undefined},
+		recheckAccess: () => ({kind: 'unchanged'}),
 	} as unknown as CallerRequest;
 	const send = (plan: AttemptPlan): ReturnType<AttemptSender['send']> => {
 		const attempt = remaining.shift();
--- a/test/entry/team-fairness.test.ts
+++ b/test/entry/team-fairness.test.ts
@@ -10,6 +10,7 @@
 import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
 import type {AttemptSender} from '../../source/entry/attempt-sender.js';
 import type {CallerRequest} from '../../source/entry/caller-request.js';
+import {LearnedCapacity} from '../../source/decisions/capacity/learned-capacity.js';
 import type {EntryContext} from '../../source/entry/entry-context.js';
 import {EntryMetrics} from '../../source/entry/entry-metrics.js';
 import {LoadTracker} from '../../source/entry/load-tracker.js';
@@ -73,6 +74,7 @@
 		targetRegistry,
 		loadTracker,
 		fairness: new TeamFairness({metrics, now: () => time.now}),
+		capacity: new LearnedCapacity(),
 		health: new TargetHealth(),
 		pauses: new TargetPauses(),
 		openRequests: new Set(),
@@ -139,11 +141,11 @@
 	t.ok(seconds.every((delay, index) => index === 0 || delay > seconds[index - 1]!));
 });
 
-test('a request without a known key counts for one account that all such requests share, and is as urgent as the least urgent team', t => {
+test('a request without a known key counts for one account that all such requests share, and comes after all teams', t => {
 	const {context: {fairness}} = createContext(0);
-	t.strictSame(fairness.accountOf({kind: 'anonymous'}), {team: '', teamPriority: 0});
+	t.strictSame(fairness.accountOf({kind: 'anonymous'}), {team: '', teamPriority: 1});
 	fairness.accountOf({kind: 'team', name: 'pier', priority: 3});
-	t.strictSame(fairness.accountOf({kind: 'anonymous'}), {team: '', teamPriority: 3});
+	t.strictSame(fairness.accountOf({kind: 'anonymous'}), {team: '', teamPriority: 4});
 	t.strictSame(fairness.accountOf(harbour), {team: 'harbour', teamPriority: 0});
 	t.end();
 });
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -147,7 +147,7 @@
 	t.notOk('teams' in decodeText({version: 7})._unsafeUnwrap());
 	t.notOk('teams' in decodeText({version: 7, tenants: null})._unsafeUnwrap());
 	for (const tenants of ['lots', 7, true, false, {}, {lots: ['k-1']}]) {
-		t.equal(decodeText({version: 7, tenants})._unsafeUnwrapErr(), 'tenants is no list');
+		t.equal(decodeText({version: 7, tenants})._unsafeUnwrapErr(), 'tenants is not a list');
 	}
 
 	t.end();
@@ -168,7 +168,7 @@
 	const text = JSON.stringify({version: 7, tenants: [{name: 'lots', apiKeys: ['secret-key'], priority: 1}]});
 	const cut = text.indexOf('secret');
 	for (const broken of [text.slice(0, cut + 3), `${text.slice(0, cut)}"${text.slice(cut)}`, text.slice(cut)]) {
-		t.equal(decodeConfiguration(broken)._unsafeUnwrapErr(), 'no JSON');
+		t.equal(decodeConfiguration(broken)._unsafeUnwrapErr(), 'not valid JSON');
 	}
 
 	t.end();
--- a/test/platform/platform-store.test.ts
+++ b/test/platform/platform-store.test.ts
@@ -52,7 +52,7 @@
 	const {standIn, store} = await startPlatformStore(t);
 	standIn.fault = 'torn';
 	const answer = await store.readConfiguration();
-	t.strictSame(answer._unsafeUnwrapErr(), {kind: 'unknown', detail: 'answer is no JSON'});
+	t.strictSame(answer._unsafeUnwrapErr(), {kind: 'unknown', detail: 'answer is not valid JSON'});
 });
 
 // Guards against an event loop that is busy decoding thousands of teams at each read.
