Pause after a failed renewal of a duty's lease

A store that refuses at once was called at every tick of 100 ms, and its calls are billed. The lease is renewed again 300 ms after a failure; two renewals may still get no answer. Found by a reading of the change; the test of the decision failed on the former code. Comments and one message of the duties say what happens.

--- a/source/decisions/duties/decide-lease.ts
+++ b/source/decisions/duties/decide-lease.ts
@@ -17,16 +17,19 @@
 type Acquired = Extract<LeaseEvent, {readonly kind: 'acquired'}>;
 type Renewed = Extract<LeaseEvent, {readonly kind: 'renewed'}>;
 
-/** The lease is renewed after this share of its duration, so that two renewals may fail. */
+/** The lease is renewed after this share of its duration, so that two renewals may get no answer. */
 const renewShare = 1 / 3;
-/** The holder tells the candidates of itself about twice a second; while it is heard, they leave the store alone. */
+/** Pause after a failed renewal, as a store that refuses at once would otherwise be called at every tick. */
+const renewalRetryMilliseconds = 300;
+/** A holder that was not heard for this long is taken as gone. It sends twice a second, and while it is heard the candidates do not read the store. */
 const heardMilliseconds = 1800;
+/** Interval between reads of the lease while no holder is heard. */
 const lookPauseMilliseconds = 700;
 /** Delay before a vacant lease is requested, per place in the order of the candidates. */
 const rankDelayMilliseconds = 400;
 /** Further delay of a gateway that reaches less than half of its peers, so that one on the larger side is first. */
 const outnumberedDelayMilliseconds = 2500;
-/** Time without contention after the platform has refused a token. */
+/** Time without contention after the platform has refused a token, or another holder has been found. */
 const fencedPauseMilliseconds = 3000;
 
 const follow = (lookAt: number, ...effects: readonly LeaseEffect[]): Decision => ({state: {kind: 'following', lookAt}, effects});
@@ -74,7 +77,7 @@
 		}
 
 		case 'renewal failed': {
-			return {state: {...state, isRenewing: false}, effects: []};
+			return {state: {...state, renewAt: now + renewalRetryMilliseconds, isRenewing: false}, effects: []};
 		}
 
 		case 'lease lost': {
--- a/source/decisions/duties/lease-event.ts
+++ b/source/decisions/duties/lease-event.ts
@@ -3,7 +3,7 @@
 */
 
 /** Why a holder gives up the lease although it may still be valid. */
-type Reason = 'fenced' | 'superseded' | 'outnumbered';
+type Reason = 'fenced' | 'superseded';
 
 /**
 - `tick`: comes several times a second. `rank` is the gateway's place among the candidates,
@@ -12,7 +12,7 @@
 - `acquired`: `askedAt` is from before the first call of the acquisition.
 - `renewed`: the store said in that era that the lease is held.
 - `lease lost`: the store said that it is not held.
-- `give up`: the platform has seen a higher token, another gateway holds the lease, or most peers are out of reach.
+- `give up`: the platform has seen a higher token, or another gateway holds the lease.
 - `resign`: the process is about to end.
 */
 export type LeaseEvent =
--- a/source/duties/duty-lease.ts
+++ b/source/duties/duty-lease.ts
@@ -29,7 +29,7 @@
 type Holding = Extract<LeaseState, {readonly kind: 'holding'}>;
 type Tick = Omit<Extract<LeaseEvent, {readonly kind: 'tick'}>, 'kind'>;
 
-/** Time after the start within which a holder and the peers are found. */
+/** Delay before the lease is read first, so that links to peers open and a holder is heard. */
 const startMilliseconds = 2000;
 
 /**
--- a/source/duties/usage-reporter.ts
+++ b/source/duties/usage-reporter.ts
@@ -206,7 +206,7 @@
 		metrics.count(`usage.report.${outcome.kind.replace(' ', '-')}`);
 		log.info({
 			event: 'usage report sent', window, token, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : '',
-		}, 'usage report sent');
+		}, 'call to report usage ended');
 		switch (outcome.kind) {
 			case 'accepted': {
 				plan.recordAccepted(window);
--- a/test/decisions/duties/decide-lease.test.ts
+++ b/test/decisions/duties/decide-lease.test.ts
@@ -65,7 +65,9 @@
 	t.ok(mayCall(state, 4499));
 	t.notOk(mayCall(state, 4500));
 	t.match(play([[5000, tick()]], state), {state: {kind: 'following'}, kinds: ['step down']});
-	t.match(play([[4000, {kind: 'renewal failed'}], [4100, tick()]], state).kinds, ['renew'], 'a failed renewal is repeated');
+	const {state: failed, kinds} = play([[4000, {kind: 'renewal failed'}], [4100, tick()], [4200, tick()]], state);
+	t.strictSame(kinds, [], 'a store that refuses at once is not called at every tick');
+	t.strictSame(play([[4300, tick()]], failed).kinds, ['renew'], 'a failed renewal is repeated');
 	t.end();
 });
 
