--- a/source/decisions/capacity/learned-capacity.ts
+++ b/source/decisions/capacity/learned-capacity.ts
@@ -7,6 +7,9 @@
 call. A target's figures hold for its incarnation, and are those of an ordinary target until a
 few outcomes have been seen.
 
+Nothing is learned until a target reports how slow it is at the moment. Deployments whose targets
+do not share their VMs have no such reports, and are served by the starting figures.
+
 A target that appears beside others of different speeds gets a slow start: until some outcomes
 are known it counts as slow as the slowest engine, or takes a part of its slots.
 */
@@ -19,6 +22,7 @@
 import {relativeSpeeds} from './relative-speeds.js';
 import {ReportedLoads} from './reported-loads.js';
 import {ServiceRates} from './service-rates.js';
+import {startingRates} from './starting-rates.js';
 
 /** Engines get a long prompt from this gateway every few seconds only, so what they did counts longer than a call. */
 const observations = {size: 32, halfLifeMilliseconds: 30_000} as const;
@@ -73,6 +77,15 @@
 	readonly loads: ReportedLoads;
 };
 
+type Options = {
+	/** True to learn only once a target has reported how slow it is at the moment. */
+	readonly waitsForReport: boolean;
+};
+
+const ordinary: Capacity = {
+	speed: 1, confidence: 0, limit: undefined, callMilliseconds: undefined, reported: undefined,
+};
+
 type Figures = Pick<Capacity, 'speed' | 'confidence' | 'limit'> & {readonly weight: number};
 
 type MeasuredTarget = Parameters<typeof relativeSpeeds>[0][number] & Pick<Capacity, 'limit'>;
@@ -141,11 +154,16 @@
 	readonly #targets = new Map<string, TargetState>();
 	readonly #groups = new Map<string, GroupFigures>();
 	readonly #rates = new Map<string, ServiceRates>();
+	#isLearning: boolean;
+
+	constructor({waitsForReport}: Options = {waitsForReport: false}) {
+		this.#isLearning = !waitsForReport;
+	}
 
 	/** Records a prefill on an engine; one with a long backlog ahead of it, or a short one, tells nothing. */
 	recordPrefill(engine: Target, observation: PrefillObservation, now: number): void {
 		const {estimatedMilliseconds, backlogMilliseconds, milliseconds} = observation;
-		if (estimatedMilliseconds < minPrefillMilliseconds || backlogMilliseconds > estimatedMilliseconds * maxBacklogFactor.speed) {
+		if (!this.#isLearning || estimatedMilliseconds < minPrefillMilliseconds || backlogMilliseconds > estimatedMilliseconds * maxBacklogFactor.speed) {
 			return;
 		}
 
@@ -160,6 +178,10 @@
 
 	/** Records the mean time between the events of a stream, beside other requests on the engine. */
 	recordDecode(engine: Target, {gapMilliseconds, running}: {readonly gapMilliseconds: number; readonly running: number}, now: number): void {
+		if (!this.#isLearning) {
+			return;
+		}
+
 		const {speed} = this.of(engine, now);
 		const {decodeStep} = this.rates(engine.service, now);
 		this.#recordTime(engine, gapMilliseconds / (decodeStep.milliseconds + (running * decodeStep.millisecondsPerRequest)), now);
@@ -168,12 +190,16 @@
 
 	/** Records a time that a peer has observed on an engine, as `observed` holds it. */
 	recordPeerTime(engine: Target, time: number, now: number): void {
-		this.#state(engine, now).times.record(time, now);
+		if (this.#isLearning) {
+			this.#state(engine, now).times.record(time, now);
+		}
 	}
 
 	/** Records a call that a plain target answered, beside others in progress there. */
 	recordCall(target: Target, call: {readonly milliseconds: number; readonly running: number}, now: number): void {
-		this.#state(target, now).calls.record(call, now);
+		if (this.#isLearning) {
+			this.#state(target, now).calls.record(call, now);
+		}
 	}
 
 	/** Records that a plain target refused a call beside others in progress there. */
@@ -186,10 +212,17 @@
 
 	/** Records the load that a target reports. */
 	recordLoad(target: Target, load: Parameters<ReportedLoads['record']>[0], now: number): void {
-		this.#state(target, now).loads.record(load, now);
+		this.#isLearning ||= load.slowdown !== undefined;
+		if (this.#isLearning) {
+			this.#state(target, now).loads.record(load, now);
+		}
 	}
 
 	of(target: Target, now: number): Capacity {
+		if (!this.#isLearning) {
+			return ordinary;
+		}
+
 		const state = this.#state(target, now);
 		const group = this.#group(state.group, now);
 		if (state.last?.figures !== group) {
@@ -203,7 +236,7 @@
 
 	/** Rates of the service's engines. */
 	rates(service: string, now: number): EngineRates {
-		return this.#ratesOf(service).current(now);
+		return this.#isLearning ? this.#ratesOf(service).current(now) : startingRates;
 	}
 
 	/** Removes what was learned of targets that are gone. */
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -258,7 +258,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
-			capacity: new LearnedCapacity(),
+			capacity: new LearnedCapacity({waitsForReport: true}),
 			connections: new TargetConnections(pacer),
 			pacer,
 			openRequests: new Set(),
--- a/test/decisions/capacity/learned-capacity.test.ts
+++ b/test/decisions/capacity/learned-capacity.test.ts
@@ -3,6 +3,7 @@
 */
 import {test} from 'tap';
 import {LearnedCapacity} from '../../../source/decisions/capacity/learned-capacity.js';
+import {startingRates} from '../../../source/decisions/capacity/starting-rates.js';
 import {SeededChance} from '../../support/seeded-chance.js';
 
 const speeds = [0.6, 1, 1.6] as const;
@@ -232,3 +233,41 @@
 	t.equal(capacity.of(engine(0, 'prefill'), 10).confidence, 0);
 	t.end();
 });
+
+// Guards against deployments whose targets are served by figures that their operators did not ask to be learned.
+test('nothing is learned, and nothing is sent to peers, until a target reports how slow it is', t => {
+	const capacity = new LearnedCapacity({waitsForReport: true});
+	const engines = ['fast', 'slow'].map(id => ({
+		incarnation: `${id} 1`, service: 'model', role: 'prefill' as const, slots: 8,
+	}));
+	const observe = (now: number): void => {
+		for (const [index, engine] of engines.entries()) {
+			capacity.recordPrefill(engine, {
+				uncachedTokens: 6000, cachedTokens: 0, estimatedMilliseconds: 100, backlogMilliseconds: 0, milliseconds: index === 0 ? 100 : 250,
+			}, now);
+		}
+	};
+
+	const report = (slowdown: number | undefined): void => {
+		capacity.recordLoad(engines[0]!, {
+			running: 1, waiting: 0, slots: 8, slowdown,
+		}, 20_000);
+	};
+
+	for (let now = 0; now < 20_000; now += 500) {
+		observe(now);
+	}
+
+	report(undefined);
+	t.ok(engines.every(engine => capacity.of(engine, 20_000).speed === 1));
+	t.strictSame(capacity.observed.take(), []);
+	t.equal(capacity.rates('model', 20_000), startingRates);
+	report(1);
+	for (let now = 21_000; now < 41_000; now += 500) {
+		observe(now);
+	}
+
+	t.ok(capacity.of(engines[1]!, 42_000).speed < 0.8 || capacity.of(engines[0]!, 42_000).speed > 1.25);
+	t.ok(capacity.observed.take().length > 0);
+	t.end();
+});
