Revert sharing what gateways observe of the speed of engines within a zone

Speeds that are known within seconds lead prompts away from the engines that have their shared parts cached.

--- a/source/decisions/capacity/learned-capacity.ts
+++ b/source/decisions/capacity/learned-capacity.ts
@@ -17,7 +17,6 @@
 import type {TargetRecord} from '../../fleet/target-record.js';
 import {CallTimes} from './call-times.js';
 import type {EngineRates} from './engine-rates.js';
-import {ObservedTimes} from './observed-times.js';
 import {RecentValues} from './recent-values.js';
 import {relativeSpeeds} from './relative-speeds.js';
 import {ReportedLoads} from './reported-loads.js';
@@ -78,8 +77,8 @@
 };
 
 type Options = {
-	/** True to learn only once a target has reported how slow it is at the moment. */
-	readonly waitsForReport: boolean;
+	/** True to learn only once a target has reported how slow it is at the moment; false when left out. */
+	readonly waitsForReport?: boolean;
 };
 
 const ordinary: Capacity = {
@@ -149,14 +148,12 @@
 ```
 */
 export class LearnedCapacity {
-	/** What this gateway has observed of engines, for its peers. */
-	readonly observed = new ObservedTimes();
 	readonly #targets = new Map<string, TargetState>();
 	readonly #groups = new Map<string, GroupFigures>();
 	readonly #rates = new Map<string, ServiceRates>();
 	#isLearning: boolean;
 
-	constructor({waitsForReport}: Options = {waitsForReport: false}) {
+	constructor({waitsForReport = false}: Options = {}) {
 		this.#isLearning = !waitsForReport;
 	}
 
@@ -168,7 +165,7 @@
 		}
 
 		if (engine.role !== 'decode') {
-			this.#recordTime(engine, milliseconds / (estimatedMilliseconds + backlogMilliseconds), now);
+			this.#state(engine, now).times.record(milliseconds / (estimatedMilliseconds + backlogMilliseconds), now);
 		}
 
 		if (backlogMilliseconds <= estimatedMilliseconds * maxBacklogFactor.rates) {
@@ -184,17 +181,10 @@
 
 		const {speed} = this.of(engine, now);
 		const {decodeStep} = this.rates(engine.service, now);
-		this.#recordTime(engine, gapMilliseconds / (decodeStep.milliseconds + (running * decodeStep.millisecondsPerRequest)), now);
+		this.#state(engine, now).times.record(gapMilliseconds / (decodeStep.milliseconds + (running * decodeStep.millisecondsPerRequest)), now);
 		this.#ratesOf(engine.service).recordDecode({gapMilliseconds: gapMilliseconds * speed, running}, now);
 	}
 
-	/** Records a time that a peer has observed on an engine, as `observed` holds it. */
-	recordPeerTime(engine: Target, time: number, now: number): void {
-		if (this.#isLearning) {
-			this.#state(engine, now).times.record(time, now);
-		}
-	}
-
 	/** Records a call that a plain target answered, beside others in progress there. */
 	recordCall(target: Target, call: {readonly milliseconds: number; readonly running: number}, now: number): void {
 		if (this.#isLearning) {
@@ -248,11 +238,6 @@
 		}
 	}
 
-	#recordTime(engine: Target, time: number, now: number): void {
-		this.#state(engine, now).times.record(time, now);
-		this.observed.add({engine: engine.incarnation, time});
-	}
-
 	#recordRates(engine: Target, observation: PrefillObservation, now: number): void {
 		const rates = this.#ratesOf(engine.service);
 		const milliseconds = observation.milliseconds * this.of(engine, now).speed;
--- a/source/entry/attempt-timing.ts
+++ b/source/entry/attempt-timing.ts
@@ -7,7 +7,7 @@
 import type {LoadEntry} from './load-entry.js';
 
 /** Reads of a stream without which the mean time between them says little. */
-const minReads = 4;
+const minReads = 8;
 /** Lowest status of an answer whose time says nothing of the work: requests that are rejected as wrong are answered at once. */
 const firstErrorStatus = 400;
 
--- a/source/load/zone-load-exchange.ts
+++ b/source/load/zone-load-exchange.ts
@@ -1,7 +1,6 @@
 /**
-Tells the gateways of the same availability zone what work this gateway has at targets, the
-whole prefill backlog of the engines that it owns, and how long work took at engines, several
-times a second.
+Tells the gateways of the same availability zone what work this gateway has at targets, and
+the whole prefill backlog of the engines that it owns, several times a second.
 
 Only large fleets need it: in small ones, digests do the same.
 */
@@ -14,7 +13,7 @@
 type ZoneLoad = Extract<PeerMessage, {kind: 'zone load'}>;
 
 type ZoneLoadOptions = {
-	readonly context: Pick<EntryContext, 'settings' | 'loadTracker' | 'targetRegistry' | 'capacity' | 'gatewayCount' | 'now' | 'timers'>;
+	readonly context: Pick<EntryContext, 'settings' | 'loadTracker' | 'targetRegistry' | 'gatewayCount' | 'now' | 'timers'>;
 	readonly peers: Pick<Peers, 'members' | 'broadcast'>;
 	/** Incarnations of the engines that this gateway owns. */
 	readonly ownedEngines: () => readonly string[];
@@ -59,7 +58,7 @@
 	}
 
 	/** Applies the report of a peer. */
-	receive(peer: string, {outstanding, owned, observed}: ZoneLoad): void {
+	receive(peer: string, {outstanding, owned}: ZoneLoad): void {
 		const {loadTracker, now} = this.#options.context;
 		const at = now();
 		const lifetimeMilliseconds = ownerReportLifetimeReports * this.#ticksPerReport * tickMilliseconds;
@@ -67,22 +66,6 @@
 		for (const [row, id] of owned.ids.entries()) {
 			loadTracker.setOwnerBacklog(id, owned.readMilliseconds[row] ?? 0, at, lifetimeMilliseconds);
 		}
-
-		if (observed !== undefined) {
-			this.#recordObserved(observed, at);
-		}
-	}
-
-	#recordObserved({engines, times}: NonNullable<ZoneLoad['observed']>, now: number): void {
-		const {capacity, targetRegistry} = this.#options.context;
-		const records = new Map(targetRegistry.all().map(record => [record.incarnation, record]));
-		for (const [row, engine] of engines.entries()) {
-			const record = records.get(engine);
-			const time = times[row];
-			if (record?.role !== undefined && time !== undefined) {
-				capacity.recordPeerTime(record, time, now);
-			}
-		}
 	}
 
 	#tick(): void {
@@ -102,8 +85,7 @@
 	#report(names: readonly string[]): void {
 		const outstanding = this.#outstanding.take(this.#options.context.loadTracker.ownLoads());
 		const owned = this.#owned.take(this.#ownedBacklogs());
-		const observed = this.#options.context.capacity.observed.take();
-		if (outstanding.length === 0 && owned.length === 0 && observed.length === 0) {
+		if (outstanding.length === 0 && owned.length === 0) {
 			return;
 		}
 
@@ -113,7 +95,6 @@
 				ids: outstanding.map(({id}) => id), attempts: outstanding.map(({attempts}) => attempts), readMilliseconds: outstanding.map(({readMilliseconds}) => readMilliseconds),
 			},
 			owned: {ids: owned.map(({id}) => id), readMilliseconds: owned.map(({readMilliseconds}) => readMilliseconds)},
-			...observed.length === 0 ? {} : {observed: {engines: observed.map(({engine}) => engine), times: observed.map(({time}) => time)}},
 		};
 		this.#options.peers.broadcast(message, names);
 	}
