--- a/source/decisions/capacity/relative-speeds.ts
+++ b/source/decisions/capacity/relative-speeds.ts
@@ -6,6 +6,7 @@
 send equal targets unequal work. So a speed differs from 1 only if the difference is larger than
 a minimum and than what the spread of the observations explains.
 */
+import {median} from '../../shared/median.js';
 
 /** Weight of observations from which a target counts for the median, and from which its speed may differ from 1. */
 const minWeight = 3;
@@ -42,12 +43,6 @@
 	readonly confidence: number;
 };
 
-const median = (values: readonly number[]): number => {
-	const sorted = values.toSorted((first, second) => first - second);
-	const middle = (sorted.length - 1) / 2;
-	return (sorted[Math.floor(middle)]! + sorted[Math.ceil(middle)]!) / 2;
-};
-
 const speedOf = ({value, weight, spread}: Measured, medianLogarithm: number, hasDiffered: boolean): number => {
 	const difference = medianLogarithm - Math.log(value);
 	const error = medianErrorFactor * Math.max(minSpread, spread) / Math.sqrt(weight);
--- a/source/decisions/duties/shared-time.ts
+++ b/source/decisions/duties/shared-time.ts
@@ -6,6 +6,8 @@
 counts no more, and the differences of the others even out. A jump of more of them moves the
 estimate only slowly.
 */
+import {median} from '../../shared/median.js';
+
 type Sample = {readonly at: number; readonly offset: number};
 
 /** At most one sample per clock and second is kept, so that messages that waited together count once. */
@@ -22,12 +24,6 @@
 /** Largest change of the estimate per millisecond; far above the drift of a monotonic clock. */
 const slewShare = 0.01;
 
-const median = (values: readonly number[]): number => {
-	const sorted = values.toSorted((first, second) => first - second);
-	const middle = Math.floor(sorted.length / 2);
-	return sorted.length % 2 === 1 ? sorted[middle]! : (sorted[middle - 1]! + sorted[middle]!) / 2;
-};
-
 const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
 
 const meanNearMedian = (values: readonly number[]): number => {
