--- a/review/6/run.js
+++ b/review/6/run.js
@@ -1,5 +1,5 @@
 /*
-One of four replicas hands out wrong bytes in place of one answer in fifty. Ordinary requests go on to
+One of four replicas hands out wrong bytes in place of one answer in fifty, for six seconds. Ordinary requests go on to
 all four. Seen by the callers: which requests are unanswered at their route's time-out, and half a second later.
 */
 import {
@@ -9,10 +9,13 @@
 
 const timeoutMilliseconds = 1500;
 const graceMilliseconds = 500;
-const requestsPerSecond = 80;
-const lengthSeconds = 20;
+/* As many as the sheet has of plain requests. */
+const requestsPerSecond = 49;
+/* The machine is in touch before. */
+const calmSeconds = 4;
+const troubleSeconds = 6;
+const lengthSeconds = 10;
 const workMilliseconds = 21;
-/* One answer in fifty of the faulty replica is spoiled. */
 const spoiledEvery = 50;
 /* Neither is a response: 101 needs a request to upgrade, and no status is below 100. */
 const wrongHeads = ['HTTP/1.1 101 Switching Protocols', 'HTTP/1.1 099 Unknown'];
@@ -76,8 +79,10 @@
 			return reply;
 		})());
 	}, 1000 / requestsPerSecond);
-	await pause(2000);
+	await pause(calmSeconds * 1000);
 	isOn = hasTrouble;
+	await pause(troubleSeconds * 1000);
+	isOn = false;
 	await pause(lengthSeconds * 1000);
 	clearInterval(traffic);
 	clearInterval(beats);
@@ -86,7 +91,7 @@
 	const late = unanswered.filter(({milliseconds}) => milliseconds > timeoutMilliseconds + graceMilliseconds);
 	const longest = Math.max(...replies.map(({milliseconds}) => milliseconds));
 	return {
-		isPlayed: spoiled >= 2,
+		isPlayed: spoiled > 0,
 		isBroken: unanswered.length >= 8 && late.length > unanswered.length / 2,
 		text: `${replies.length} requests, ${spoiled} answers spoiled, ${unanswered.length} unanswered at ${timeoutMilliseconds} ms, ${late.length} of them ${graceMilliseconds} ms later, longest ${longest} ms`,
 	};
--- a/review/8/run.js
+++ b/review/8/run.js
@@ -1,6 +1,6 @@
 /*
 A streaming route is split between a service of engines and another one, as in the users' example of a configuration.
-Replicas of the other one break off one answer in fifty, which has neither a length nor chunks, inside an event. Seen:
+Replicas of the other one break off one answer in twenty-five, which has neither a length nor chunks, inside an event. Seen:
 streams that reach their callers as complete and end before their last event.
 */
 import {
@@ -10,9 +10,12 @@
 
 const events = 6;
 const eventMilliseconds = 15;
-const requestsPerSecond = 160;
-const lengthSeconds = 35;
-const brokenEvery = 50;
+/* As many as the sheet has of its quick questions. */
+const requestsPerSecond = 129;
+const rounds = 4;
+const troubleSeconds = 5;
+const calmSeconds = 3;
+const brokenEvery = 25;
 const host = 'ficu95.example';
 
 const eventOf = number => `id: ${number}\ndata: token ${number} of ${events}\n\n`;
@@ -56,7 +59,7 @@
 	const engines = Array.from({length: 4}, (_, index) => new Replica(fleet, `i-engine-${index}`, {service: 'huvo11a', more: engineFields, answer: stream}));
 	const others = Array.from({length: 4}, (_, index) => new Replica(fleet, `i-other-${index}`, {
 		service: 'wuno96b', slots: 16, answer(response, request, replica) {
-			replica.answers = (replica.answers ?? 0) + 1;
+			replica.answers = (replica.answers ?? 0) + (isOn ? 1 : 0);
 			const isFaulty = isOn && index < 2 && replica.answers % brokenEvery === 0;
 			if (!isFaulty) {
 				stream(response, request);
@@ -104,9 +107,14 @@
 		count++;
 		asked.push(ask(`request-${count}`));
 	}, 1000 / requestsPerSecond);
-	await pause(2000);
-	isOn = hasTrouble;
-	await pause(lengthSeconds * 1000);
+	for (let round = 0; round < rounds; round++) {
+		await pause(calmSeconds * 1000); // eslint-disable-line no-await-in-loop
+		isOn = hasTrouble;
+		await pause(troubleSeconds * 1000); // eslint-disable-line no-await-in-loop
+		isOn = false;
+	}
+
+	await pause(1000);
 	clearInterval(traffic);
 	clearInterval(beats);
 	await Promise.all(asked);
--- a/review/support-2/fleet.js
+++ b/review/support-2/fleet.js
@@ -44,7 +44,7 @@
 	const sentAt = performance.now();
 	const end = more => {
 		resolve({
-			status: 0, headers: {}, body: '', isWhole: false, error: '', milliseconds: Math.round(performance.now() - sentAt), ...more,
+			status: 0, headers: {}, body: '', isWhole: false, error: '', isReused: request.reusedSocket, milliseconds: Math.round(performance.now() - sentAt), ...more,
 		});
 	};
 
@@ -351,7 +351,7 @@
 		request.on('error', () => undefined);
 		request.on('end', () => {
 			if (headers['x-expect-instance'] !== undefined && headers['x-expect-instance'] !== this.id) {
-				response.writeHead(421, {'x-instance-id': this.id});
+				response.writeHead(421, {'x-request-id': headers['x-request-id'] ?? '', 'x-instance-id': this.id});
 				response.end();
 				return;
 			}
