Give libraries in a bundle assertions with a fixed message

Cause: the HTTP client's assertions have no message, so Node.js words one when they fail, by parsing the source from where the assertion stands. In a bundle that is a line of some hundred kilobytes. Evidence: the reason in the log line of the broken attempt was the worded message.

Ruled out: parsing of the answer and the gateway's own handling, as the same bytes cost nothing a second time.

Change: bundles resolve assert and node:assert to a module that has Node's assertions with a fixed message. A failed assertion still throws, so the attempt ends as before.

--- a/scripts/bundle-options.js
+++ b/scripts/bundle-options.js
@@ -10,6 +10,9 @@
 	'const __dirname = bundleDirname(__filename);',
 ].join('');
 
+/* What a library means when it asks for assertions. */
+const assertions = {assert: './scripts/assert.cjs', 'node:assert': './scripts/assert.cjs'};
+
 export const bundleOptions = {
 	bundle: true,
 	platform: 'node',
@@ -19,5 +22,6 @@
 	minifyWhitespace: true,
 	keepNames: true,
 	banner: {js: banner},
+	alias: assertions,
 	logLevel: 'error',
 };
