Relay every stream in one way, whatever serves it

Such streams also reached their callers only once they had ended.

Cause: a stream of a service without engines was relayed as a call, which is kept until its body or its connection has ended. Only the receiver of engines' streams knew that a stream does not end inside an event.

Ruled out: the framing; with a length that fits and in whole chunked bodies it was the same.

Change: what is done with the attempts' answers is one part, chosen by the kind of the route (AnswerAssembly: CallAnswer, StreamAnswer), and both relays use it. A stream is passed on as it arrives, broken off or continued, and bounded, whatever serves it. An answer that is no stream is passed on unchanged on all streaming routes, also a large one.

--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -1,22 +1,25 @@
 /**
-Relays one call to a target of a plain service, and retries it at other targets.
+Relays one request to a target of a service without engines, and retries it at other targets.
 */
 import * as option from 'fp-ts/lib/Option.js';
 import type {CallTarget} from '../decisions/entry/call-target.js';
 import {placeCall} from '../decisions/entry/place-call.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {TargetRecord} from '../fleet/target-record.js';
+import type {AnswerAssembly} from './answer-assembly.js';
 import type {AttemptSender} from './attempt-sender.js';
+import {CallAnswer} from './call-answer.js';
 import type {CallerRequest} from './caller-request.js';
 import type {EntryContext} from './entry-context.js';
 import {targetListStatus} from './target-list-status.js';
 import {RequestLifecycle} from './request-lifecycle.js';
+import {StreamAnswer} from './stream-answer.js';
 import {targetViews} from './target-views.js';
 
 type Chosen = {readonly target: TargetRecord; readonly view: CallTarget};
 
 /**
-One instance a call. Selects a target, sends the call, and passes its answer on to the caller.
+One instance a request. Selects a target and sends the request; the answer may be that to a call, or a stream.
 
 @example
 ```
@@ -29,19 +32,17 @@
 	readonly #context: EntryContext;
 	readonly #sender: AttemptSender;
 	readonly #lifecycle: RequestLifecycle;
+	readonly #assembly: AnswerAssembly;
 
 	constructor(request: CallerRequest, context: EntryContext, sender: AttemptSender) {
 		this.#request = request;
 		this.#context = context;
 		this.#sender = sender;
-		this.#lifecycle = new RequestLifecycle(request, context, {isRepeatable: () => this.#isRepeatable, hasLiveAttempt: () => this.#hasLiveAttempt});
+		this.#lifecycle = new RequestLifecycle(request, context, {isRepeatable: () => this.#assembly.isRepeatable, hasLiveAttempt: () => this.#hasLiveAttempt});
+		this.#assembly = request.route.kind === 'streaming' ? new StreamAnswer(request, context, this.#lifecycle) : new CallAnswer(request, context, this.#lifecycle);
 	}
 
-	get #isRepeatable(): boolean {
-		return this.#request.route.kind === 'idempotent';
-	}
-
-	/** Relays the call; resolves once the caller has got its final answer. */
+	/** Relays the request; resolves once the caller has got its final answer. */
 	async run(): Promise<void> {
 		this.#lifecycle.begin();
 		if (this.#admit()) {
@@ -88,7 +89,7 @@
 
 	/** Sends one attempt; true when the call is to be sent again. */
 	async #sendTo({target, view: {attempts, speed, capacity, slowdown}}: Chosen): Promise<boolean> {
-		const {facts, answer, method, path, body} = this.#request;
+		const {facts, method, path, body} = this.#request;
 		const {loadTracker, now} = this.#context;
 		const sentAt = now();
 		const load = loadTracker.totalLoad(target.id, sentAt);
@@ -102,63 +103,27 @@
 			path,
 			body,
 			instructions: {
-				targetId: target.id, remainingMilliseconds: this.#lifecycle.remaining, rank: undefined, isPrefillOnly: false, handle: undefined, fetchFrom: undefined, lastEventId: undefined,
+				targetId: target.id, remainingMilliseconds: this.#lifecycle.remaining, rank: undefined, isPrefillOnly: false, handle: undefined, fetchFrom: undefined, lastEventId: this.#assembly.lastEventId,
 			},
 			readMilliseconds: 0,
 			mayStart: () => {
 				this.#hasLiveAttempt = this.#lifecycle.tryStartAttempt();
 				if (this.#hasLiveAttempt) {
-					this.#lifecycle.usage.recordSent(this.#context.now());
+					this.#assembly.recordSent?.();
 				}
 
 				return this.#hasLiveAttempt;
 			},
-			spill: () => ({
-				head(head) {
-					answer.start(head);
-				},
-				data(chunk, flow) {
-					answer.write(chunk, flow);
-				},
-			}),
+			...this.#assembly.createReceivers(),
 		});
 		this.#lifecycle.setCancelAttempt(cancel);
 		const result = await outcome;
 		this.#hasLiveAttempt = false;
-		this.#lifecycle.usage.recordOutcome(result);
+		this.#assembly.recordOutcome?.(result);
 		if (result.kind === 'answer' || result.kind === 'streamed') {
 			this.#context.fairness.recordAnsweredCall(this.#request, now() - sentAt, load, target);
 		}
 
-		if (this.#lifecycle.isEnded) {
-			return false;
-		}
-
-		switch (result.kind) {
-			case 'answer': {
-				answer.send(result.facts, result.body);
-				this.#lifecycle.end({outcome: 'answered'});
-				return false;
-			}
-
-			case 'streamed': {
-				this.#lifecycle.recordRun();
-				if (result.isWhole) {
-					answer.end();
-					this.#lifecycle.end({outcome: 'answered'});
-				} else {
-					this.#lifecycle.fail(resultCode.answerIncomplete, result.reason);
-				}
-
-				return false;
-			}
-
-			case 'not sent':
-			case 'not run':
-			case 'unknown':
-			case 'failure': {
-				return this.#lifecycle.handleUnansweredAttempt(target, result);
-			}
-		}
+		return !this.#lifecycle.isEnded && this.#assembly.handleOutcome(target, result);
 	}
 }
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -1,19 +1,14 @@
 /**
-Relays one inference request to engines and streams complete server-sent events to the caller.
+Relays one inference request to engines.
 
 The prompt is prefilled either at a prefill engine, from which a decode engine fetches the
-KV cache, or at the decode engine itself. If a stream breaks off, another engine
-continues it after the last event, where the route allows that.
+KV cache, or at the decode engine itself.
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {engineRank} from '../decisions/entry/engine-rank.js';
-import {EventSplitter} from '../decisions/entry/event-splitter.js';
-import {isEventStream} from '../decisions/entry/is-event-stream.js';
-import {mayContinueStream} from '../decisions/entry/may-continue-stream.js';
 import {placeDecode} from '../decisions/entry/place-decode.js';
 import {sharedPrefix} from '../decisions/entry/shared-prefix.js';
 import {resultCode} from '../generated/result-codes.js';
-import type {AnswerFacts} from '../fleet/answer-facts.js';
 import type {SendInstructions} from '../fleet/send-instructions.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
@@ -28,6 +23,7 @@
 import type {EntryContext} from './entry-context.js';
 import {QuarantineGate} from './quarantine-gate.js';
 import {RequestLifecycle} from './request-lifecycle.js';
+import {StreamAnswer} from './stream-answer.js';
 
 type Verdict = Parameters<Parameters<PromptQueues['enqueue']>[2]>[0];
 
@@ -37,10 +33,7 @@
 const overdueMarginMilliseconds = 1200;
 
 /**
-One instance a request. Selects engines, sends attempts, and joins the events of several attempts into one answer.
-
-Invariant: the caller gets only complete events, of one attempt or of attempts that each
-continue after the last event of the one before.
+One instance a request. Selects engines and sends attempts.
 
 @example
 ```
@@ -54,9 +47,7 @@
 	readonly #sender: AttemptSender;
 	readonly #lifecycle: RequestLifecycle;
 	readonly #gate: QuarantineGate;
-	#lastEventId: string | undefined;
-	#hasSentEvents = false;
-	#head: AnswerFacts | undefined;
+	readonly #assembly: StreamAnswer;
 	#handle: Handle | undefined;
 	#handleAttempts = 0;
 	#lane: 'onTime' | 'late' = 'onTime';
@@ -72,12 +63,9 @@
 		this.#queues = queues;
 		this.#sharedPrefix = sharedPrefix(request.facts);
 		this.#cacheTokens = context.service(request.service)?.engine?.cacheTokens ?? 0;
-		this.#lifecycle = new RequestLifecycle(request, context, {isRepeatable: () => this.#isRepeatable, hasLiveAttempt: () => this.#hasLiveAttempt});
+		this.#lifecycle = new RequestLifecycle(request, context, {isRepeatable: () => this.#assembly.isRepeatable, hasLiveAttempt: () => this.#hasLiveAttempt});
 		this.#gate = new QuarantineGate(context, this.#lifecycle, this.#sharedPrefix.parts.map(({id}) => id));
-	}
-
-	get #isRepeatable(): boolean {
-		return this.#request.route.isResumable && (!this.#hasSentEvents || this.#lastEventId !== undefined);
+		this.#assembly = new StreamAnswer(request, context, this.#lifecycle, this.#gate);
 	}
 
 	/** Relays the request; resolves once the caller has got its final answer. */
@@ -130,7 +118,7 @@
 		const prompt = createWaitingPrompt(this.#request, this.#context, {
 			sharedPrefix: this.#sharedPrefix,
 			avoid: this.#lifecycle.avoid,
-			isContinued: this.#lastEventId !== undefined,
+			isContinued: this.#assembly.lastEventId !== undefined,
 			mayPrefillSeparately: () => this.#lifecycle.mayPrefillSeparately(),
 		});
 		return new Promise(resolve => {
@@ -179,7 +167,7 @@
 			isPrefillOnly: false,
 			handle: undefined,
 			fetchFrom: undefined,
-			lastEventId: this.#lastEventId,
+			lastEventId: this.#assembly.lastEventId,
 			...parts,
 		};
 	}
@@ -256,7 +244,6 @@
 
 	async #sendStream(target: TargetRecord, entry: LoadEntry, parts: Partial<SendInstructions>): Promise<boolean> {
 		const {facts, method, path, body} = this.#request;
-		const splitter = new EventSplitter();
 		// A slow engine is not silent while it prefills for longer than one of speed 1 would.
 		const expectedMilliseconds = entry.readMilliseconds * 4 / Math.min(1, this.#context.capacity.of(target, this.#context.now()).speed);
 		const {outcome, cancel} = this.#sender.send({
@@ -270,23 +257,12 @@
 			entry,
 			expectedMilliseconds,
 			// Only a repeatable stream is aborted when its engine is silent.
-			answerDueMilliseconds: this.#isRepeatable ? expectedMilliseconds + overdueMarginMilliseconds : undefined,
+			answerDueMilliseconds: this.#assembly.isRepeatable ? expectedMilliseconds + overdueMarginMilliseconds : undefined,
 			mayStart: () => {
 				this.#hasLiveAttempt = this.#gate.mayStartAttempt();
 				return this.#hasLiveAttempt;
 			},
-			sink: {
-				accepts: head => isEventStream(head) && (!this.#request.answer.isStarted || mayContinueStream(this.#head!, head)),
-				head: head => {
-					// A stream that is continued keeps the head of its first engine, with which its caller's answer was started.
-					this.#head = this.#request.answer.isStarted ? this.#head : head;
-				},
-				data: (chunk, flow) => {
-					this.#forwardEvents(splitter.push(chunk), flow);
-				},
-				heldBytes: () => splitter.heldBytes,
-				mayEnd: isDelimited => splitter.mayEnd(isDelimited),
-			},
+			...this.#assembly.createReceivers(),
 		});
 		this.#lifecycle.setCancelAttempt(cancel);
 		const result = await outcome;
@@ -296,21 +272,13 @@
 
 	#handleStreamOutcome(target: TargetRecord, result: AttemptOutcome): boolean {
 		switch (result.kind) {
-			case 'streamed': {
-				this.#handle = undefined;
-				if (result.isWhole) {
-					this.#finishStream();
-					return false;
-				}
-
-				return this.#lifecycle.handleUnansweredAttempt(target, {kind: 'unknown', reason: result.reason});
-			}
-
+			case 'streamed':
 			case 'answer':
 			case 'failure':
 			case 'unknown': {
+				// The engine may have fetched the KV cache.
 				this.#handle = undefined;
-				return this.#handleOtherAnswer(target, result);
+				return this.#assembly.handleOutcome(target, result);
 			}
 
 			case 'not sent': {
@@ -318,59 +286,15 @@
 			}
 
 			case 'not run': {
-				return this.#lifecycle.handleUnansweredAttempt(target, result);
+				return this.#assembly.handleOutcome(target, result);
 			}
 		}
 	}
 
-	/**
-	Handles an attempt that brought no stream; true when another one is to be sent.
-
-	A whole answer is the caller's only if no event was sent, because it cannot go on with the events of another engine.
-	*/
-	#handleOtherAnswer(target: TargetRecord, result: Extract<AttemptOutcome, {readonly kind: 'answer' | 'failure' | 'unknown'}>): boolean {
-		const {answer} = this.#request;
-		const outcome = answer.isStarted && result.kind !== 'unknown' ? {kind: 'unknown' as const, reason: `status ${result.facts.status} in place of the rest of the stream`} : result;
-		if (outcome.kind !== 'answer') {
-			return this.#lifecycle.handleUnansweredAttempt(target, outcome);
-		}
-
-		answer.send(outcome.facts, outcome.body);
-		this.#lifecycle.end({outcome: 'answered'});
-		return false;
-	}
-
 	#handleUnsentAttempt(target: TargetRecord, outcome: Extract<AttemptOutcome, {readonly kind: 'not sent'}>): boolean {
 		return !this.#gate.refuseHeld() && this.#lifecycle.handleUnansweredAttempt(target, outcome);
 	}
 
-	#forwardEvents({events, lastId}: ReturnType<EventSplitter['push']>, flow: {readonly pause: () => void; readonly resume: () => void}): void {
-		if (events.length === 0 || this.#lifecycle.isEnded) {
-			return;
-		}
-
-		this.#gate.recordEvents();
-		this.#lifecycle.usage.recordBegun(this.#context.now());
-		this.#startAnswer();
-		this.#request.answer.write(events, flow);
-		this.#hasSentEvents = true;
-		this.#lastEventId = lastId ?? this.#lastEventId;
-	}
-
-	#startAnswer(): void {
-		if (!this.#request.answer.isStarted) {
-			this.#lifecycle.recordFirstEvent();
-			this.#request.answer.start(this.#head!);
-		}
-	}
-
-	#finishStream(): void {
-		this.#gate.recordAnswered();
-		this.#startAnswer();
-		this.#request.answer.end();
-		this.#lifecycle.end({outcome: 'answered'});
-	}
-
 	/** Releases the KV cache that a prefill engine holds for this request, unless a decode engine may have fetched it. */
 	#releaseHandle(): void {
 		if (this.#handle === undefined) {
