Take no head with a status that HTTP does not have for an answer

Cause: nothing decided whether a status is one.

Change: classifyStatus decides it from the head. A status outside 100 to 599, or a switch of protocols, breaks the attempt off, with the status in the reason. A sidecar's calls do likewise.

entry/target-connection (24 heads) and ports/plain-target failed before.

--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -3,6 +3,7 @@
 */
 import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
+import {classifyStatus} from '../decisions/entry/classify-status.js';
 import type {ConnectionHistory} from '../fleet/connection-history.js';
 import type {AnswerPacer} from './answer-pacer.js';
 import {AnswerReading} from './answer-reading.js';
@@ -152,14 +153,24 @@
 					return;
 				}
 
-				if (status >= 200) {
-					handlers.onHead(status, headers, history);
-					return;
-				}
+				switch (classifyStatus(status)) {
+					case 'final': {
+						handlers.onHead(status, headers, history);
+						return;
+					}
+
+					case 'interim': {
+						interimAnswers++;
+						if (interimAnswers > maxInterimAnswers) {
+							breakOff(ownReasons.interim);
+						}
 
-				interimAnswers++;
-				if (interimAnswers > maxInterimAnswers) {
-					breakOff(ownReasons.interim);
+						return;
+					}
+
+					case 'invalid': {
+						breakOff(`invalid status ${status}`);
+					}
 				}
 			},
 			onResponseData(_controller, chunk) {
--- a/source/ports/plain-target.ts
+++ b/source/ports/plain-target.ts
@@ -3,6 +3,7 @@
 */
 import {Agent, type Dispatcher} from 'undici';
 import {err, ok, type Result} from 'neverthrow';
+import {classifyStatus} from '../decisions/entry/classify-status.js';
 import type {AttemptMessage} from '../generated/messages.js';
 import {resultCode} from '../generated/result-codes.js';
 import {clock} from '../shared/clock.js';
@@ -18,6 +19,11 @@
 /** Weight of the newest call in the moving average of call durations. */
 const smoothingFactor = 0.1;
 
+/** The result of a call that brought no answer. */
+const broken = (code: number): TargetResult => ({
+	code, status: 502, finishReason: 'error', contentType: '',
+});
+
 /**
 Plain HTTP service on the same VM as the sidecar.
 
@@ -51,14 +57,16 @@
 			});
 			const text = await answer.body.text();
 			this.#callMilliseconds += smoothingFactor * (clock() - startedAt - this.#callMilliseconds);
+			if (classifyStatus(answer.statusCode) !== 'final') {
+				return broken(resultCode.targetLost);
+			}
+
 			onText(text);
 			return {
 				code: resultCode.ok, status: answer.statusCode, finishReason: 'stop', contentType: String(answer.headers['content-type'] ?? 'application/octet-stream'),
 			};
 		} catch (error) {
-			return {
-				code: failureCode(error), status: 502, finishReason: 'error', contentType: '',
-			};
+			return broken(failureCode(error));
 		}
 	}
 
--- a/test/decisions/entry/small-decisions.test.ts
+++ b/test/decisions/entry/small-decisions.test.ts
@@ -6,6 +6,7 @@
 import {ConfigurationInForce} from '../../../source/decisions/entry/configuration-in-force.js';
 import {isWellFormedRequest} from '../../../source/decisions/entry/is-well-formed-request.js';
 import {classifyAnswer} from '../../../source/decisions/entry/classify-answer.js';
+import {classifyStatus} from '../../../source/decisions/entry/classify-status.js';
 import {RateLimit} from '../../../source/decisions/entry/rate-limit.js';
 import {RouteTable} from '../../../source/decisions/entry/route-table.js';
 import {TargetHealth} from '../../../source/decisions/entry/target-health.js';
@@ -170,3 +171,10 @@
 	t.equal(health.isSilent('a', 4000), true);
 	t.end();
 });
+
+// Guards against passing on what a target in trouble wrote in place of a status.
+test('a status outside 100 to 599, and a switch of protocols, begin no answer', t => {
+	const kinds = [0, 99, 100, 101, 102, 199, 200, 599, 600, 999].map(status => classifyStatus(status));
+	t.strictSame(kinds, ['invalid', 'invalid', 'interim', 'invalid', 'interim', 'interim', 'final', 'final', 'invalid', 'invalid']);
+	t.end();
+});
--- a/test/entry/target-connection.test.ts
+++ b/test/entry/target-connection.test.ts
@@ -199,6 +199,24 @@
 	t.match(await send(sound), {status: 200, body: 'abc', end: {kind: 'complete'}});
 });
 
+const invalidHeads = ['000', '001', '099', '101', '600', '999'].flatMap(status => [
+	`HTTP/1.1 ${status} Trouble\r\nContent-Length: 4\r\n\r\ndone`,
+	`HTTP/1.1 ${status} Trouble\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n`,
+	`HTTP/1.1 ${status} Trouble\r\n\r\n`,
+	`HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 ${status} Trouble\r\nContent-Length: 4\r\n\r\ndone`,
+]);
+
+// Guards against an answer for the caller that HTTP does not have, and against an assertion of the HTTP client that fails because of what a target wrote.
+test('MIXED: an attempt whose head has a status that HTTP does not have is broken off, and nothing of it is passed on', async t => {
+	for (const head of invalidHeads) {
+		const connection = await connectToTarget(t, socket => { // eslint-disable-line no-await-in-loop
+			socket.write(head);
+		});
+		const status = /(\d{3}) Trouble/.exec(head)![1]!;
+		t.match(await send(connection), {status: undefined, body: '', end: {kind: 'broken', reason: `invalid status ${Number(status)}`}}, JSON.stringify(head)); // eslint-disable-line no-await-in-loop
+	}
+});
+
 // Guards against work and objects for each of the pieces into which a target cuts an answer.
 test('LOST: the chunks of a body that arrive together are handed over as one piece', async t => {
 	const pieces = 5000;
