Take no answer that a reset has cut for a whole one, at sidecars too

Cause: the HTTP client takes an error of the socket after a head, and a reset that is read with the last bytes, for the end of an answer without a length. The entry gateway's connections knew that, the sidecar's calls did not.

Change: one client for both turns such an end into an error.

ports/plain-target failed before for a reset at once and after 30 ms. An upload that is still being written while the reset comes held on the entry gateway before and holds now (entry/target-connection).

--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -1,10 +1,10 @@
 /**
 Sends attempts to one target over one HTTP connection, one attempt at a time.
 */
-import type {Socket} from 'node:net';
-import {buildConnector, Client, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import {classifyStatus} from '../decisions/entry/classify-status.js';
 import type {ConnectionHistory} from '../fleet/connection-history.js';
+import {createResetAwareClient} from '../shared/reset-aware-client.js';
 import type {AnswerPacer} from './answer-pacer.js';
 import {AnswerReading} from './answer-reading.js';
 import {CarriedRequests} from './carried-requests.js';
@@ -51,38 +51,28 @@
 export class TargetConnection {
 	lastUsedAt = 0;
 	#isBusy = false;
-	#hadError = false;
 	#opened = 0;
 	#socketReading: SocketReading | undefined;
 	readonly #carried = new CarriedRequests();
 	readonly #pacer: AnswerPacer;
-	readonly #client: Client;
+	readonly #client: Dispatcher;
 
 	constructor(address: string, pacer: AnswerPacer) {
 		this.#pacer = pacer;
-		const connect = buildConnector({timeout: connectTimeoutMilliseconds, keepAlive: true, keepAliveInitialDelay: 1000});
-		this.#client = new Client(`http://${address}`, {
-			pipelining: 1,
+		this.#client = createResetAwareClient(`http://${address}`, {
+			connectTimeoutMilliseconds,
 			keepAliveTimeout: idleTimeoutMilliseconds,
 			keepAliveTimeoutThreshold: idleTimeoutMarginMilliseconds,
 			keepAliveMaxTimeout: 30_000,
 			headersTimeout: 0,
 			bodyTimeout: 0,
-			connect: (options, callback) => {
-				connect(options, (error, socket) => {
-					// A failed connection has no socket, although the types promise one.
-					if (error) {
-						callback(error, null);
-						return;
-					}
-
-					this.#trackErrors(socket);
-					callback(null, socket);
-				});
+			onSocket: socket => {
+				this.#socketReading = new SocketReading(socket);
+				this.#opened++;
+				this.#carried.clear();
 			},
 		});
 		this.#client.on('disconnect', () => {
-			this.#hadError = false;
 			this.#carried.clear();
 		});
 	}
@@ -176,10 +166,9 @@
 			onResponseData(_controller, chunk) {
 				reading?.receive(chunk);
 			},
-			onResponseEnd: () => {
+			onResponseEnd() {
 				reading?.flush();
-				// The end of the connection completes an answer without a length, but a reset does not.
-				end(this.#hadError ? {kind: 'broken', reason: 'connection reset'} : {kind: 'complete'});
+				end({kind: 'complete'});
 			},
 			onResponseError(_controller, error) {
 				reading?.flush();
@@ -196,20 +185,4 @@
 	destroy(): void {
 		void this.#client.destroy();
 	}
-
-	/** Counts the new connection and notes whether it ends with an error. */
-	#trackErrors(socket: Socket): void {
-		this.#socketReading = new SocketReading(socket);
-		this.#opened++;
-		this.#hadError = false;
-		this.#carried.clear();
-		socket.on('error', () => {
-			this.#hadError = true;
-		});
-		socket.on('end', () => {
-			// Node reports a reset that is read together with the last bytes as an ordinary end.
-			// The remote port tells the two apart: after a reset, the socket has none.
-			this.#hadError ||= socket.remotePort === undefined;
-		});
-	}
 }
--- a/source/ports/plain-target.ts
+++ b/source/ports/plain-target.ts
@@ -1,12 +1,13 @@
 /**
 Client of a plain HTTP service.
 */
-import {Agent, type Dispatcher} from 'undici';
+import {Pool, type Dispatcher} from 'undici';
 import {err, ok, type Result} from 'neverthrow';
 import {classifyStatus} from '../decisions/entry/classify-status.js';
 import type {AttemptMessage} from '../generated/messages.js';
 import {resultCode} from '../generated/result-codes.js';
 import {clock} from '../shared/clock.js';
+import {createResetAwareClient} from '../shared/reset-aware-client.js';
 import {failureCode} from './failure-code.js';
 import type {Target} from './target.js';
 import type {TargetResult} from './target-result.js';
@@ -33,22 +34,22 @@
 ```
 */
 export class PlainTarget implements Target {
-	readonly #address: string;
 	readonly #parallelCalls: number;
-	readonly #agent: Agent;
+	readonly #pool: Pool;
 	#callMilliseconds = initialCallMilliseconds;
 
 	constructor(address: string, parallelCalls: number) {
-		this.#address = address;
 		this.#parallelCalls = parallelCalls;
-		this.#agent = new Agent({connect: {timeout: connectTimeoutMilliseconds}, keepAliveTimeout: keepAliveTimeoutMilliseconds, connections: parallelCalls});
+		this.#pool = new Pool(address, {
+			connections: parallelCalls,
+			factory: origin => createResetAwareClient(origin, {connectTimeoutMilliseconds, keepAliveTimeout: keepAliveTimeoutMilliseconds}),
+		});
 	}
 
 	async run(message: AttemptMessage, onText: (text: string) => void, signal: AbortSignal): Promise<TargetResult> {
 		const startedAt = clock();
 		try {
-			const answer = await this.#agent.request({
-				origin: this.#address,
+			const answer = await this.#pool.request({
 				path: message.path,
 				method: message.method,
 				headers: {'content-type': 'application/json', 'x-request-id': message.requestId, 'x-organisation': message.organisation},
@@ -85,6 +86,6 @@
 	}
 
 	async close(): Promise<void> {
-		await this.#agent.destroy();
+		await this.#pool.destroy();
 	}
 }
--- a/test/entry/target-connection.test.ts
+++ b/test/entry/target-connection.test.ts
@@ -137,6 +137,33 @@
 	t.equal(result.end.kind, 'broken');
 });
 
+// Guards against taking the part of an answer for the whole that came before a reset, while the connection still wrote the request.
+test('MIXED: an answer without a length to an upload that is still being written is broken by a reset', async t => {
+	for (const milliseconds of [0, 5, 60]) {
+		const connection = await connectToTarget(t, socket => { // eslint-disable-line no-await-in-loop
+			socket.pause();
+			socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart', () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, milliseconds);
+			});
+		});
+		const end = await new Promise<string>(resolve => { // eslint-disable-line no-await-in-loop
+			connection.send({
+				requestId: 'r1', method: 'POST', path: '/x', headers: ['Host', 'a.example'], body: new Uint8Array(8_000_000),
+			}, {
+				mayStart: () => true,
+				onHead: () => undefined,
+				onData: () => undefined,
+				onEnd({kind}) {
+					resolve(kind);
+				},
+			});
+		});
+		t.equal(end, 'broken', `a reset after ${milliseconds} ms`);
+	}
+});
+
 test('a chunked answer without its last chunk is broken, also with Connection: close', async t => {
 	const connection = await connectToTarget(t, socket => {
 		socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n');
--- a/test/ports/plain-target.test.ts
+++ b/test/ports/plain-target.test.ts
@@ -50,3 +50,19 @@
 		}), {result: {code: resultCode.targetLost, status: 502}, text: ''}, status);
 	}
 });
+
+// Guards against passing on as whole what a reset has cut, because Node.js reports a reset that is read with the last bytes as an ordinary end.
+test('MIXED: an answer without a length that a reset has cut is no answer', async t => {
+	for (const isAtOnce of [true, false]) {
+		t.match(await run(t, socket => { // eslint-disable-line no-await-in-loop
+			socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, isAtOnce ? 0 : 30);
+		}), {result: {code: resultCode.targetLost}, text: ''}, isAtOnce ? 'at once' : 'later');
+		t.match(await run(t, socket => { // eslint-disable-line no-await-in-loop
+			socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+			socket.resetAndDestroy();
+		}), {result: {code: resultCode.targetLost}, text: ''});
+	}
+});
