Bound what the heads of all requests in progress take of the heap

Cause: a head was counted until it was parsed. From then on it took up to 221 KB as objects until the request was answered, and nothing counted that.

Change: the cost of a head is estimated, the sum is bounded by a quarter of the heap, and a request without room is refused as not run when its head has come, with 1030 and Retry-After. Ordinary heads have a reserve.

--- a/source/callers/caller-guard.ts
+++ b/source/callers/caller-guard.ts
@@ -5,6 +5,7 @@
 import type {Logger} from 'roarr';
 import {CallerHoldings} from '../decisions/callers/caller-holdings.js';
 import {chooseIdleConnection} from '../decisions/callers/choose-idle-connection.js';
+import {HeadHoldings} from '../decisions/callers/head-holdings.js';
 import {CallerTurns} from '../decisions/callers/caller-turns.js';
 import {RateLimit} from '../decisions/entry/rate-limit.js';
 import type {EntryMetrics} from '../entry/entry-metrics.js';
@@ -13,6 +14,8 @@
 type GuardOptions = {
 	/** Bytes that callers may make the gateway hold. */
 	readonly callerBytes: number;
+	/** Bytes of the heap that the heads of their requests may take. */
+	readonly headBytes: number;
 	/** Connections that callers may have. */
 	readonly connections: number;
 	readonly metrics: EntryMetrics;
@@ -20,7 +23,7 @@
 	readonly now: () => number;
 };
 
-type Reason = 'memory' | 'connections' | 'stalled';
+type Reason = 'memory' | 'heads' | 'connections' | 'stalled';
 
 type Kind = Parameters<CallerHoldings<RequestFeed>['set']>[2];
 
@@ -44,6 +47,7 @@
 	readonly #feeds = new Map<Socket, RequestFeed>();
 	readonly #turns = new CallerTurns<RequestFeed>();
 	readonly #holdings: CallerHoldings<RequestFeed>;
+	readonly #heads: HeadHoldings;
 	readonly #lines = new RateLimit(maxLinesPerSecond);
 	readonly #options: GuardOptions;
 
@@ -51,6 +55,7 @@
 		this.#options = options;
 		this.now = options.now;
 		this.#holdings = new CallerHoldings(options.callerBytes);
+		this.#heads = new HeadHoldings(options.headBytes);
 	}
 
 	/** Takes a connection over that the HTTP server has just set up, and closes another one if there are too many. */
@@ -82,6 +87,18 @@
 		}
 	}
 
+	/** Counts the head of a request that is to be served. Returns a function that counts it no more, or undefined when there is no room for it. */
+	holdHead(feed: RequestFeed, bytes: number): (() => void) | undefined {
+		if (!this.#heads.tryHold(bytes)) {
+			this.#log('heads', feed, 'refused', {bytes});
+			return undefined;
+		}
+
+		return () => {
+			this.#heads.release(bytes);
+		};
+	}
+
 	/** Takes memory back from those who hold most until the total is within its limit. */
 	enforce(): void {
 		if (!this.#holdings.isOver) {
@@ -122,6 +139,7 @@
 		const {metrics} = this.#options;
 		metrics.gauge('callers.connections', this.#feeds.size);
 		metrics.gauge('callers.held-bytes', this.#holdings.total);
+		metrics.gauge('callers.head-bytes', this.#heads.total);
 		metrics.gauge('callers.waiting-turns', this.#turns.waitingCount);
 	}
 
@@ -151,7 +169,7 @@
 		}
 
 		log.warn({
-			event: `caller ${outcome}`, reason, address: feed.address, phase, bytes, heldBytes: this.#holdings.total, connections: this.#feeds.size, unlogged: this.#unlogged,
+			event: `caller ${outcome}`, reason, address: feed.address, phase, bytes, heldBytes: this.#holdings.total, headBytes: this.#heads.total, connections: this.#feeds.size, unlogged: this.#unlogged,
 		}, outcome === 'refused' ? 'request refused because callers make the gateway hold too much' : 'connection of a caller closed');
 		this.#unlogged = 0;
 	}
--- a/source/callers/create-caller-server.ts
+++ b/source/callers/create-caller-server.ts
@@ -12,7 +12,7 @@
 type CallerServerParts = {
 	readonly context: EntryContext;
 	readonly router: RequestRouter;
-	readonly shares: Pick<ReturnType<typeof memoryShares>, 'callerBytes' | 'connections'>;
+	readonly shares: Pick<ReturnType<typeof memoryShares>, 'callerBytes' | 'headBytes' | 'connections'>;
 	readonly limits: () => FleetConfiguration['limits'] | undefined;
 	readonly isClosing: () => boolean;
 };
@@ -47,7 +47,7 @@
 			const code = refusalCodes[reason];
 			metrics.count(`request.refused.${code}`);
 			if (reason === 'memory') {
-				answer.sendError(code, protocol.writeRefusal(protocol.readRequest(request.rawHeaders).requestId), memoryRetrySeconds);
+				answer.sendError(code, protocol.writeRefusal(protocol.readRequestId(request.rawHeaders)), memoryRetrySeconds);
 				return;
 			}
 
--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -6,6 +6,7 @@
 */
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import {headCost} from '../decisions/callers/head-cost.js';
 import {isWellFormedRequest} from '../decisions/entry/is-well-formed-request.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import {CallerMessage} from '../callers/caller-message.js';
@@ -146,6 +147,13 @@
 			return;
 		}
 
+		const release = this.#handlers.guard.holdHead(feed, headCost(request.rawHeaders, request.url ?? ''));
+		if (release === undefined) {
+			refuse('memory');
+			return;
+		}
+
+		response.once('close', release);
 		this.#readBody(request, feed, answer, limits?.bodyBytes ?? Number.POSITIVE_INFINITY);
 	}
 
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -2,6 +2,7 @@
 The entry gateway process: receives callers' requests and forwards each to targets
 of its service. Any number of gateways run side by side, without a leader.
 */
+import v8 from 'node:v8';
 import type http from 'node:http';
 import type {Logger} from 'roarr';
 import {createCallerServer} from '../callers/create-caller-server.js';
@@ -108,7 +109,7 @@
 	constructor(options: EntryOptions) {
 		this.#options = options;
 		this.#settings = options.settings;
-		this.#shares = memoryShares(options.settings.resources);
+		this.#shares = memoryShares({...options.settings.resources, heapBytes: v8.getHeapStatistics().heap_size_limit});
 		this.#log = options.log;
 		this.#context = this.#createContext();
 		this.#loopMonitor = new EventLoopMonitor(this.#context);
--- a/source/ports/target-protocol.ts
+++ b/source/ports/target-protocol.ts
@@ -25,6 +25,8 @@
 	readonly readinessPath: string;
 	/** Decodes the headers of a caller's request. */
 	readRequest(rawHeaders: readonly string[]): RequestFacts;
+	/** Decodes the id of a caller's request alone; empty when it has none. */
+	readRequestId(rawHeaders: readonly string[]): string;
 	/** Returns the keys that a caller's request carries, one for each header with a key. They are secrets. */
 	readCredentials(rawHeaders: readonly string[]): readonly string[];
 	/** Returns the facts of a request with the name of its team, and without its key, in the headers to forward. */
--- a/test/callers/uncontrolled-clients.test.ts
+++ b/test/callers/uncontrolled-clients.test.ts
@@ -17,7 +17,7 @@
 const stayMilliseconds = 500;
 /** Longest play of a crowd in milliseconds. */
 const longestPlayMilliseconds = 4000;
-const {memoryMegabytes, descriptors, bodyBytes} = CallerGateway.limits;
+const {memoryMegabytes, bodyBytes} = CallerGateway.limits;
 
 const blockOf = (text: string): Uint8Array => Buffer.from(text.repeat(Math.floor(blockBytes / text.length)), 'latin1');
 
@@ -49,6 +49,11 @@
 const shortHeads: Plan = {
 	clients: 150, head: index => headOf('POST', '/crowd/1').slice(0, -2) + `X-Request-Id: h${index}\r\n`, block: Buffer.from('a: b\r\n'.repeat(10_000), 'latin1'), blocks: 1, isReading: true,
 };
+/** Some 15,400 bytes: a proper request, as the pages bound the bytes of a head and not the number of parts. */
+const manyParts = Array.from({length: 2200}, (_, index) => `${(4096 + index).toString(16)}:1`).join(',');
+const longPrompts: Plan = {
+	clients: 700, head: index => headOf('POST', '/crowd/1', `X-Request-Id: p${index}`, 'X-Token-Count: 2200,17', `X-Prompt-Prefix: ${manyParts}`, 'Content-Length: 0'), isReading: true,
+};
 const silent: Plan = {clients: 400, head: () => '', isReading: true};
 const routed = headOf('GET', '/crowd/1') + headOf('POST', '/crowd/2', 'Content-Length: 2') + 'ok';
 const unrouted = headOf('GET', '/nowhere/1') + headOf('POST', '/nowhere/2', 'Content-Length: 2') + 'ok';
@@ -82,11 +87,11 @@
 	t.equal(await gateway.askOrdinary(), 200, 'an ordinary request is answered afterwards');
 	t.equal(gateway.end, undefined, 'the process lives');
 	t.ok(gateway.usage.megabytes < memoryMegabytes, `resident memory: ${Math.round(gateway.usage.megabytes)} MB`);
-	t.ok(gateway.usage.descriptors < descriptors, `open descriptors: ${gateway.usage.descriptors}`);
+	t.ok(gateway.usage.descriptors < gateway.descriptors, `open descriptors: ${gateway.usage.descriptors}`);
 	t.comment(`memory ${Math.round(gateway.usage.megabytes)} MB, descriptors ${gateway.usage.descriptors}, answers read ${crowds.map(({answers}) => answers).join(' ')}`);
 };
 
-const start = async (t: Test): Promise<CallerGateway> => CallerGateway.start(t);
+const start = async (t: Test, descriptors?: number): Promise<CallerGateway> => CallerGateway.start(t, descriptors);
 
 // Guards against a body of which each byte costs an object.
 test('LOST: bodies in chunks of one byte that stop short of their end', async t => {
@@ -140,6 +145,13 @@
 	await play(t, gateway, [largeBodies]);
 });
 
+// Guards against heads whose parts, as objects, take ten times their bytes until they are answered (review/7).
+test('LOST: requests at once with long lists of prompt parts', async t => {
+	const gateway = await start(t, 2000);
+	gateway.crowded.answer = () => undefined;
+	await play(t, gateway, [longPrompts]);
+});
+
 // Guards against answers that are kept for slow readers without a bound for all of them.
 test('LOST: large answers that nobody reads', async t => {
 	const gateway = await start(t);
--- a/test/decisions/callers/small-decisions.test.ts
+++ b/test/decisions/callers/small-decisions.test.ts
@@ -1,11 +1,17 @@
 /**
 Connections, turns, memory and targets under clients that are not controlled.
 */
+import {Buffer} from 'node:buffer';
 import {test} from 'tap';
 import {chooseIdleConnection} from '../../../source/decisions/callers/choose-idle-connection.js';
+import {headCost} from '../../../source/decisions/callers/head-cost.js';
+import {HeadHoldings} from '../../../source/decisions/callers/head-holdings.js';
 import {memoryShares} from '../../../source/decisions/callers/memory-shares.js';
 import {CallerTurns} from '../../../source/decisions/callers/caller-turns.js';
 import {TargetHoldings} from '../../../source/decisions/callers/target-holdings.js';
+import {sharedPrefix} from '../../../source/decisions/entry/shared-prefix.js';
+import {targetProtocol} from '../../../platform/target-protocol.js';
+import {heldHeap} from '../../support/held-heap.js';
 
 const bytesPerMegabyte = 1_048_576;
 
@@ -72,6 +78,44 @@
 	t.end();
 });
 
+// Guards against requests of large heads that together use up the heap, and keep out those of ordinary ones.
+test('LOST: heads are refused once they take their share of the heap, ordinary ones a little later, and one head always has room', t => {
+	const heads = new HeadHoldings(1_000_000);
+	const large = 250_000;
+	const small = 5000;
+	t.strictSame(Array.from({length: 6}, () => heads.tryHold(large)), [true, true, true, true, false, false]);
+	t.strictSame(Array.from({length: 60}, () => heads.tryHold(small)).filter(Boolean).length, 50);
+	heads.release(large);
+	t.notOk(heads.tryHold(large), 'what ordinary ones hold beyond the limit is given back first');
+	t.equal(heads.total, (3 * large) + (50 * small));
+	t.ok(new HeadHoldings(10).tryHold(large));
+	t.end();
+});
+
+// Guards against an estimate below what a head takes: that of a list of parts is ten times its text.
+test('the cost of a head is no less than what the facts of its request take', t => {
+	const real = (text: string): string => Buffer.from(text).toString('latin1');
+	const heads: ReadonlyArray<() => readonly string[]> = [
+		() => ['Host', real('a.example'), 'X-Request-Id', real('9c41d07be2a35f68')],
+		() => ['X-Request-Id', real('9c41'), 'X-Token-Count', real('2200,17'), 'X-Prompt-Prefix', real(Array.from({length: 2200}, (_, index) => `${(4096 + index).toString(16)}:1`).join(','))],
+		() => Array.from({length: 1000}, (_, index) => [real(`a${index}`), real(`value ${index}`)]).flat(),
+		() => ['X-Request-Id', real('x'.repeat(15_800))],
+	];
+	for (const [index, head] of heads.entries()) {
+		const requests = 40;
+		const bytes = heldHeap(() => Array.from({length: requests}, () => {
+			const rawHeaders = head();
+			const facts = targetProtocol.readRequest(rawHeaders);
+			const prefix = sharedPrefix(facts);
+			return [rawHeaders, facts, prefix, prefix.parts.map(({id}) => id)];
+		})) / requests;
+		const cost = headCost(head(), '/a/1');
+		t.ok(bytes <= cost, `head ${index}: ${Math.round(bytes)} bytes held, ${cost} counted`);
+	}
+
+	t.end();
+});
+
 // Guards against a target that does not answer and keeps the requests for all others out.
 test('LOST: a target that does not answer holds no more than its share, but always one request', t => {
 	const holdings = new TargetHoldings(1000);
--- a/test/support/caller-gateway.ts
+++ b/test/support/caller-gateway.ts
@@ -71,9 +71,10 @@
 export class CallerGateway {
 	static readonly limits = limits;
 
-	static async start(t: Test): Promise<CallerGateway> {
+	/** `descriptors` is the limit that the gateway is told. */
+	static async start(t: Test, descriptors: number = limits.descriptors): Promise<CallerGateway> {
 		bundle();
-		const gateway = new CallerGateway(t.testdir(), {callers: await freePort(), readiness: await freePort(), peers: await freePort()});
+		const gateway = new CallerGateway(t.testdir(), {callers: await freePort(), readiness: await freePort(), peers: await freePort()}, descriptors);
 		t.teardown(() => {
 			gateway.#stop();
 		});
@@ -92,7 +93,7 @@
 	#child: ChildProcess | undefined;
 	#sampler: NodeJS.Timeout | undefined;
 
-	private constructor(folder: string, readonly ports: {readonly callers: number; readonly readiness: number; readonly peers: number}) {
+	private constructor(folder: string, readonly ports: {readonly callers: number; readonly readiness: number; readonly peers: number}, readonly descriptors: number) {
 		this.#folder = folder;
 	}
 
@@ -196,7 +197,7 @@
 [limits]
 linkMbps = 1000.0
 memoryMb = ${limits.memoryMegabytes}
-maxFds = ${limits.descriptors}
+maxFds = ${this.descriptors}
 [platform]
 address = "${this.#store.address}"
 readsPerS = 2000
