--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -320,6 +320,7 @@
 			onLost: peer => {
 				this.#exchange?.removePeer(peer);
 			},
+			metrics: this.#context.metrics,
 			log: this.#log,
 			activity: this.#context.activity,
 			now: clock,
--- a/source/entry/peer-link.ts
+++ b/source/entry/peer-link.ts
@@ -14,12 +14,16 @@
 /** The link is closed when nothing was received from the peer for this long. */
 const receiveTimeoutMilliseconds = 1800;
 const checkMilliseconds = 300;
+/** The link is closed when so many frames one after another are no messages: one alone costs what it says only. */
+const maxMalformedFrames = 8;
 /** The link is closed when more bytes than this are queued for a slow peer. */
 const maxBufferedBytes = 2_097_152;
 
 type LinkHandlers = {
 	readonly onMessage: (message: PeerMessage) => void;
 	readonly onClosed: (reason: string) => void;
+	/** Called for each frame that is not a valid message and is left out. */
+	readonly onMalformed: (bytes: number) => void;
 	readonly activity: LoopActivity;
 	readonly now: () => number;
 };
@@ -29,17 +33,17 @@
 		const value: unknown = unpackr.unpack(data);
 		return validatePeerMessages(value) ? value as PeerMessage : undefined;
 	} catch {
-		// The caller closes the link and logs why.
+		// The caller counts it, and logs why it closes the link.
 		return undefined;
 	}
 };
 
 /**
-Encodes, decodes and validates messages; a frame that is not a valid message closes the link.
+Encodes, decodes and validates messages. A frame that is not a valid message is left out; several one after another close the link.
 
 @example
 ```
-const link = new PeerLink(socket, true, {onMessage, onClosed, activity, now: clock});
+const link = new PeerLink(socket, true, {onMessage, onClosed, onMalformed, activity, now: clock});
 link.send({kind: 'hello', name, incarnation, address});
 ```
 */
@@ -50,6 +54,8 @@
 	}
 
 	#receivedAt: number;
+	/** Frames that were no messages since the last one that was. */
+	#malformedFrames = 0;
 	readonly #socket: FramedSocket;
 	readonly #handlers: LinkHandlers;
 
@@ -100,12 +106,21 @@
 		this.#receivedAt = now();
 		const message = activity.measure('decoding a peer message', data.byteLength, () => decode(data));
 		if (message === undefined) {
-			this.close('6002 malformed frame');
+			this.#handleMalformed(data.byteLength);
 			return;
 		}
 
+		this.#malformedFrames = 0;
 		activity.measure(`peer message ${message.kind}`, data.byteLength, () => {
 			onMessage(message);
 		});
 	}
+
+	#handleMalformed(bytes: number): void {
+		this.#malformedFrames++;
+		this.#handlers.onMalformed(bytes);
+		if (this.#malformedFrames >= maxMalformedFrames) {
+			this.close('6002 malformed frames');
+		}
+	}
 }
--- a/source/entry/peers.ts
+++ b/source/entry/peers.ts
@@ -7,6 +7,7 @@
 import {WebSocket, WebSocketServer} from 'ws';
 import type {Logger} from 'roarr';
 import type {PeerMessage} from '../generated/peer-messages.js';
+import type {EntryMetrics} from './entry-metrics.js';
 import type {LoopActivity} from './loop-activity.js';
 import {PeerLink} from './peer-link.js';
 
@@ -21,6 +22,7 @@
 	readonly seeds: () => readonly string[];
 	readonly onMessage: (peer: string, message: PeerMessage) => void;
 	readonly onLost: (peer: string) => void;
+	readonly metrics: EntryMetrics;
 	readonly log: Logger;
 	readonly activity: LoopActivity;
 	readonly now: () => number;
@@ -154,6 +156,10 @@
 			onClosed: reason => {
 				this.#removeLink(link, reason);
 			},
+			onMalformed: bytes => {
+				this.#options.metrics.count('peer.malformed-frame');
+				this.#options.log.warn({event: 'peer frame malformed', peer: this.#peerOf(link)?.name ?? '', bytes}, 'frame of a peer is no message and is left out');
+			},
 			activity: this.#options.activity,
 			now: this.#options.now,
 		});
@@ -169,12 +175,16 @@
 			return;
 		}
 
-		const peer = [...this.#peers.values()].find(candidate => candidate.link === link);
+		const peer = this.#peerOf(link);
 		if (peer !== undefined) {
 			this.#options.onMessage(peer.name, message);
 		}
 	}
 
+	#peerOf(link: PeerLink): Peer | undefined {
+		return [...this.#peers.values()].find(candidate => candidate.link === link);
+	}
+
 	#handleHello(link: PeerLink, hello: Extract<PeerMessage, {kind: 'hello'}>): void {
 		if (hello.incarnation === this.#options.incarnation) {
 			link.close('own address');
@@ -198,7 +208,7 @@
 	}
 
 	#removeLink(link: PeerLink, reason: string): void {
-		const peer = [...this.#peers.values()].find(candidate => candidate.link === link);
+		const peer = this.#peerOf(link);
 		if (peer === undefined) {
 			return;
 		}
