Pass on no status that promises what the target has not said

What callers saw: a target that had run a bid answered 503 without saying that it had not run it, and its caller placed the bid twice.

Cause: a target's failure was passed on whatever its status; 429 and 408 were passed on at once.

Change: 408, 429 and 503 without the target's own word are its failure. A request that may be repeated is tried elsewhere and gets it unchanged in the end; any other gets 502, code 2006.

--- a/source/decisions/entry/classify-answer.ts
+++ b/source/decisions/entry/classify-answer.ts
@@ -12,15 +12,17 @@
 | none, a refusal | has carried another request | `unattributed`: may be the refusal of that one |
 | none, a refusal | has carried nothing | this request's: there is no other that it could be of |
 | none, not a refusal | any | `foreign`: targets name the request in each answer |
+| of this request, a status that promises that it has not run, without saying so itself | has not carried it before | `failure`: it may have run |
 | of this request, a success that is unsigned or encoded | any | `foreign` |
 | of this request | has not carried it before | this request's |
 */
 import type {AnswerFacts} from '../../fleet/answer-facts.js';
 import type {ConnectionHistory} from '../../fleet/connection-history.js';
+import {saysNotRun} from './says-not-run.js';
 
 /**
 - `answer`: the target's own answer, to be passed on unchanged.
-- `failure`: the target ran the request and failed; the request may be retried elsewhere if it is repeatable.
+- `failure`: the target ran the request, or may have, and failed; the request may be retried elsewhere if it is repeatable.
 - `not run`: the target says that it did not run the request.
 - `other target`: the address belongs to another target now; not run.
 - `foreign`: not the answer of this request; whether the request ran is unknown.
@@ -66,7 +68,7 @@
 		return facts.isOtherTarget ? 'other target' : 'not run';
 	}
 
-	if (facts.status >= firstServerErrorStatus) {
+	if (facts.status >= firstServerErrorStatus || saysNotRun(facts.status)) {
 		return 'failure';
 	}
 
--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -6,6 +6,7 @@
 import {nextStep} from '../decisions/entry/next-step.js';
 import type {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
 import {retryAfter} from '../decisions/entry/retry-after.js';
+import {saysNotRun} from '../decisions/entry/says-not-run.js';
 import {RequestUsage} from '../duties/request-usage.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {TargetRecord} from '../fleet/target-record.js';
@@ -205,8 +206,7 @@
 
 			case 'pass on': {
 				if (outcome.kind === 'failure') {
-					this.request.answer.send(outcome.facts, outcome.body);
-					this.end({outcome: 'target failed'});
+					this.#passOn(outcome);
 				}
 
 				return false;
@@ -286,6 +286,17 @@
 		this.#context.metrics.record('first-event', this.#firstEventAt - this.request.startedAt);
 	}
 
+	/** Passes on a target's failure, unless its status would promise what the target has not said: that a request that may run only once has not run. */
+	#passOn({facts, body}: Extract<AttemptOutcome, {readonly kind: 'failure'}>): void {
+		if (saysNotRun(facts.status) && !this.#options.isRepeatable()) {
+			this.fail(resultCode.refusalUnconfirmed, `status ${facts.status} of the target`);
+			return;
+		}
+
+		this.request.answer.send(facts, body);
+		this.end({outcome: 'target failed'});
+	}
+
 	/** As `refuse`, with the time after which the caller may return; undefined when returning cannot help. */
 	#refuseAfter(code: number, retryAfterSeconds: number | undefined): void {
 		if (this.#ran > 0) {
--- a/test/entry/plain-relay.test.ts
+++ b/test/entry/plain-relay.test.ts
@@ -222,3 +222,25 @@
 	await fleet.until(() => fleet.logged('request ended').some(({request, outcome}) => request === 'r1' && outcome === 'caller gone'));
 	t.pass('the attempt was aborted and logged');
 });
+
+// Guards against a caller that places a bid again, because a target that may have run it answered with a status that promises the opposite.
+test('REFUSED: a status that promises that a bid has not run is passed on only if its target says so itself', async t => {
+	const {fleet, first, second, gateway} = await start(t);
+	for (const status of [408, 429, 503]) {
+		for (const target of [first, second]) {
+			target.answer = (response, {requestId}) => {
+				response.writeHead(status, {'x-request-id': requestId, 'x-response-signature': 'proof'});
+				response.end('busy');
+			};
+		}
+
+		const bid = await fleet.ask(gateway, {path: '/bids/1', requestId: `bid ${status}`}); // eslint-disable-line no-await-in-loop
+		t.equal(bid.status, 502);
+		t.match(JSON.parse(bid.body), {error: {code: 2006, ran: 'unknown'}});
+		t.equal(bid.headers['x-response-signature'], undefined);
+		t.equal([...first.arrivals, ...second.arrivals].filter(({requestId}) => requestId === `bid ${status}`).length, 1);
+		const price = await fleet.ask(gateway, {path: '/prices/1', requestId: `price ${status}`, method: 'GET'}); // eslint-disable-line no-await-in-loop
+		t.match(price, {status, body: 'busy', headers: {'x-response-signature': 'proof'}});
+		t.equal([...first.arrivals, ...second.arrivals].filter(({requestId}) => requestId === `price ${status}`).length, 2, 'a request that may run twice is tried at the other target first');
+	}
+});
