Take unread answers back also while no caller sends

Cause: the limit was enforced only where bytes of callers come.

Change: also in a turn of the event loop after an answer's unread bytes have changed.

callers/unread-answers did not end before; no connection was closed.

--- a/source/callers/caller-guard.ts
+++ b/source/callers/caller-guard.ts
@@ -43,6 +43,7 @@
 export class CallerGuard {
 	readonly now: () => number;
 	#isScheduled = false;
+	#isEnforcing = false;
 	#unlogged = 0;
 	readonly #feeds = new Map<Socket, RequestFeed>();
 	readonly #turns = new CallerTurns<RequestFeed>();
@@ -119,6 +120,19 @@
 		this.enforce();
 	}
 
+	/** Does so in a later turn of the event loop, for what is held by answers: callers may send nothing meanwhile. */
+	enforceSoon(): void {
+		if (this.#isEnforcing || !this.#holdings.isOver) {
+			return;
+		}
+
+		this.#isEnforcing = true;
+		setImmediate(() => {
+			this.#isEnforcing = false;
+			this.enforce();
+		});
+	}
+
 	askForTurn(feed: RequestFeed): void {
 		this.#turns.ask(feed);
 		this.#schedule();
--- a/source/callers/request-feed.ts
+++ b/source/callers/request-feed.ts
@@ -162,6 +162,7 @@
 	setUnread(bytes: number): void {
 		this.activeAt = this.#guard.now();
 		this.#guard.setHolding(this, 'answer', bytes < countedBytes ? 0 : bytes);
+		this.#guard.enforceSoon();
 	}
 
 	/**
