Let callers' connections know their owner by what they ask of it only

caller-guard and request-feed needed each other. What a connection asks of its owner is a type of its own now (FeedOwner); moves and names only.

--- a/source/callers/caller-guard.ts
+++ b/source/callers/caller-guard.ts
@@ -9,6 +9,7 @@
 import {CallerTurns} from '../decisions/callers/caller-turns.js';
 import {RateLimit} from '../decisions/entry/rate-limit.js';
 import type {EntryMetrics} from '../entry/entry-metrics.js';
+import type {FeedOwner} from './feed-owner.js';
 import {RequestFeed} from './request-feed.js';
 
 type GuardOptions = {
@@ -25,8 +26,6 @@
 
 type Reason = 'memory' | 'heads' | 'connections' | 'stalled';
 
-type Kind = Parameters<CallerHoldings<RequestFeed>['set']>[2];
-
 /** Lines of closed connections and refused requests that are written each second. */
 const maxLinesPerSecond = 2;
 
@@ -40,7 +39,7 @@
 });
 ```
 */
-export class CallerGuard {
+export class CallerGuard implements FeedOwner<RequestFeed> {
 	readonly now: () => number;
 	#isScheduled = false;
 	#isEnforcing = false;
@@ -82,7 +81,7 @@
 		this.#holdings.remove(feed);
 	}
 
-	setHolding(feed: RequestFeed, kind: Kind, bytes: number): void {
+	setHolding(...[feed, kind, bytes]: Parameters<FeedOwner<RequestFeed>['setHolding']>): void {
 		if (this.#feeds.has(feed.socket)) {
 			this.#holdings.set(feed, feed.address, kind, bytes);
 		}
--- a/source/callers/request-feed.ts
+++ b/source/callers/request-feed.ts
@@ -8,7 +8,7 @@
 import type {Socket} from 'node:net';
 import {ChunkJoiner} from '../decisions/callers/chunk-joiner.js';
 import {MessageCutter} from '../decisions/callers/message-cutter.js';
-import type {CallerGuard} from './caller-guard.js';
+import type {FeedOwner} from './feed-owner.js';
 
 /** What a request brings: its framing, and what to do when it is given up. */
 type BegunRequest = {
@@ -40,7 +40,7 @@
 
 @example
 ```
-const feed = new RequestFeed(socket, guard);
+const feed = new RequestFeed(socket, owner);
 feed.begin({bodyBytes: 0, isAnswered: () => answer.isDone, refuse});
 feed.completeBody(0);
 feed.end();
@@ -66,16 +66,16 @@
 	#isRunning = false;
 	/** True while the connection waits for its turn: its next request came before the answer to the one before it, or its body is cut finely. */
 	#needsTurn = false;
-	readonly #guard: CallerGuard;
+	readonly #owner: FeedOwner<RequestFeed>;
 	readonly #cutter = new MessageCutter();
 	readonly #joiner = new ChunkJoiner();
 	readonly #parse: Parse;
 	readonly #resumeSocket: () => Socket;
 
-	constructor(readonly socket: Socket, guard: CallerGuard) {
-		this.#guard = guard;
+	constructor(readonly socket: Socket, owner: FeedOwner<RequestFeed>) {
+		this.#owner = owner;
 		this.address = socket.remoteAddress ?? '';
-		this.activeAt = guard.now();
+		this.activeAt = owner.now();
 		// The HTTP server has just added its own listener. Another one makes it hand over its bytes here rather than to the parser.
 		const [parse] = socket.listeners('data') as [Parse];
 		socket.removeListener('data', parse);
@@ -146,8 +146,8 @@
 	end(): void {
 		this.#request = undefined;
 		this.#heldBodyBytes = 0;
-		this.#guard.setHolding(this, 'accepted', 0);
-		this.#guard.setHolding(this, 'answer', 0);
+		this.#owner.setHolding(this, 'accepted', 0);
+		this.#owner.setHolding(this, 'answer', 0);
 		if (this.#state === 'stopped') {
 			return;
 		}
@@ -160,9 +160,9 @@
 
 	/** Counts what the caller has not read of its answer. */
 	setUnread(bytes: number): void {
-		this.activeAt = this.#guard.now();
-		this.#guard.setHolding(this, 'answer', bytes < countedBytes ? 0 : bytes);
-		this.#guard.enforceSoon();
+		this.activeAt = this.#owner.now();
+		this.#owner.setHolding(this, 'answer', bytes < countedBytes ? 0 : bytes);
+		this.#owner.enforceSoon();
 	}
 
 	/**
@@ -175,7 +175,7 @@
 		this.#state = 'stopped';
 		this.#heldBodyBytes = 0;
 		this.#dropPending();
-		this.#guard.setHolding(this, 'incoming', 0);
+		this.#owner.setHolding(this, 'incoming', 0);
 		this.#hold();
 		const {socket} = this;
 		socket.destroySoon = () => {
@@ -200,7 +200,7 @@
 	/** Goes on after the connection has waited for its turn. */
 	takeTurn(): void {
 		this.#needsTurn = false;
-		this.activeAt = this.#guard.now();
+		this.activeAt = this.#owner.now();
 		this.run();
 	}
 
@@ -235,7 +235,7 @@
 			return;
 		}
 
-		this.activeAt = this.#guard.now();
+		this.activeAt = this.#owner.now();
 		this.#pending.push(bytes);
 		this.#pendingBytes += bytes.length;
 		this.run();
@@ -263,7 +263,7 @@
 
 	#askForTurn(): void {
 		this.#needsTurn = true;
-		this.#guard.askForTurn(this);
+		this.#owner.askForTurn(this);
 	}
 
 	#cut(bytes: Uint8Array): number {
@@ -292,9 +292,9 @@
 		const isAccepted = this.#state === 'answering';
 		const incoming = this.#pendingBytes + this.#headBytes + (isAccepted ? 0 : this.#heldBodyBytes);
 		const accepted = isAccepted ? this.#heldBodyBytes : 0;
-		this.#guard.setHolding(this, 'incoming', incoming < countedBytes ? 0 : incoming);
-		this.#guard.setHolding(this, 'accepted', accepted < countedBytes ? 0 : accepted);
-		this.#guard.enforce();
+		this.#owner.setHolding(this, 'incoming', incoming < countedBytes ? 0 : incoming);
+		this.#owner.setHolding(this, 'accepted', accepted < countedBytes ? 0 : accepted);
+		this.#owner.enforce();
 	}
 
 	#hold(): void {
@@ -320,6 +320,6 @@
 	#close(): void {
 		this.#state = 'stopped';
 		this.#dropPending();
-		this.#guard.remove(this);
+		this.#owner.remove(this);
 	}
 }
