--- a/test/entry/plain-streams.test.ts
+++ b/test/entry/plain-streams.test.ts
@@ -175,4 +175,5 @@
 	t.equal(targets.flatMap(({arrivals}) => arrivals).filter(({requestId}) => requestId === 'broken').length, 1);
 	answerInTurn(targets, [brokenStreamOf(event(1)), textOf(largeBytes, 'whole')]);
 	t.match(await fleet.ask(gateway, {path: '/reports/1', requestId: 'mixed'}), {status: 200, isWhole: false, body: event(1)});
+	t.equal(fleet.logged('answer too large').filter(({request}) => request === 'mixed').length, 1, 'nothing but a stream may follow a stream, so the answer is given up where it becomes too large');
 });
