--- a/experiments/fairness/fairness-replay.ts
+++ b/experiments/fairness/fairness-replay.ts
@@ -6,11 +6,11 @@
 kept, so that ways to keep them are compared on the same load.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import type {EngineView} from '../../source/decisions/entry/engine-view.js';
-import {latencyModel} from '../../source/decisions/entry/latency-model.js';
-import {promptQueue} from '../../source/decisions/entry/prompt-queue.js';
-import {retryAfter} from '../../source/decisions/entry/retry-after.js';
-import type {WaitingPrompt} from '../../source/decisions/entry/waiting-prompt.js';
+import type {EngineView} from '../../source/decisions/entry/prompts/engine-view.js';
+import {latencyModel} from '../../source/decisions/entry/prompts/latency-model.js';
+import {promptQueue} from '../../source/decisions/entry/prompts/prompt-queue.js';
+import {retryAfter} from '../../source/decisions/entry/requests/retry-after.js';
+import type {WaitingPrompt} from '../../source/decisions/entry/prompts/waiting-prompt.js';
 import {SoakRandom} from '../soak/soak-random.js';
 import {createShares} from './create-shares.js';
 import {groupBy} from './group-by.js';
--- a/experiments/fairness/leased-shares.ts
+++ b/experiments/fairness/leased-shares.ts
@@ -2,9 +2,9 @@
 Leased shares, for comparison only: an owner divides the engine time of the next interval
 among the teams by what they asked for in the last one, and each team's among the gateways.
 */
-import {isTimely} from '../../source/decisions/entry/is-timely.js';
-import {latencyModel} from '../../source/decisions/entry/latency-model.js';
-import type {WaitingPrompt} from '../../source/decisions/entry/waiting-prompt.js';
+import {isTimely} from '../../source/decisions/entry/prompts/is-timely.js';
+import {latencyModel} from '../../source/decisions/entry/prompts/latency-model.js';
+import type {WaitingPrompt} from '../../source/decisions/entry/prompts/waiting-prompt.js';
 import {KindShares} from '../../source/decisions/fairness/kind-shares.js';
 import {rankPrompts} from '../../source/decisions/fairness/rank-prompts.js';
 import {RefusedRequests} from '../../source/decisions/fairness/refused-requests.js';
--- a/experiments/fairness/shared-use.ts
+++ b/experiments/fairness/shared-use.ts
@@ -1,7 +1,7 @@
 /**
 How one gateway of a replay keeps the teams' shares.
 */
-import type {WaitingPrompt} from '../../source/decisions/entry/waiting-prompt.js';
+import type {WaitingPrompt} from '../../source/decisions/entry/prompts/waiting-prompt.js';
 import type {PromptRank} from '../../source/decisions/fairness/prompt-rank.js';
 
 /**
--- a/source/callers/caller-guard.ts
+++ b/source/callers/caller-guard.ts
@@ -7,7 +7,7 @@
 import {chooseIdleConnection} from '../decisions/callers/choose-idle-connection.js';
 import {HeadHoldings} from '../decisions/callers/head-holdings.js';
 import {CallerTurns} from '../decisions/callers/caller-turns.js';
-import {RateLimit} from '../decisions/entry/rate-limit.js';
+import {RateLimit} from '../decisions/entry/requests/rate-limit.js';
 import type {EntryMetrics} from '../entry/entry-metrics.js';
 import type {FeedOwner} from './feed-owner.js';
 import {RequestFeed} from './request-feed.js';
@@ -24,6 +24,9 @@
 	readonly now: () => number;
 };
 
+/** What a connection held, and what it did, when it was given up. */
+type Given = {readonly bytes: number; readonly phase: RequestFeed['phase']};
+
 type Reason = 'memory' | 'heads' | 'connections' | 'stalled';
 
 /** Lines of closed connections and refused requests that are written each second. */
@@ -173,7 +176,7 @@
 		});
 	}
 
-	#log(reason: Reason, feed: RequestFeed, outcome: 'refused' | 'closed', {bytes = 0, phase = feed.phase}: {readonly bytes?: number; readonly phase?: RequestFeed['phase']} = {}): void {
+	#log(reason: Reason, feed: RequestFeed, outcome: 'refused' | 'closed', {bytes = 0, phase = feed.phase}: Partial<Given> = {}): void {
 		const {metrics, log} = this.#options;
 		metrics.count(`caller.${outcome}.${reason}`);
 		if (!this.#lines.tryTake(this.now())) {
@@ -182,7 +185,15 @@
 		}
 
 		log.warn({
-			event: `caller ${outcome}`, reason, address: feed.address, phase, bytes, heldBytes: this.#holdings.total, headBytes: this.#heads.total, connections: this.#feeds.size, unlogged: this.#unlogged,
+			event: `caller ${outcome}`,
+			reason,
+			address: feed.address,
+			phase,
+			bytes,
+			heldBytes: this.#holdings.total,
+			headBytes: this.#heads.total,
+			connections: this.#feeds.size,
+			unlogged: this.#unlogged,
 		}, outcome === 'refused' ? 'request refused because callers make the gateway hold too much' : 'connection of a caller closed');
 		this.#unlogged = 0;
 	}
--- a/source/decisions/entry/classify-answer.ts
+++ b/source/decisions/entry/answers/classify-answer.ts
@@ -16,8 +16,8 @@
 | of this request, a success that is unsigned or encoded | any | `foreign` |
 | of this request | has not carried it before | this request's |
 */
-import type {AnswerFacts} from '../../fleet/answer-facts.js';
-import type {ConnectionHistory} from '../../fleet/connection-history.js';
+import type {AnswerFacts} from '../../../fleet/answer-facts.js';
+import type {ConnectionHistory} from '../../../fleet/connection-history.js';
 import {saysNotRun} from './says-not-run.js';
 
 /**
--- a/source/decisions/entry/event-splitter.ts
+++ b/source/decisions/entry/answers/event-splitter.ts
@@ -12,7 +12,7 @@
 Each byte is looked at a fixed number of times and copied a bounded number of times, and no
 object is made for an event or a piece.
 */
-import {ByteAccumulator} from '../../shared/byte-accumulator.js';
+import {ByteAccumulator} from '../../../shared/byte-accumulator.js';
 
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
--- a/source/decisions/entry/is-event-stream.ts
+++ b/source/decisions/entry/answers/is-event-stream.ts
@@ -4,7 +4,7 @@
 Only a stream can be continued by another engine, and only a stream consists of events
 that it may end inside of.
 */
-import type {AnswerFacts} from '../../fleet/answer-facts.js';
+import type {AnswerFacts} from '../../../fleet/answer-facts.js';
 
 const noContentStatus = 204;
 
--- a/source/decisions/entry/may-continue-stream.ts
+++ b/source/decisions/entry/answers/may-continue-stream.ts
@@ -4,7 +4,7 @@
 An engine that fails may answer with a success whose body is the text of an error. Where the first
 engine has said that it sends a stream, one that goes on with it says so too.
 */
-import type {AnswerFacts} from '../../fleet/answer-facts.js';
+import type {AnswerFacts} from '../../../fleet/answer-facts.js';
 
 type Head = Pick<AnswerFacts, 'headers'>;
 
--- a/source/decisions/entry/crash-records.ts
+++ b/source/decisions/entry/crashes/crash-records.ts
@@ -3,7 +3,7 @@
 
 A part is taken out of the crashes before the time at which a prompt with it was answered.
 */
-import {rendezvousScore} from '../routing/rendezvous-score.js';
+import {rendezvousScore} from '../../routing/rendezvous-score.js';
 
 type Crash = {
 	readonly incarnation: string;
--- a/source/decisions/entry/engine-owner.ts
+++ b/source/decisions/entry/prompts/engine-owner.ts
@@ -6,7 +6,7 @@
 product of both. So only the owner queries an engine, and passes the changes on to
 its peers. The peers also ask the owner before they send the engine a long prompt.
 */
-import {rendezvousScore} from '../routing/rendezvous-score.js';
+import {rendezvousScore} from '../../routing/rendezvous-score.js';
 
 /**
 Returns the gateway that owns an engine, given the engine's incarnation. Gateways
--- a/source/decisions/entry/engine-rank.ts
+++ b/source/decisions/entry/prompts/engine-rank.ts
@@ -1,7 +1,7 @@
 /**
 Ranks a request in the queue of its engine.
 */
-import type {Urgency} from '../teams/urgency.js';
+import type {Urgency} from '../../teams/urgency.js';
 
 /** Rank of the most urgent route; the priority of the route is added. */
 const baseRank = {onTime: 2, late: 6} as const;
--- a/source/decisions/entry/latency-model.ts
+++ b/source/decisions/entry/prompts/latency-model.ts
@@ -3,8 +3,8 @@
 
 The rates are those learned for the service; until then, the ones of the first deployments.
 */
-import type {EngineRates} from '../capacity/engine-rates.js';
-import {startingRates} from '../capacity/starting-rates.js';
+import type {EngineRates} from '../../capacity/engine-rates.js';
+import {startingRates} from '../../capacity/starting-rates.js';
 
 /** Time to set up a transfer between engines. */
 const transferSetupMilliseconds = 4;
--- a/source/decisions/entry/place-decode.ts
+++ b/source/decisions/entry/prompts/place-decode.ts
@@ -5,10 +5,10 @@
 since the prompt was placed.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import type {EngineRates} from '../capacity/engine-rates.js';
-import {startingRates} from '../capacity/starting-rates.js';
+import type {EngineRates} from '../../capacity/engine-rates.js';
+import {startingRates} from '../../capacity/starting-rates.js';
+import {withoutAvoided} from '../targets/without-avoided.js';
 import type {EngineView} from './engine-view.js';
-import {withoutAvoided} from './without-avoided.js';
 
 /** What in-place prefill adds to a decode step, and the prefill backlog from which it is added to every step. */
 const inPlacePrefill = {milliseconds: 16.7, fullBacklogMilliseconds: 30} as const;
--- a/source/decisions/entry/place-prompt.ts
+++ b/source/decisions/entry/prompts/place-prompt.ts
@@ -9,13 +9,13 @@
 there, whichever is cheaper with the current queues.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import {rendezvousOrder} from '../routing/rendezvous-order.js';
-import type {EngineRates} from '../capacity/engine-rates.js';
-import {startingRates} from '../capacity/starting-rates.js';
+import {rendezvousOrder} from '../../routing/rendezvous-order.js';
+import type {EngineRates} from '../../capacity/engine-rates.js';
+import {startingRates} from '../../capacity/starting-rates.js';
+import {withoutAvoided} from '../targets/without-avoided.js';
 import {latencyModel} from './latency-model.js';
 import type {EngineView} from './engine-view.js';
 import type {PromptPlacement} from './prompt-placement.js';
-import {withoutAvoided} from './without-avoided.js';
 
 /** Weight of the engine time taken from other requests against the request's own latency. */
 const engineTimeWeight = 1;
--- a/source/decisions/entry/prompt-queue.ts
+++ b/source/decisions/entry/prompts/prompt-queue.ts
@@ -17,9 +17,9 @@
 lane: what is above it is left to prompts of other teams at any gateway.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import type {PromptRank} from '../fairness/prompt-rank.js';
-import {rendezvousOrder} from '../routing/rendezvous-order.js';
-import type {EngineRates} from '../capacity/engine-rates.js';
+import type {PromptRank} from '../../fairness/prompt-rank.js';
+import {rendezvousOrder} from '../../routing/rendezvous-order.js';
+import type {EngineRates} from '../../capacity/engine-rates.js';
 import {hasCapacity} from './has-capacity.js';
 import {firstEventMilliseconds} from './first-event-milliseconds.js';
 import {isTimely} from './is-timely.js';
--- a/source/decisions/entry/shared-parts.ts
+++ b/source/decisions/entry/prompts/shared-parts.ts
@@ -2,7 +2,7 @@
 The parts of a prompt that other prompts may have too: all but the last, which belongs to the
 request or its session.
 */
-import type {RequestFacts} from '../../fleet/request-facts.js';
+import type {RequestFacts} from '../../../fleet/request-facts.js';
 
 type Part = NonNullable<RequestFacts['prompt']>['parts'][number];
 
--- a/source/decisions/entry/shared-prefix.ts
+++ b/source/decisions/entry/prompts/shared-prefix.ts
@@ -1,7 +1,7 @@
 /**
 The beginning of a prompt that other prompts share, as engines may have it in their prefix caches.
 */
-import type {RequestFacts} from '../../fleet/request-facts.js';
+import type {RequestFacts} from '../../../fleet/request-facts.js';
 import {sharedParts} from './shared-parts.js';
 
 type SharedPrefix = {
--- a/source/decisions/entry/route-table.ts
+++ b/source/decisions/entry/requests/route-table.ts
@@ -5,7 +5,7 @@
 then costs one lookup by host and a scan of that host's path prefixes, longest first.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import type {Route} from '../../fleet/route.js';
+import type {Route} from '../../../fleet/route.js';
 
 const normalizeHost = (host: string): string => host.toLowerCase().replace(/:\d+$/, '');
 
--- a/source/decisions/entry/configuration-in-force.ts
+++ b/source/decisions/entry/store/configuration-in-force.ts
@@ -7,10 +7,10 @@
 
 Invariant: within one incarnation of the process, the version only increases.
 */
-import type {FleetConfiguration} from '../../fleet/fleet-configuration.js';
-import {TeamKeys} from '../teams/team-keys.js';
-import {UrgencyLevels} from '../teams/urgency-levels.js';
-import {RouteTable} from './route-table.js';
+import type {FleetConfiguration} from '../../../fleet/fleet-configuration.js';
+import {TeamKeys} from '../../teams/team-keys.js';
+import {UrgencyLevels} from '../../teams/urgency-levels.js';
+import {RouteTable} from '../requests/route-table.js';
 
 /** Time after a successful read of the store during which the configuration counts as the newest one. */
 const freshMilliseconds = 1500;
--- a/source/decisions/entry/configuration-peer-selector.ts
+++ b/source/decisions/entry/store/configuration-peer-selector.ts
@@ -7,7 +7,7 @@
 messages, such as that a target is leaving. So the gateway that is behind requests
 the configuration from one peer, and from another one only after a timeout.
 */
-import {rendezvousOrder} from '../routing/rendezvous-order.js';
+import {rendezvousOrder} from '../../routing/rendezvous-order.js';
 
 /** How long a gateway that reads the store, or is fed by a reader, waits to receive the configuration that way. */
 const unrequestedMilliseconds = 1200;
--- a/source/decisions/entry/digest-pace.ts
+++ b/source/decisions/entry/store/digest-pace.ts
@@ -6,7 +6,7 @@
 bytes of requests; with thirty they exceed them. Urgent information does not wait
 for a digest: it is sent in separate messages to the one gateway that needs it.
 */
-import {isLargeFleet} from '../load/is-large-fleet.js';
+import {isLargeFleet} from '../../load/is-large-fleet.js';
 
 /** Gateways for each tick between two digests. */
 const gatewaysPerTick = 8;
--- a/source/decisions/entry/is-older-position.ts
+++ b/source/decisions/entry/store/is-older-position.ts
@@ -1,7 +1,7 @@
 /**
 Orders positions in the history of the store.
 */
-import type {StorePosition} from '../../fleet/store-position.js';
+import type {StorePosition} from '../../../fleet/store-position.js';
 
 /**
 True when `position` lies before `other`. Positions without an era are compared by their
--- a/source/decisions/entry/store-feed.ts
+++ b/source/decisions/entry/store/store-feed.ts
@@ -14,7 +14,7 @@
 itself. So while the store answers, the state of a gateway is never older than a little
 over a second.
 */
-import {rendezvousOrder} from '../routing/rendezvous-order.js';
+import {rendezvousOrder} from '../../routing/rendezvous-order.js';
 
 /** Up to this many gateways, all of them read the store. */
 const maxGatewaysWithoutFeed = 6;
--- a/source/decisions/entry/departed-targets.ts
+++ b/source/decisions/entry/targets/departed-targets.ts
@@ -6,8 +6,8 @@
 finds that nobody renews it. So a target that went before the store came back is used
 again only if its entry is still listed after that time, or was written anew.
 */
-import type {StorePosition} from '../../fleet/store-position.js';
-import {isOlderPosition} from './is-older-position.js';
+import type {StorePosition} from '../../../fleet/store-position.js';
+import {isOlderPosition} from '../store/is-older-position.js';
 
 type Gone = {
 	/** Position of the list that lacked the target. */
--- a/source/decisions/entry/hash-target-list.ts
+++ b/source/decisions/entry/targets/hash-target-list.ts
@@ -2,8 +2,8 @@
 Computes a hash of a list of targets, by which two gateways check whether they
 hold the same list without sending it.
 */
-import type {TargetRecord} from '../../fleet/target-record.js';
-import {rendezvousScore} from '../routing/rendezvous-score.js';
+import type {TargetRecord} from '../../../fleet/target-record.js';
+import {rendezvousScore} from '../../routing/rendezvous-score.js';
 
 /**
 Returns the same number for lists with the same targets and fields, in any order.
--- a/source/decisions/entry/target-registry.ts
+++ b/source/decisions/entry/targets/target-registry.ts
@@ -19,12 +19,12 @@
 they are certain to be listed again, and targets that have gone stay so although the copy
 lists them (see `DepartedTargets`).
 */
-import type {StorePosition} from '../../fleet/store-position.js';
-import type {TargetList} from '../../fleet/target-list.js';
-import type {TargetRecord} from '../../fleet/target-record.js';
+import type {StorePosition} from '../../../fleet/store-position.js';
+import type {TargetList} from '../../../fleet/target-list.js';
+import type {TargetRecord} from '../../../fleet/target-record.js';
+import {isOlderPosition} from '../store/is-older-position.js';
 import {DepartedTargets} from './departed-targets.js';
 import {hashTargetList} from './hash-target-list.js';
-import {isOlderPosition} from './is-older-position.js';
 
 /** Time after the return of the store within which a live target is listed again. */
 const relistMilliseconds = 2000;
--- a/source/decisions/fairness/rank-prompts.ts
+++ b/source/decisions/fairness/rank-prompts.ts
@@ -5,7 +5,7 @@
 usage so far, and if that decided, all would be sent before the usage is charged. So each
 prompt counts as if those of its team that are due before it had been sent.
 */
-import type {WaitingPrompt} from '../entry/waiting-prompt.js';
+import type {WaitingPrompt} from '../entry/prompts/waiting-prompt.js';
 import type {PromptRank} from './prompt-rank.js';
 import {rankOrder} from './rank-order.js';
 import {usageLevel} from './usage-level.js';
--- a/source/decisions/fairness/service-fairness.ts
+++ b/source/decisions/fairness/service-fairness.ts
@@ -6,9 +6,9 @@
 peers, the other gateways let each team use, and orders its own queue by the sum
 (docs/design/fairness.md compares this with local and leased shares).
 */
-import type {WaitingPrompt} from '../entry/waiting-prompt.js';
-import {isTimely} from '../entry/is-timely.js';
-import {latencyModel} from '../entry/latency-model.js';
+import type {WaitingPrompt} from '../entry/prompts/waiting-prompt.js';
+import {isTimely} from '../entry/prompts/is-timely.js';
+import {latencyModel} from '../entry/prompts/latency-model.js';
 import {KindShares} from './kind-shares.js';
 import {memoize} from './memoize.js';
 import {PlacedWork} from './placed-work.js';
--- a/source/duties/usage-reporter.ts
+++ b/source/duties/usage-reporter.ts
@@ -6,7 +6,7 @@
 import type {CollectedUsage} from '../decisions/duties/collected-usage.js';
 import {formatUsage} from '../decisions/duties/format-usage.js';
 import type {ReportPlan} from '../decisions/duties/report-plan.js';
-import {RateLimit} from '../decisions/entry/rate-limit.js';
+import {RateLimit} from '../decisions/entry/requests/rate-limit.js';
 import type {EntryMetrics} from '../entry/entry-metrics.js';
 import type {DutyInterface} from '../ports/duty-interface.js';
 import type {LeaseStore} from '../ports/lease-store.js';
--- a/source/entry/answer-pacer.ts
+++ b/source/entry/answer-pacer.ts
@@ -1,7 +1,7 @@
 /**
 Pauses the reading of answers that take more than their share of the event loop's time, and resumes it.
 */
-import {ReadingShare} from '../decisions/entry/reading-share.js';
+import {ReadingShare} from '../decisions/entry/answers/reading-share.js';
 import type {Timers} from '../shared/timers.js';
 import type {EntryMetrics} from './entry-metrics.js';
 import type {LoopActivity} from './loop-activity.js';
--- a/source/entry/attempt-exchange.ts
+++ b/source/entry/attempt-exchange.ts
@@ -2,7 +2,7 @@
 One attempt on its connection: translates what the HTTP client reports of it, and decides how it ended.
 */
 import type {Dispatcher} from 'undici';
-import {classifyStatus} from '../decisions/entry/classify-status.js';
+import {classifyStatus} from '../decisions/entry/answers/classify-status.js';
 import type {ConnectionHistory} from '../fleet/connection-history.js';
 import type {AnswerPacer} from './answer-pacer.js';
 import {AnswerReading} from './answer-reading.js';
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -3,7 +3,7 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {TargetHoldings} from '../decisions/callers/target-holdings.js';
-import {RateLimit} from '../decisions/entry/rate-limit.js';
+import {RateLimit} from '../decisions/entry/requests/rate-limit.js';
 import type {RequestFacts} from '../fleet/request-facts.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -7,7 +7,7 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {headCost} from '../decisions/callers/head-cost.js';
-import {isWellFormedRequest} from '../decisions/entry/is-well-formed-request.js';
+import {isWellFormedRequest} from '../decisions/entry/requests/is-well-formed-request.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import {CallerMessage} from '../callers/caller-message.js';
 import type {CallerGuard} from '../callers/caller-guard.js';
--- a/source/entry/create-waiting-prompt.ts
+++ b/source/entry/create-waiting-prompt.ts
@@ -1,8 +1,8 @@
 /**
 Describes a request as a prompt that waits for an engine.
 */
-import type {sharedPrefix} from '../decisions/entry/shared-prefix.js';
-import type {WaitingPrompt} from '../decisions/entry/waiting-prompt.js';
+import type {sharedPrefix} from '../decisions/entry/prompts/shared-prefix.js';
+import type {WaitingPrompt} from '../decisions/entry/prompts/waiting-prompt.js';
 import type {CallerRequest} from './caller-request.js';
 import type {EntryContext} from './entry-context.js';
 
--- a/source/entry/engine-cache-pollers.ts
+++ b/source/entry/engine-cache-pollers.ts
@@ -1,7 +1,7 @@
 /**
 Runs a cache poller for each engine that this gateway owns.
 */
-import {engineOwner} from '../decisions/entry/engine-owner.js';
+import {engineOwner} from '../decisions/entry/prompts/engine-owner.js';
 import type {Gateway} from '../decisions/load/gateway.js';
 import {ownerCandidates} from '../decisions/load/owner-candidates.js';
 import type {TargetRecord} from '../fleet/target-record.js';
--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -3,11 +3,11 @@
 */
 import type {Logger} from 'roarr';
 import type {LearnedCapacity} from '../decisions/capacity/learned-capacity.js';
-import type {PrefixCacheIndex} from '../decisions/entry/prefix-cache-index.js';
-import type {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
-import type {TargetRegistry} from '../decisions/entry/target-registry.js';
-import type {TargetHealth} from '../decisions/entry/target-health.js';
-import type {TargetPauses} from '../decisions/entry/target-pauses.js';
+import type {PrefixCacheIndex} from '../decisions/entry/caches/prefix-cache-index.js';
+import type {WindowedRetryBudget} from '../decisions/entry/requests/windowed-retry-budget.js';
+import type {TargetRegistry} from '../decisions/entry/targets/target-registry.js';
+import type {TargetHealth} from '../decisions/entry/targets/target-health.js';
+import type {TargetPauses} from '../decisions/entry/targets/target-pauses.js';
 import type {Duties} from '../duties/duties.js';
 import type {ServiceDescription} from '../fleet/service-description.js';
 import type {TargetProtocol} from '../ports/target-protocol.js';
--- a/source/entry/fleet-state.ts
+++ b/source/entry/fleet-state.ts
@@ -1,10 +1,10 @@
 /**
 Holds a gateway's view of the configuration and the targets, from the store and from peers.
 */
-import {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
-import {isOlderPosition} from '../decisions/entry/is-older-position.js';
-import {StoreFeed} from '../decisions/entry/store-feed.js';
-import type {TargetRegistry} from '../decisions/entry/target-registry.js';
+import {ConfigurationInForce} from '../decisions/entry/store/configuration-in-force.js';
+import {isOlderPosition} from '../decisions/entry/store/is-older-position.js';
+import {StoreFeed} from '../decisions/entry/store/store-feed.js';
+import type {TargetRegistry} from '../decisions/entry/targets/target-registry.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import type {ServiceDescription} from '../fleet/service-description.js';
 import type {TargetList} from '../fleet/target-list.js';
--- a/source/entry/load-tracker.ts
+++ b/source/entry/load-tracker.ts
@@ -2,7 +2,7 @@
 Tracks the outstanding work at each target: the attempts and the prefill backlog of
 this gateway, and those that its peers reported. Load balancing needs the sum of both.
 */
-import {announcedPrefillMilliseconds} from '../decisions/entry/announced-prefill-milliseconds.js';
+import {announcedPrefillMilliseconds} from '../decisions/entry/prompts/announced-prefill-milliseconds.js';
 import type {LoadEntry} from './load-entry.js';
 
 /** A peer's report that is older than this no longer counts. */
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -5,7 +5,7 @@
 store is large and is sent separately, by `StoreRelay`.
 */
 import type {PeerMessage} from '../generated/peer-messages.js';
-import {digestPace} from '../decisions/entry/digest-pace.js';
+import {digestPace} from '../decisions/entry/store/digest-pace.js';
 import {ZoneLoadExchange} from '../load/zone-load-exchange.js';
 import type {EntryContext} from './entry-context.js';
 import type {FleetState} from './fleet-state.js';
--- a/source/entry/placed-facts.ts
+++ b/source/entry/placed-facts.ts
@@ -1,7 +1,7 @@
 /**
 The fields of the log line that says where a prompt was placed, and why.
 */
-import type {PromptPlacement} from '../decisions/entry/prompt-placement.js';
+import type {PromptPlacement} from '../decisions/entry/prompts/prompt-placement.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 
 type Placed = {
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -2,8 +2,8 @@
 Relays one request to a target of a service without engines, and retries it at other targets.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import type {CallTarget} from '../decisions/entry/call-target.js';
-import {placeCall} from '../decisions/entry/place-call.js';
+import type {CallTarget} from '../decisions/entry/targets/call-target.js';
+import {placeCall} from '../decisions/entry/targets/place-call.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AnswerAssembly} from './answer-assembly.js';
--- a/source/entry/prefill-grants.ts
+++ b/source/entry/prefill-grants.ts
@@ -2,11 +2,11 @@
 Asks the owner gateway of an engine for a grant before a long prompt is sent there,
 and answers such requests of peers for the engines that this gateway owns.
 */
-import {engineOwner} from '../decisions/entry/engine-owner.js';
+import {engineOwner} from '../decisions/entry/prompts/engine-owner.js';
 import type {Gateway} from '../decisions/load/gateway.js';
 import {ownerCandidates} from '../decisions/load/owner-candidates.js';
-import {grantPrefill} from '../decisions/entry/grant-prefill.js';
-import type {EngineView} from '../decisions/entry/engine-view.js';
+import {grantPrefill} from '../decisions/entry/prompts/grant-prefill.js';
+import type {EngineView} from '../decisions/entry/prompts/engine-view.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {PeerMessage} from '../generated/peer-messages.js';
 import type {EntryContext} from './entry-context.js';
--- a/source/entry/prompt-quarantine.ts
+++ b/source/entry/prompt-quarantine.ts
@@ -5,8 +5,8 @@
 to one peer after the other, so that a gateway that was cut off or has just started learns it too.
 */
 import type {Logger} from 'roarr';
-import {CrashEvidence} from '../decisions/entry/crash-evidence.js';
-import {engineOwner} from '../decisions/entry/engine-owner.js';
+import {CrashEvidence} from '../decisions/entry/crashes/crash-evidence.js';
+import {engineOwner} from '../decisions/entry/prompts/engine-owner.js';
 import type {PeerMessage} from '../generated/peer-messages.js';
 import type {CrashMonitor} from './crash-monitor.js';
 import type {EntryMetrics} from './entry-metrics.js';
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -2,12 +2,12 @@
 Queues the prompts that wait at this gateway until an engine has capacity for them.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import type {PromptPlacement} from '../decisions/entry/prompt-placement.js';
-import type {EngineView} from '../decisions/entry/engine-view.js';
-import {queuePassPause} from '../decisions/entry/queue-pass-pause.js';
-import {promptQueue} from '../decisions/entry/prompt-queue.js';
-import {announcedPrefillMilliseconds} from '../decisions/entry/announced-prefill-milliseconds.js';
-import type {WaitingPrompt} from '../decisions/entry/waiting-prompt.js';
+import type {PromptPlacement} from '../decisions/entry/prompts/prompt-placement.js';
+import type {EngineView} from '../decisions/entry/prompts/engine-view.js';
+import {queuePassPause} from '../decisions/entry/prompts/queue-pass-pause.js';
+import {promptQueue} from '../decisions/entry/prompts/prompt-queue.js';
+import {announcedPrefillMilliseconds} from '../decisions/entry/prompts/announced-prefill-milliseconds.js';
+import type {WaitingPrompt} from '../decisions/entry/prompts/waiting-prompt.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import {targetViews} from './target-views.js';
 import type {EntryContext} from './entry-context.js';
--- a/source/entry/received-answer.ts
+++ b/source/entry/received-answer.ts
@@ -7,7 +7,7 @@
 more memory for that. Any other is bounded, as is an event of a stream, and the sum of all that
 is held.
 */
-import type {classifyAnswer} from '../decisions/entry/classify-answer.js';
+import type {classifyAnswer} from '../decisions/entry/answers/classify-answer.js';
 import type {AnswerFacts} from '../fleet/answer-facts.js';
 import {BytePieces} from '../shared/byte-pieces.js';
 import type {AnswerSink} from './answer-sink.js';
--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -3,10 +3,10 @@
 retries, and the errors that the gateway itself returns. The relays of plain calls and
 of streams share it.
 */
-import {nextStep} from '../decisions/entry/next-step.js';
-import type {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
-import {retryAfter} from '../decisions/entry/retry-after.js';
-import {saysNotRun} from '../decisions/entry/says-not-run.js';
+import {nextStep} from '../decisions/entry/requests/next-step.js';
+import type {WindowedRetryBudget} from '../decisions/entry/requests/windowed-retry-budget.js';
+import {retryAfter} from '../decisions/entry/requests/retry-after.js';
+import {saysNotRun} from '../decisions/entry/answers/says-not-run.js';
 import {RequestUsage} from '../duties/request-usage.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {TargetRecord} from '../fleet/target-record.js';
--- a/source/entry/request-router.ts
+++ b/source/entry/request-router.ts
@@ -3,7 +3,7 @@
 */
 import type http from 'node:http';
 import * as option from 'fp-ts/lib/Option.js';
-import type {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
+import type {ConfigurationInForce} from '../decisions/entry/store/configuration-in-force.js';
 import type {AccessDecision} from '../decisions/teams/access-decision.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import type {Route} from '../fleet/route.js';
--- a/source/entry/retry-budgets.ts
+++ b/source/entry/retry-budgets.ts
@@ -1,7 +1,7 @@
 /**
 The retry budgets of the services, one each.
 */
-import {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
+import {WindowedRetryBudget} from '../decisions/entry/requests/windowed-retry-budget.js';
 import type {EntrySettings} from './entry-settings.js';
 
 /**
--- a/source/entry/retry-permit.ts
+++ b/source/entry/retry-permit.ts
@@ -7,9 +7,9 @@
 is sent, because its time window has moved on by then.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import {ArrivalCount} from '../decisions/entry/arrival-count.js';
-import type {RetryCharge} from '../decisions/entry/retry-charge.js';
-import type {WindowedRetryBudget} from '../decisions/entry/windowed-retry-budget.js';
+import {ArrivalCount} from '../decisions/entry/requests/arrival-count.js';
+import type {RetryCharge} from '../decisions/entry/requests/retry-charge.js';
+import type {WindowedRetryBudget} from '../decisions/entry/requests/windowed-retry-budget.js';
 
 /**
 One instance a request. Times are on the gateway's monotonic clock.
--- a/source/entry/store-relay.ts
+++ b/source/entry/store-relay.ts
@@ -6,9 +6,9 @@
 request them. At every tick, only a short freshness report is sent: which version and
 which list are in force here, and when the store was last read.
 */
-import {ConfigurationPeerSelector} from '../decisions/entry/configuration-peer-selector.js';
-import {earliestSendTime} from '../decisions/entry/earliest-send-time.js';
-import {isOlderPosition} from '../decisions/entry/is-older-position.js';
+import {ConfigurationPeerSelector} from '../decisions/entry/store/configuration-peer-selector.js';
+import {earliestSendTime} from '../decisions/entry/store/earliest-send-time.js';
+import {isOlderPosition} from '../decisions/entry/store/is-older-position.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import type {PeerMessage} from '../generated/peer-messages.js';
 import type {EntryContext} from './entry-context.js';
--- a/source/entry/stream-answer.ts
+++ b/source/entry/stream-answer.ts
@@ -5,9 +5,9 @@
 arrives, and an attempt that ends inside an event was broken off. Then another target continues
 the stream after its last event, where the route allows that.
 */
-import {EventSplitter} from '../decisions/entry/event-splitter.js';
-import {isEventStream} from '../decisions/entry/is-event-stream.js';
-import {mayContinueStream} from '../decisions/entry/may-continue-stream.js';
+import {EventSplitter} from '../decisions/entry/answers/event-splitter.js';
+import {isEventStream} from '../decisions/entry/answers/is-event-stream.js';
+import {mayContinueStream} from '../decisions/entry/answers/may-continue-stream.js';
 import type {AnswerFacts} from '../fleet/answer-facts.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AnswerAssembly} from './answer-assembly.js';
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -5,9 +5,9 @@
 KV cache, or at the decode engine itself.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import {engineRank} from '../decisions/entry/engine-rank.js';
-import {placeDecode} from '../decisions/entry/place-decode.js';
-import {sharedPrefix} from '../decisions/entry/shared-prefix.js';
+import {engineRank} from '../decisions/entry/prompts/engine-rank.js';
+import {placeDecode} from '../decisions/entry/prompts/place-decode.js';
+import {sharedPrefix} from '../decisions/entry/prompts/shared-prefix.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {SendInstructions} from '../fleet/send-instructions.js';
 import type {TargetRecord} from '../fleet/target-record.js';
--- a/source/entry/target-attempt.ts
+++ b/source/entry/target-attempt.ts
@@ -7,8 +7,8 @@
 A head that says that the request did not run, or that belongs to another request, is the whole
 outcome. Nobody waits for its body, which may have no end.
 */
-import {classifyAnswer} from '../decisions/entry/classify-answer.js';
-import {sharedParts} from '../decisions/entry/shared-parts.js';
+import {classifyAnswer} from '../decisions/entry/answers/classify-answer.js';
+import {sharedParts} from '../decisions/entry/prompts/shared-parts.js';
 import {AttemptTiming} from './attempt-timing.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {AttemptPlan} from './attempt-plan.js';
--- a/source/entry/target-views.ts
+++ b/source/entry/target-views.ts
@@ -1,8 +1,8 @@
 /**
 Builds the views of a service's targets that the scheduling decisions use.
 */
-import type {CallTarget} from '../decisions/entry/call-target.js';
-import type {EngineView} from '../decisions/entry/engine-view.js';
+import type {CallTarget} from '../decisions/entry/targets/call-target.js';
+import type {EngineView} from '../decisions/entry/prompts/engine-view.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {EntryContext} from './entry-context.js';
 
--- a/source/entry/team-gate.ts
+++ b/source/entry/team-gate.ts
@@ -7,7 +7,7 @@
 import {recheckAccess} from '../decisions/teams/recheck-access.js';
 import type {AccessChange} from '../decisions/teams/access-change.js';
 import type {AccessDecision} from '../decisions/teams/access-decision.js';
-import type {ConfigurationInForce} from '../decisions/entry/configuration-in-force.js';
+import type {ConfigurationInForce} from '../decisions/entry/store/configuration-in-force.js';
 import type {RequestTeam} from '../fleet/request-team.js';
 import type {Route} from '../fleet/route.js';
 import type {EntryContext} from './entry-context.js';
--- a/source/ports/plain-target.ts
+++ b/source/ports/plain-target.ts
@@ -3,7 +3,7 @@
 */
 import {Pool, type Dispatcher} from 'undici';
 import {err, ok, type Result} from 'neverthrow';
-import {classifyStatus} from '../decisions/entry/classify-status.js';
+import {classifyStatus} from '../decisions/entry/answers/classify-status.js';
 import type {AttemptMessage} from '../generated/messages.js';
 import {resultCode} from '../generated/result-codes.js';
 import {clock} from '../shared/clock.js';
--- a/test/decisions/callers/small-decisions.test.ts
+++ b/test/decisions/callers/small-decisions.test.ts
@@ -9,7 +9,7 @@
 import {memoryShares} from '../../../source/decisions/callers/memory-shares.js';
 import {CallerTurns} from '../../../source/decisions/callers/caller-turns.js';
 import {TargetHoldings} from '../../../source/decisions/callers/target-holdings.js';
-import {sharedPrefix} from '../../../source/decisions/entry/shared-prefix.js';
+import {sharedPrefix} from '../../../source/decisions/entry/prompts/shared-prefix.js';
 import {targetProtocol} from '../../../platform/target-protocol.js';
 import {heldHeap} from '../../support/held-heap.js';
 
--- a/test/decisions/capacity/placement-by-speed.test.ts
+++ b/test/decisions/capacity/placement-by-speed.test.ts
@@ -4,15 +4,15 @@
 import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
 import {startingRates} from '../../../source/decisions/capacity/starting-rates.js';
-import type {CallTarget} from '../../../source/decisions/entry/call-target.js';
-import type {EngineView} from '../../../source/decisions/entry/engine-view.js';
-import {hasCapacity} from '../../../source/decisions/entry/has-capacity.js';
-import {latencyModel} from '../../../source/decisions/entry/latency-model.js';
-import {placeCall} from '../../../source/decisions/entry/place-call.js';
-import {placeDecode} from '../../../source/decisions/entry/place-decode.js';
-import {placePrompt} from '../../../source/decisions/entry/place-prompt.js';
-import {promptQueue} from '../../../source/decisions/entry/prompt-queue.js';
-import type {WaitingPrompt} from '../../../source/decisions/entry/waiting-prompt.js';
+import type {CallTarget} from '../../../source/decisions/entry/targets/call-target.js';
+import type {EngineView} from '../../../source/decisions/entry/prompts/engine-view.js';
+import {hasCapacity} from '../../../source/decisions/entry/prompts/has-capacity.js';
+import {latencyModel} from '../../../source/decisions/entry/prompts/latency-model.js';
+import {placeCall} from '../../../source/decisions/entry/targets/place-call.js';
+import {placeDecode} from '../../../source/decisions/entry/prompts/place-decode.js';
+import {placePrompt} from '../../../source/decisions/entry/prompts/place-prompt.js';
+import {promptQueue} from '../../../source/decisions/entry/prompts/prompt-queue.js';
+import type {WaitingPrompt} from '../../../source/decisions/entry/prompts/waiting-prompt.js';
 import {SeededChance} from '../../support/seeded-chance.js';
 
 const view = (id: string, role: EngineView['role'], more: Partial<EngineView> = {}): EngineView => ({
--- a/test/decisions/capacity/service-rates.test.ts
+++ b/test/decisions/capacity/service-rates.test.ts
@@ -4,7 +4,7 @@
 import {test} from 'tap';
 import {ServiceRates} from '../../../source/decisions/capacity/service-rates.js';
 import {startingRates} from '../../../source/decisions/capacity/starting-rates.js';
-import {latencyModel} from '../../../source/decisions/entry/latency-model.js';
+import {latencyModel} from '../../../source/decisions/entry/prompts/latency-model.js';
 import {SeededChance} from '../../support/seeded-chance.js';
 
 type Engine = {readonly tokensPerMillisecond: number; readonly millisecondsPerMillionPairs: number; readonly inPlaceSlowdown: number; readonly step: number; readonly perRequest: number};
--- a/test/decisions/capacity/unchanged-decisions.test.ts
+++ b/test/decisions/capacity/unchanged-decisions.test.ts
@@ -11,12 +11,12 @@
 import {test} from 'tap';
 import {LearnedCapacity} from '../../../source/decisions/capacity/learned-capacity.js';
 import {startingRates} from '../../../source/decisions/capacity/starting-rates.js';
-import type {EngineView} from '../../../source/decisions/entry/engine-view.js';
-import {hasCapacity} from '../../../source/decisions/entry/has-capacity.js';
-import {latencyModel} from '../../../source/decisions/entry/latency-model.js';
-import {placeCall} from '../../../source/decisions/entry/place-call.js';
-import {placeDecode} from '../../../source/decisions/entry/place-decode.js';
-import {placePrompt} from '../../../source/decisions/entry/place-prompt.js';
+import type {EngineView} from '../../../source/decisions/entry/prompts/engine-view.js';
+import {hasCapacity} from '../../../source/decisions/entry/prompts/has-capacity.js';
+import {latencyModel} from '../../../source/decisions/entry/prompts/latency-model.js';
+import {placeCall} from '../../../source/decisions/entry/targets/place-call.js';
+import {placeDecode} from '../../../source/decisions/entry/prompts/place-decode.js';
+import {placePrompt} from '../../../source/decisions/entry/prompts/place-prompt.js';
 import {SeededChance} from '../../support/seeded-chance.js';
 
 const zone = fc.constantFrom('a', 'b');
--- a/test/decisions/entry/arrival-count.test.ts
+++ b/test/decisions/entry/arrival-count.test.ts
@@ -3,7 +3,7 @@
 */
 import fc from 'fast-check';
 import {test} from 'tap';
-import {ArrivalCount} from '../../../source/decisions/entry/arrival-count.js';
+import {ArrivalCount} from '../../../source/decisions/entry/requests/arrival-count.js';
 import {RetryJudge} from '../../support/retry-judge.js';
 
 const attempt = fc.record({isPrefill: fc.boolean(), outcome: fc.constantFrom('accepted' as const, 'refused' as const, 'lost' as const)});
--- a/test/decisions/entry/bucket-counts.test.ts
+++ b/test/decisions/entry/bucket-counts.test.ts
@@ -3,7 +3,7 @@
 */
 import fc from 'fast-check';
 import {test} from 'tap';
-import {BucketCounts} from '../../../source/decisions/entry/bucket-counts.js';
+import {BucketCounts} from '../../../source/decisions/entry/requests/bucket-counts.js';
 
 const windowMilliseconds = 10_000;
 const bucketMilliseconds = 200;
--- a/test/decisions/entry/configuration-peer-selector.test.ts
+++ b/test/decisions/entry/configuration-peer-selector.test.ts
@@ -2,7 +2,7 @@
 Which peer a gateway asks for a newer configuration, and when.
 */
 import {test} from 'tap';
-import {ConfigurationPeerSelector} from '../../../source/decisions/entry/configuration-peer-selector.js';
+import {ConfigurationPeerSelector} from '../../../source/decisions/entry/store/configuration-peer-selector.js';
 
 const ahead = (count: number): ReadonlyMap<string, number> => new Map(Array.from({length: count}, (_, index) => [`gateway-${index}`, 5]));
 
--- a/test/decisions/entry/crash-evidence.test.ts
+++ b/test/decisions/entry/crash-evidence.test.ts
@@ -2,7 +2,7 @@
 Which parts of prompts are held to crash engines, and which are not.
 */
 import {test} from 'tap';
-import {CrashEvidence} from '../../../source/decisions/entry/crash-evidence.js';
+import {CrashEvidence} from '../../../source/decisions/entry/crashes/crash-evidence.js';
 
 const second = 1000;
 
--- a/test/decisions/entry/departed-targets.test.ts
+++ b/test/decisions/entry/departed-targets.test.ts
@@ -2,8 +2,8 @@
 Targets that have gone, and entries of theirs in a store that came back from an older copy.
 */
 import {test} from 'tap';
-import {DepartedTargets} from '../../../source/decisions/entry/departed-targets.js';
-import {TargetRegistry} from '../../../source/decisions/entry/target-registry.js';
+import {DepartedTargets} from '../../../source/decisions/entry/targets/departed-targets.js';
+import {TargetRegistry} from '../../../source/decisions/entry/targets/target-registry.js';
 import type {TargetRecord} from '../../../source/fleet/target-record.js';
 
 const heartbeatMilliseconds = 1200;
--- a/test/decisions/entry/digest-pace.test.ts
+++ b/test/decisions/entry/digest-pace.test.ts
@@ -2,7 +2,7 @@
 How often gateways send digests to all others.
 */
 import {test} from 'tap';
-import {digestPace} from '../../../source/decisions/entry/digest-pace.js';
+import {digestPace} from '../../../source/decisions/entry/store/digest-pace.js';
 
 const tickMilliseconds = 200;
 /** What a peer has reported expires after this time. */
--- a/test/decisions/entry/engine-owner.test.ts
+++ b/test/decisions/entry/engine-owner.test.ts
@@ -2,7 +2,7 @@
 Which gateway owns an engine.
 */
 import {test} from 'tap';
-import {engineOwner} from '../../../source/decisions/entry/engine-owner.js';
+import {engineOwner} from '../../../source/decisions/entry/prompts/engine-owner.js';
 
 const engines = Array.from({length: 40}, (_, index) => `engine-${index} 1`);
 const gateways = ['gateway-1', 'gateway-2', 'gateway-3', 'gateway-4', 'gateway-5'];
--- a/test/decisions/entry/event-splitter.test.ts
+++ b/test/decisions/entry/event-splitter.test.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import fc from 'fast-check';
 import {test} from 'tap';
-import {EventSplitter} from '../../../source/decisions/entry/event-splitter.js';
+import {EventSplitter} from '../../../source/decisions/entry/answers/event-splitter.js';
 
 test('the events and the rest are the bytes pushed, for any chunk boundaries', async t => {
 	const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: \u00FF\u0080\r\n\r\nid: 30\ndata: b\n\nid: 4\nda';
--- a/test/decisions/entry/grant-prefill.test.ts
+++ b/test/decisions/entry/grant-prefill.test.ts
@@ -6,10 +6,10 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
-import type {EngineView} from '../../../source/decisions/entry/engine-view.js';
-import {grantPrefill} from '../../../source/decisions/entry/grant-prefill.js';
-import {promptQueue} from '../../../source/decisions/entry/prompt-queue.js';
-import type {WaitingPrompt} from '../../../source/decisions/entry/waiting-prompt.js';
+import type {EngineView} from '../../../source/decisions/entry/prompts/engine-view.js';
+import {grantPrefill} from '../../../source/decisions/entry/prompts/grant-prefill.js';
+import {promptQueue} from '../../../source/decisions/entry/prompts/prompt-queue.js';
+import type {WaitingPrompt} from '../../../source/decisions/entry/prompts/waiting-prompt.js';
 
 const gateways = 5;
 const engineNames = ['p1', 'p2', 'p3'];
--- a/test/decisions/entry/is-event-stream.test.ts
+++ b/test/decisions/entry/is-event-stream.test.ts
@@ -2,7 +2,7 @@
 Which answers of engines are streams of events.
 */
 import {test} from 'tap';
-import {isEventStream} from '../../../source/decisions/entry/is-event-stream.js';
+import {isEventStream} from '../../../source/decisions/entry/answers/is-event-stream.js';
 
 test('a success is a stream unless it says that it is something else, or has no content', t => {
 	const stream = {'content-type': 'text/event-stream'};
--- a/test/decisions/entry/next-step.test.ts
+++ b/test/decisions/entry/next-step.test.ts
@@ -3,8 +3,8 @@
 */
 import fc from 'fast-check';
 import {test} from 'tap';
-import {nextStep} from '../../../source/decisions/entry/next-step.js';
-import {retryAfter} from '../../../source/decisions/entry/retry-after.js';
+import {nextStep} from '../../../source/decisions/entry/requests/next-step.js';
+import {retryAfter} from '../../../source/decisions/entry/requests/retry-after.js';
 
 const attempts = fc.record({
 	isRepeatable: fc.boolean(), mostAttempts: fc.integer({min: 1, max: 3}), ran: fc.integer({min: 0, max: 3}), refused: fc.integer({min: 0, max: 4}), unsent: fc.integer({min: 0, max: 7}), mayRetry: fc.boolean(), remainingMilliseconds: fc.integer({min: -10, max: 3000}),
--- a/test/decisions/entry/place.test.ts
+++ b/test/decisions/entry/place.test.ts
@@ -3,10 +3,10 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
-import type {EngineView} from '../../../source/decisions/entry/engine-view.js';
-import {placeCall} from '../../../source/decisions/entry/place-call.js';
-import {placePrompt} from '../../../source/decisions/entry/place-prompt.js';
-import {placeDecode} from '../../../source/decisions/entry/place-decode.js';
+import type {EngineView} from '../../../source/decisions/entry/prompts/engine-view.js';
+import {placeCall} from '../../../source/decisions/entry/targets/place-call.js';
+import {placePrompt} from '../../../source/decisions/entry/prompts/place-prompt.js';
+import {placeDecode} from '../../../source/decisions/entry/prompts/place-decode.js';
 
 const view = (id: string, role: EngineView['role'], more: Partial<EngineView> = {}): EngineView => ({
 	id, role, availabilityZone: 'a', slots: 64, attempts: 0, readMilliseconds: 0, isAvoided: false, failureShare: 0, ...more,
--- a/test/decisions/entry/prefix-cache-index.test.ts
+++ b/test/decisions/entry/prefix-cache-index.test.ts
@@ -2,8 +2,8 @@
 Which shared parts engines are estimated to have cached.
 */
 import {test} from 'tap';
-import {latencyModel} from '../../../source/decisions/entry/latency-model.js';
-import {PrefixCacheIndex} from '../../../source/decisions/entry/prefix-cache-index.js';
+import {latencyModel} from '../../../source/decisions/entry/prompts/latency-model.js';
+import {PrefixCacheIndex} from '../../../source/decisions/entry/caches/prefix-cache-index.js';
 
 const lot = [{id: 'lot', tokens: 13_300}];
 const at = (now: number) => ({cacheTokens: 100_000, now});
--- a/test/decisions/entry/prompt-queue.test.ts
+++ b/test/decisions/entry/prompt-queue.test.ts
@@ -3,10 +3,10 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
-import type {EngineView} from '../../../source/decisions/entry/engine-view.js';
-import {latencyModel} from '../../../source/decisions/entry/latency-model.js';
-import {promptQueue} from '../../../source/decisions/entry/prompt-queue.js';
-import type {WaitingPrompt} from '../../../source/decisions/entry/waiting-prompt.js';
+import type {EngineView} from '../../../source/decisions/entry/prompts/engine-view.js';
+import {latencyModel} from '../../../source/decisions/entry/prompts/latency-model.js';
+import {promptQueue} from '../../../source/decisions/entry/prompts/prompt-queue.js';
+import type {WaitingPrompt} from '../../../source/decisions/entry/prompts/waiting-prompt.js';
 
 const view = (id: string, role: EngineView['role'], more: Partial<EngineView> = {}): EngineView => ({
 	id, role, availabilityZone: 'a', slots: 64, attempts: 0, readMilliseconds: 0, isAvoided: false, failureShare: 0, ...more,
--- a/test/decisions/entry/queue-pass-pause.test.ts
+++ b/test/decisions/entry/queue-pass-pause.test.ts
@@ -2,7 +2,7 @@
 How much of its time a gateway spends on passes over a long queue, in a simulated burst.
 */
 import {test} from 'tap';
-import {queuePassPause} from '../../../source/decisions/entry/queue-pass-pause.js';
+import {queuePassPause} from '../../../source/decisions/entry/prompts/queue-pass-pause.js';
 
 const millisecondsPerPrompt = 0.15;
 const requestMilliseconds = 5;
--- a/test/decisions/entry/reading-share.test.ts
+++ b/test/decisions/entry/reading-share.test.ts
@@ -2,7 +2,7 @@
 Several answers without end, beside small ones, on one event loop.
 */
 import {test} from 'tap';
-import {ReadingShare} from '../../../source/decisions/entry/reading-share.js';
+import {ReadingShare} from '../../../source/decisions/entry/answers/reading-share.js';
 
 type Answer = {readonly name: string; read: number; readyAt: number};
 
--- a/test/decisions/entry/small-decisions.test.ts
+++ b/test/decisions/entry/small-decisions.test.ts
@@ -3,13 +3,13 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
-import {ConfigurationInForce} from '../../../source/decisions/entry/configuration-in-force.js';
-import {isWellFormedRequest} from '../../../source/decisions/entry/is-well-formed-request.js';
-import {classifyAnswer} from '../../../source/decisions/entry/classify-answer.js';
-import {classifyStatus} from '../../../source/decisions/entry/classify-status.js';
-import {RateLimit} from '../../../source/decisions/entry/rate-limit.js';
-import {RouteTable} from '../../../source/decisions/entry/route-table.js';
-import {TargetHealth} from '../../../source/decisions/entry/target-health.js';
+import {ConfigurationInForce} from '../../../source/decisions/entry/store/configuration-in-force.js';
+import {isWellFormedRequest} from '../../../source/decisions/entry/requests/is-well-formed-request.js';
+import {classifyAnswer} from '../../../source/decisions/entry/answers/classify-answer.js';
+import {classifyStatus} from '../../../source/decisions/entry/answers/classify-status.js';
+import {RateLimit} from '../../../source/decisions/entry/requests/rate-limit.js';
+import {RouteTable} from '../../../source/decisions/entry/requests/route-table.js';
+import {TargetHealth} from '../../../source/decisions/entry/targets/target-health.js';
 import type {AnswerFacts} from '../../../source/fleet/answer-facts.js';
 import type {ConnectionHistory} from '../../../source/fleet/connection-history.js';
 import type {FleetConfiguration} from '../../../source/fleet/fleet-configuration.js';
--- a/test/decisions/entry/store-feed.test.ts
+++ b/test/decisions/entry/store-feed.test.ts
@@ -2,7 +2,7 @@
 Which gateways of a large fleet read the store, and when a gateway that is fed reads it itself.
 */
 import {test} from 'tap';
-import {StoreFeed} from '../../../source/decisions/entry/store-feed.js';
+import {StoreFeed} from '../../../source/decisions/entry/store/store-feed.js';
 
 const names = (count: number): readonly string[] => Array.from({length: count}, (_, index) => `gateway-${index}`);
 
--- a/test/decisions/entry/target-pauses.test.ts
+++ b/test/decisions/entry/target-pauses.test.ts
@@ -3,7 +3,7 @@
 */
 import fc from 'fast-check';
 import {test} from 'tap';
-import {TargetPauses} from '../../../source/decisions/entry/target-pauses.js';
+import {TargetPauses} from '../../../source/decisions/entry/targets/target-pauses.js';
 
 test('a target that asked for a pause is paused until its end, and a shorter pause does not shorten it', t => {
 	const pauses = new TargetPauses();
--- a/test/decisions/entry/target-registry.test.ts
+++ b/test/decisions/entry/target-registry.test.ts
@@ -3,7 +3,7 @@
 */
 import fc from 'fast-check';
 import {test} from 'tap';
-import {TargetRegistry} from '../../../source/decisions/entry/target-registry.js';
+import {TargetRegistry} from '../../../source/decisions/entry/targets/target-registry.js';
 import type {TargetRecord} from '../../../source/fleet/target-record.js';
 
 const record = (id: string, more: Partial<TargetRecord> = {}): TargetRecord => {
--- a/test/decisions/entry/windowed-retry-budget.test.ts
+++ b/test/decisions/entry/windowed-retry-budget.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check';
 import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
-import {WindowedRetryBudget} from '../../../source/decisions/entry/windowed-retry-budget.js';
+import {WindowedRetryBudget} from '../../../source/decisions/entry/requests/windowed-retry-budget.js';
 import {RetryJudge} from '../../support/retry-judge.js';
 
 const bounds = {
--- a/test/decisions/fairness/rank-prompts.test.ts
+++ b/test/decisions/fairness/rank-prompts.test.ts
@@ -3,8 +3,8 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
-import type {WaitingPrompt} from '../../../source/decisions/entry/waiting-prompt.js';
-import {promptQueue} from '../../../source/decisions/entry/prompt-queue.js';
+import type {WaitingPrompt} from '../../../source/decisions/entry/prompts/waiting-prompt.js';
+import {promptQueue} from '../../../source/decisions/entry/prompts/prompt-queue.js';
 import {rankPrompts} from '../../../source/decisions/fairness/rank-prompts.js';
 import {ServiceFairness} from '../../../source/decisions/fairness/service-fairness.js';
 
--- a/test/decisions/fairness/returning.test.ts
+++ b/test/decisions/fairness/returning.test.ts
@@ -2,7 +2,7 @@
 When refused callers come back, and how they are recognized.
 */
 import {test} from 'tap';
-import {retryAfter} from '../../../source/decisions/entry/retry-after.js';
+import {retryAfter} from '../../../source/decisions/entry/requests/retry-after.js';
 import {RefusedRequests} from '../../../source/decisions/fairness/refused-requests.js';
 import {reportRows} from '../../../source/decisions/fairness/report-rows.js';
 import {ReturnSchedule} from '../../../source/decisions/fairness/return-schedule.js';
--- a/test/decisions/fairness/without-teams.test.ts
+++ b/test/decisions/fairness/without-teams.test.ts
@@ -2,10 +2,10 @@
 Where no teams are configured, the queue of prompts decides as it did before there were teams.
 */
 import {test} from 'tap';
-import {promptQueue} from '../../../source/decisions/entry/prompt-queue.js';
-import type {WaitingPrompt} from '../../../source/decisions/entry/waiting-prompt.js';
-import {latencyModel} from '../../../source/decisions/entry/latency-model.js';
-import {retryAfter} from '../../../source/decisions/entry/retry-after.js';
+import {promptQueue} from '../../../source/decisions/entry/prompts/prompt-queue.js';
+import type {WaitingPrompt} from '../../../source/decisions/entry/prompts/waiting-prompt.js';
+import {latencyModel} from '../../../source/decisions/entry/prompts/latency-model.js';
+import {retryAfter} from '../../../source/decisions/entry/requests/retry-after.js';
 import {ServiceFairness} from '../../../source/decisions/fairness/service-fairness.js';
 import {TeamFairness} from '../../../source/entry/team-fairness.js';
 import {SeededChance} from '../../support/seeded-chance.js';
--- a/test/decisions/teams/urgency.test.ts
+++ b/test/decisions/teams/urgency.test.ts
@@ -2,9 +2,9 @@
 The order of requests by the priority of their team and their route, at the gateway and in an engine's queue.
 */
 import {test} from 'tap';
-import {engineRank} from '../../../source/decisions/entry/engine-rank.js';
-import {promptQueue} from '../../../source/decisions/entry/prompt-queue.js';
-import type {WaitingPrompt} from '../../../source/decisions/entry/waiting-prompt.js';
+import {engineRank} from '../../../source/decisions/entry/prompts/engine-rank.js';
+import {promptQueue} from '../../../source/decisions/entry/prompts/prompt-queue.js';
+import type {WaitingPrompt} from '../../../source/decisions/entry/prompts/waiting-prompt.js';
 import {UrgencyLevels} from '../../../source/decisions/teams/urgency-levels.js';
 import type {RequestTeam} from '../../../source/fleet/request-team.js';
 import type {Route} from '../../../source/fleet/route.js';
--- a/test/entry/request-lifecycle.test.ts
+++ b/test/entry/request-lifecycle.test.ts
@@ -4,7 +4,7 @@
 import {test} from 'tap';
 import type {Logger} from 'roarr';
 import type {AccessChange} from '../../source/decisions/teams/access-change.js';
-import {WindowedRetryBudget} from '../../source/decisions/entry/windowed-retry-budget.js';
+import {WindowedRetryBudget} from '../../source/decisions/entry/requests/windowed-retry-budget.js';
 import type {CallerRequest} from '../../source/entry/caller-request.js';
 import type {EntryContext} from '../../source/entry/entry-context.js';
 import {RequestLifecycle} from '../../source/entry/request-lifecycle.js';
--- a/test/entry/request-usage.test.ts
+++ b/test/entry/request-usage.test.ts
@@ -4,11 +4,11 @@
 import {Buffer} from 'node:buffer';
 import type {Logger} from 'roarr';
 import {test} from 'tap';
-import {PrefixCacheIndex} from '../../source/decisions/entry/prefix-cache-index.js';
-import {TargetHealth} from '../../source/decisions/entry/target-health.js';
-import {TargetPauses} from '../../source/decisions/entry/target-pauses.js';
-import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
-import {WindowedRetryBudget} from '../../source/decisions/entry/windowed-retry-budget.js';
+import {PrefixCacheIndex} from '../../source/decisions/entry/caches/prefix-cache-index.js';
+import {TargetHealth} from '../../source/decisions/entry/targets/target-health.js';
+import {TargetPauses} from '../../source/decisions/entry/targets/target-pauses.js';
+import {TargetRegistry} from '../../source/decisions/entry/targets/target-registry.js';
+import {WindowedRetryBudget} from '../../source/decisions/entry/requests/windowed-retry-budget.js';
 import type {Duties} from '../../source/duties/duties.js';
 import type {AttemptOutcome} from '../../source/entry/attempt-outcome.js';
 import type {AttemptPlan} from '../../source/entry/attempt-plan.js';
--- a/test/entry/retry-permit.test.ts
+++ b/test/entry/retry-permit.test.ts
@@ -2,7 +2,7 @@
 Reservation of the retry budget between a failed attempt and the first byte of the next one.
 */
 import {test} from 'tap';
-import {WindowedRetryBudget} from '../../source/decisions/entry/windowed-retry-budget.js';
+import {WindowedRetryBudget} from '../../source/decisions/entry/requests/windowed-retry-budget.js';
 import {RetryPermit} from '../../source/entry/retry-permit.js';
 
 const start = (requests: number) => {
--- a/test/entry/team-fairness.test.ts
+++ b/test/entry/team-fairness.test.ts
@@ -4,10 +4,10 @@
 */
 import type {Logger} from 'roarr';
 import {test} from 'tap';
-import {WindowedRetryBudget} from '../../source/decisions/entry/windowed-retry-budget.js';
-import {TargetHealth} from '../../source/decisions/entry/target-health.js';
-import {TargetPauses} from '../../source/decisions/entry/target-pauses.js';
-import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
+import {WindowedRetryBudget} from '../../source/decisions/entry/requests/windowed-retry-budget.js';
+import {TargetHealth} from '../../source/decisions/entry/targets/target-health.js';
+import {TargetPauses} from '../../source/decisions/entry/targets/target-pauses.js';
+import {TargetRegistry} from '../../source/decisions/entry/targets/target-registry.js';
 import type {AttemptSender} from '../../source/entry/attempt-sender.js';
 import type {CallerRequest} from '../../source/entry/caller-request.js';
 import {LearnedCapacity} from '../../source/decisions/capacity/learned-capacity.js';
--- a/test/support/capacity-method.ts
+++ b/test/support/capacity-method.ts
@@ -2,7 +2,7 @@
 A way in which one gateway learns what the targets of a plain service take well.
 */
 import type {AnswerFacts} from '../../source/fleet/answer-facts.js';
-import type {CallTarget} from '../../source/decisions/entry/call-target.js';
+import type {CallTarget} from '../../source/decisions/entry/targets/call-target.js';
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 
 type Outcome = {readonly milliseconds: number; readonly running: number; readonly load: AnswerFacts['load']};
--- a/test/support/lone-gateway.ts
+++ b/test/support/lone-gateway.ts
@@ -1,8 +1,8 @@
 /**
 One gateway in virtual time, with peers that say only what a test has them say.
 */
-import {hashTargetList} from '../../source/decisions/entry/hash-target-list.js';
-import {StoreFeed} from '../../source/decisions/entry/store-feed.js';
+import {hashTargetList} from '../../source/decisions/entry/targets/hash-target-list.js';
+import {StoreFeed} from '../../source/decisions/entry/store/store-feed.js';
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 import type {PeerMessage} from '../../source/generated/peer-messages.js';
 import {VirtualGateway} from './virtual-gateway.js';
--- a/test/support/play-plain-fleet.ts
+++ b/test/support/play-plain-fleet.ts
@@ -2,8 +2,8 @@
 Plays calls of many gateways at the targets of one plain service, in virtual time.
 */
 import * as option from 'fp-ts/lib/Option.js';
-import {digestPace} from '../../source/decisions/entry/digest-pace.js';
-import {placeCall} from '../../source/decisions/entry/place-call.js';
+import {digestPace} from '../../source/decisions/entry/store/digest-pace.js';
+import {placeCall} from '../../source/decisions/entry/targets/place-call.js';
 import {LoadTracker} from '../../source/entry/load-tracker.js';
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 import type {CapacityMethod} from './capacity-method.js';
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -5,11 +5,11 @@
 import * as option from 'fp-ts/lib/Option.js';
 import type {Logger} from 'roarr';
 import {LearnedCapacity} from '../../source/decisions/capacity/learned-capacity.js';
-import {PrefixCacheIndex} from '../../source/decisions/entry/prefix-cache-index.js';
-import {WindowedRetryBudget} from '../../source/decisions/entry/windowed-retry-budget.js';
-import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
-import {TargetHealth} from '../../source/decisions/entry/target-health.js';
-import {TargetPauses} from '../../source/decisions/entry/target-pauses.js';
+import {PrefixCacheIndex} from '../../source/decisions/entry/caches/prefix-cache-index.js';
+import {WindowedRetryBudget} from '../../source/decisions/entry/requests/windowed-retry-budget.js';
+import {TargetRegistry} from '../../source/decisions/entry/targets/target-registry.js';
+import {TargetHealth} from '../../source/decisions/entry/targets/target-health.js';
+import {TargetPauses} from '../../source/decisions/entry/targets/target-pauses.js';
 import type {AttemptSender} from '../../source/entry/attempt-sender.js';
 import type {CallerAnswer} from '../../source/entry/caller-answer.js';
 import type {CallerRequest} from '../../source/entry/caller-request.js';
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -2,8 +2,8 @@
 What an entry gateway knows and tells, in virtual time, without the way of requests.
 */
 import type {Logger} from 'roarr';
-import {PrefixCacheIndex} from '../../source/decisions/entry/prefix-cache-index.js';
-import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
+import {PrefixCacheIndex} from '../../source/decisions/entry/caches/prefix-cache-index.js';
+import {TargetRegistry} from '../../source/decisions/entry/targets/target-registry.js';
 import type {EntryContext} from '../../source/entry/entry-context.js';
 import {EntryMetrics} from '../../source/entry/entry-metrics.js';
 import type {EntrySettings} from '../../source/entry/entry-settings.js';
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -3,11 +3,11 @@
 */
 import type {Logger} from 'roarr';
 import {LearnedCapacity} from '../../source/decisions/capacity/learned-capacity.js';
-import {PrefixCacheIndex} from '../../source/decisions/entry/prefix-cache-index.js';
-import {TargetHealth} from '../../source/decisions/entry/target-health.js';
-import {TargetPauses} from '../../source/decisions/entry/target-pauses.js';
-import {TargetRegistry} from '../../source/decisions/entry/target-registry.js';
-import type {WaitingPrompt} from '../../source/decisions/entry/waiting-prompt.js';
+import {PrefixCacheIndex} from '../../source/decisions/entry/caches/prefix-cache-index.js';
+import {TargetHealth} from '../../source/decisions/entry/targets/target-health.js';
+import {TargetPauses} from '../../source/decisions/entry/targets/target-pauses.js';
+import {TargetRegistry} from '../../source/decisions/entry/targets/target-registry.js';
+import type {WaitingPrompt} from '../../source/decisions/entry/prompts/waiting-prompt.js';
 import type {EntryContext} from '../../source/entry/entry-context.js';
 import {EntryMetrics} from '../../source/entry/entry-metrics.js';
 import {LoadTracker} from '../../source/entry/load-tracker.js';
