Compute the key of a request once an attempt, not once a connection

Cause: choosing a free connection asked each of them whether it had carried the request, and each computed the 64-bit key of the id anew; with dozens of free connections that is dozens of hashes an attempt.

Change: the key is computed once and handed over.

--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -7,6 +7,7 @@
 import {AttemptExchange} from './attempt-exchange.js';
 import type {AttemptHandlers} from './attempt-handlers.js';
 import {CarriedRequests} from './carried-requests.js';
+import {requestKey} from './request-key.js';
 import {SocketReading} from './socket-reading.js';
 
 /** Timeout for opening a connection, enough for a target that is reachable. */
@@ -68,8 +69,8 @@
 	}
 
 	/** True when an answer on this connection may be that to an earlier attempt of this request. */
-	hasCarried(requestId: string): boolean {
-		return this.#carried.has(requestId);
+	hasCarried(key: ReturnType<typeof requestKey>): boolean {
+		return this.#carried.has(key);
 	}
 
 	/** Sends an attempt. Returns a function that aborts it with a reason and closes the connection. */
@@ -77,7 +78,7 @@
 		this.#isBusy = true;
 		const exchange = new AttemptExchange(handlers, {
 			pacer: this.#pacer,
-			begin: () => ({history: this.#carried.add(requestId), socketReading: this.#socketReading!}),
+			begin: () => ({history: this.#carried.add(requestKey(requestId)), socketReading: this.#socketReading!}),
 			free: () => {
 				this.#isBusy = false;
 			},
--- a/source/entry/target-connections.ts
+++ b/source/entry/target-connections.ts
@@ -3,6 +3,7 @@
 */
 import * as option from 'fp-ts/lib/Option.js';
 import type {AnswerPacer} from './answer-pacer.js';
+import {requestKey} from './request-key.js';
 import {TargetConnection} from './target-connection.js';
 
 /** Share of a target's connection limit that all gateways together use. */
@@ -49,7 +50,8 @@
 		const connections = this.#byAddress.get(address) ?? [];
 		this.#byAddress.set(address, connections);
 		const free = connections.filter(connection => !connection.isBusy);
-		const fitting = free.filter(connection => !connection.hasCarried(requestId));
+		const key = requestKey(requestId);
+		const fitting = free.filter(connection => !connection.hasCarried(key));
 		if (fitting.length > 0) {
 			return this.#use(longestIdle(fitting), now);
 		}
