Make one object for each attempt's handler, not one for each callback

The client that tells a reset from an end made an object with six closures for each request, and each attempt made its connection's hooks anew. The handler is a class now, and a connection has one set of hooks.

--- a/source/entry/attempt-exchange.ts
+++ b/source/entry/attempt-exchange.ts
@@ -12,10 +12,11 @@
 
 type AttemptEnd = Parameters<AttemptHandlers['onEnd']>[0];
 
+/** What an attempt asks of its connection; one for all its attempts. */
 type ConnectionHooks = {
 	readonly pacer: AnswerPacer;
-	/** Called when the attempt is about to be written. Returns what the connection carried before, and the reading of its socket. */
-	readonly begin: () => {readonly history: ConnectionHistory; readonly socketReading: SocketReading};
+	/** Called when the attempt at this request is about to be written. Returns what the connection carried before, and the reading of its socket. */
+	readonly begin: (requestId: string) => {readonly history: ConnectionHistory; readonly socketReading: SocketReading};
 	/** Called when the connection may carry another attempt, before the attempt's own `onEnd`. */
 	readonly free: () => void;
 };
@@ -30,7 +31,7 @@
 
 @example
 ```
-const exchange = new AttemptExchange(handlers, hooks);
+const exchange = new AttemptExchange('9c41', handlers, hooks);
 client.dispatch({method, path, headers, body}, exchange);
 exchange.breakOff('silent');
 ```
@@ -44,10 +45,12 @@
 	#history: ConnectionHistory = {isUsed: false, hasCarriedRequest: false};
 	#reading: AnswerReading | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
+	readonly #requestId: string;
 	readonly #handlers: AttemptHandlers;
 	readonly #hooks: ConnectionHooks;
 
-	constructor(handlers: AttemptHandlers, hooks: ConnectionHooks) {
+	constructor(requestId: string, handlers: AttemptHandlers, hooks: ConnectionHooks) {
+		this.#requestId = requestId;
 		this.#handlers = handlers;
 		this.#hooks = hooks;
 	}
@@ -69,7 +72,7 @@
 		}
 
 		this.#isStarted = true;
-		const {history, socketReading} = this.#hooks.begin();
+		const {history, socketReading} = this.#hooks.begin(this.#requestId);
 		this.#history = history;
 		this.#reading = new AnswerReading(socketReading, this.#hooks.pacer, {
 			onData: this.#handlers.onData,
--- a/source/entry/target-connection.ts
+++ b/source/entry/target-connection.ts
@@ -36,11 +36,17 @@
 	#opened = 0;
 	#socketReading: SocketReading | undefined;
 	readonly #carried = new CarriedRequests();
-	readonly #pacer: AnswerPacer;
+	readonly #hooks: ConstructorParameters<typeof AttemptExchange>[2];
 	readonly #client: Dispatcher;
 
 	constructor(address: string, pacer: AnswerPacer) {
-		this.#pacer = pacer;
+		this.#hooks = {
+			pacer,
+			begin: requestId => ({history: this.#carried.add(requestKey(requestId)), socketReading: this.#socketReading!}),
+			free: () => {
+				this.#isBusy = false;
+			},
+		};
 		this.#client = createResetAwareClient(`http://${address}`, {
 			connectTimeoutMilliseconds,
 			keepAliveTimeout: idleTimeoutMilliseconds,
@@ -76,13 +82,7 @@
 	/** Sends an attempt. Returns a function that aborts it with a reason and closes the connection. */
 	send({requestId, method, path, headers, body}: AttemptRequest, handlers: AttemptHandlers): (reason: string) => void {
 		this.#isBusy = true;
-		const exchange = new AttemptExchange(handlers, {
-			pacer: this.#pacer,
-			begin: () => ({history: this.#carried.add(requestKey(requestId)), socketReading: this.#socketReading!}),
-			free: () => {
-				this.#isBusy = false;
-			},
-		});
+		const exchange = new AttemptExchange(requestId, handlers, this.#hooks);
 		this.#client.dispatch({
 			method, path, headers: [...headers], body,
 		}, exchange);
--- a/source/shared/reset-aware-client.ts
+++ b/source/shared/reset-aware-client.ts
@@ -32,31 +32,46 @@
 	}
 }
 
-/** Turns the end of an answer into an error if a reset has brought it. */
-const failAfterReset = (end: ConnectionEnd): Dispatcher.DispatcherComposeInterceptor => dispatch => (options, handler) => dispatch(options, {
-	onRequestStart(controller, context) {
-		handler.onRequestStart?.(controller, context);
-	},
-	onRequestUpgrade(controller, status, headers, socket) {
-		handler.onRequestUpgrade?.(controller, status, headers, socket);
-	},
-	onResponseStart(controller, status, headers, message) {
-		handler.onResponseStart?.(controller, status, headers, message);
-	},
-	onResponseData(controller, chunk) {
-		handler.onResponseData?.(controller, chunk);
-	},
-	onResponseEnd(controller, trailers) {
-		if (end.isReset) {
-			handler.onResponseError?.(controller, new Error('connection reset'));
+type Handler = Required<Dispatcher.DispatchHandler>;
+
+/** Hands everything on to the handler of a request, but an end that a reset has brought as an error. */
+class ResetAwareHandler implements Dispatcher.DispatchHandler {
+	readonly #handler: Dispatcher.DispatchHandler;
+	readonly #end: ConnectionEnd;
+
+	constructor(handler: Dispatcher.DispatchHandler, end: ConnectionEnd) {
+		this.#handler = handler;
+		this.#end = end;
+	}
+
+	onRequestStart(...parameters: Parameters<Handler['onRequestStart']>): void {
+		this.#handler.onRequestStart?.(...parameters);
+	}
+
+	onRequestUpgrade(...parameters: Parameters<Handler['onRequestUpgrade']>): void {
+		this.#handler.onRequestUpgrade?.(...parameters);
+	}
+
+	onResponseStart(...parameters: Parameters<Handler['onResponseStart']>): void {
+		this.#handler.onResponseStart?.(...parameters);
+	}
+
+	onResponseData(...parameters: Parameters<Handler['onResponseData']>): void {
+		this.#handler.onResponseData?.(...parameters);
+	}
+
+	onResponseEnd(...[controller, trailers]: Parameters<Handler['onResponseEnd']>): void {
+		if (this.#end.isReset) {
+			this.#handler.onResponseError?.(controller, new Error('connection reset'));
 		} else {
-			handler.onResponseEnd?.(controller, trailers);
+			this.#handler.onResponseEnd?.(controller, trailers);
 		}
-	},
-	onResponseError(controller, error) {
-		handler.onResponseError?.(controller, error);
-	},
-});
+	}
+
+	onResponseError(...parameters: Parameters<Handler['onResponseError']>): void {
+		this.#handler.onResponseError?.(...parameters);
+	}
+}
 
 /**
 Returns a client that has one connection at a time and sends one request after another on it.
@@ -90,5 +105,5 @@
 	client.on('disconnect', () => {
 		end.isReset = false;
 	});
-	return client.compose(failAfterReset(end));
+	return client.compose(dispatch => (request, handler) => dispatch(request, new ResetAwareHandler(handler, end)));
 };
