Read the rate limits that targets name, and log and count them

Change: the header is decoded once, into none, named or malformed. The newest observation counts; an answer without a limit ends one only if its request was sent after the limit was last named, and a failure or a poll never does. Lines rate limit begun, changed and ended with target and figures; counters for each and for malformed values; a gauge of limited targets. Callers neither get the header nor can send it on. No logic of sending is changed.

Measured: nothing, as nothing is decided by it yet.

--- a/source/entry/entry-context.ts
+++ b/source/entry/entry-context.ts
@@ -20,6 +20,7 @@
 import type {LoadTracker} from './load-tracker.js';
 import type {LoopActivity} from './loop-activity.js';
 import type {PromptQuarantine} from './prompt-quarantine.js';
+import type {TargetRateLimits} from './target-rate-limits.js';
 import type {TargetConnections} from './target-connections.js';
 import type {TeamFairness} from './team-fairness.js';
 
@@ -37,6 +38,8 @@
 	readonly health: TargetHealth;
 	/** Targets that have asked this gateway for a pause. */
 	readonly pauses: TargetPauses;
+	/** How many requests a second targets take. */
+	readonly rateLimits: TargetRateLimits;
 	/** How fast targets are, learned from outcomes. */
 	readonly capacity: LearnedCapacity;
 	readonly connections: TargetConnections;
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -49,6 +49,7 @@
 import {startStatusServer} from './status-server.js';
 import {TargetConnections} from './target-connections.js';
 import {TargetMaintenance} from './target-maintenance.js';
+import {TargetRateLimits} from './target-rate-limits.js';
 import {TeamFairness} from './team-fairness.js';
 
 type EntryOptions = {
@@ -259,6 +260,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
+			rateLimits: new TargetRateLimits({log, metrics, now: clock}),
 			capacity: new LearnedCapacity({waitsForReport: true}),
 			connections: new TargetConnections(pacer),
 			pacer,
--- a/source/entry/target-attempt.ts
+++ b/source/entry/target-attempt.ts
@@ -60,6 +60,8 @@
 	#silenceTimer: NodeJS.Timeout | undefined;
 	#cancelDiscard: (() => void) | undefined;
 	#isSent = false;
+	/** When the first byte was sent. */
+	#sentAt: number | undefined;
 	#isSettled = false;
 
 	/** `onCapacity` is called when the target may have capacity for more work. */
@@ -116,6 +118,7 @@
 
 		health.recordSent(target.incarnation, expectedMilliseconds, now());
 		this.#isSent = true;
+		this.#sentAt = now();
 		this.#timing.recordSent();
 		this.#startSilenceTimer();
 		return true;
@@ -165,7 +168,7 @@
 		metrics.record('target-head', now() - this.#startedAt);
 		this.#received.receiveHead(facts, kind);
 		if (!this.#received.isOfOther && kind !== 'other target') {
-			recordTargetState(this.#context, target, facts);
+			recordTargetState(this.#context, target, facts, kind === 'failure' ? undefined : this.#sentAt);
 			this.#timing.recordHead(facts, answerKinds[kind]);
 		}
 
--- a/source/entry/target-maintenance.ts
+++ b/source/entry/target-maintenance.ts
@@ -6,7 +6,7 @@
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {EntryContext} from './entry-context.js';
 
-type Context = Pick<EntryContext, 'prefixCache' | 'health' | 'pauses' | 'capacity' | 'connections' | 'metrics' | 'log' | 'now'>;
+type Context = Pick<EntryContext, 'prefixCache' | 'health' | 'pauses' | 'rateLimits' | 'capacity' | 'connections' | 'metrics' | 'log' | 'now'>;
 
 /** Confidence from which a target counts as measured. */
 const measuredConfidence = 0.5;
@@ -45,11 +45,12 @@
 
 	/** Connections are kept by address, all else by incarnation. */
 	#retain(records: readonly TargetRecord[]): void {
-		const {prefixCache, health, pauses, capacity, connections} = this.#context;
+		const {prefixCache, health, pauses, rateLimits, capacity, connections} = this.#context;
 		const incarnations = new Set(records.map(({incarnation}) => incarnation));
 		prefixCache.retainOnly(incarnations);
 		health.keepOnly(incarnations);
 		pauses.keepOnly(incarnations);
+		rateLimits.keepOnly(incarnations);
 		capacity.keepOnly(incarnations);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
 	}
--- a/source/fleet/answer-facts.ts
+++ b/source/fleet/answer-facts.ts
@@ -1,6 +1,7 @@
 /**
 Facts from the status line and headers of a target's answer.
 */
+import type {NamedRateLimit} from './named-rate-limit.js';
 
 /** Load of a target at the moment of its answer, by its own account. */
 type ReportedLoad = {
@@ -34,5 +35,7 @@
 	readonly load: ReportedLoad | undefined;
 	/** True when the target reports a load that cannot be decoded. */
 	readonly isLoadMalformed: boolean;
+	/** What the target says of its rate limit. */
+	readonly rateLimit: NamedRateLimit;
 	readonly headers: Readonly<Record<string, string | readonly string[]>>;
 };
--- a/test/decisions/entry/small-decisions.test.ts
+++ b/test/decisions/entry/small-decisions.test.ts
@@ -26,7 +26,7 @@
 });
 
 const facts = (more: Partial<AnswerFacts>): AnswerFacts => ({
-	status: 200, requestId: 'r1', isSigned: true, isNotRun: false, isOtherTarget: false, isEncoded: false, isDelimited: true, isLeaving: false, pauseMilliseconds: undefined, load: undefined, isLoadMalformed: false, headers: {}, ...more,
+	status: 200, requestId: 'r1', isSigned: true, isNotRun: false, isOtherTarget: false, isEncoded: false, isDelimited: true, isLeaving: false, pauseMilliseconds: undefined, load: undefined, isLoadMalformed: false, rateLimit: {kind: 'none'}, headers: {}, ...more,
 });
 
 test('the longest matching prefix of the host is used, and the query is not part of the path', t => {
--- a/test/entry/attempt-sender.test.ts
+++ b/test/entry/attempt-sender.test.ts
@@ -16,6 +16,7 @@
 import type {TargetConnections} from '../../source/entry/target-connections.js';
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 import {targetProtocol} from '../../platform/target-protocol.js';
+import {loneRateLimits} from '../support/lone-rate-limits.js';
 
 type Handlers = Parameters<TargetConnection['send']>[1];
 
@@ -41,7 +42,7 @@
 	};
 	const connections: Pick<TargetConnections, 'acquire'> = {acquire: () => option.some(connection as TargetConnection)};
 	const parts: Partial<EntryContext> = {
-		targetRegistry: beliefs, protocol: targetProtocol, loadTracker: new LoadTracker(), health: new TargetHealth(), pauses: new TargetPauses(),
+		targetRegistry: beliefs, protocol: targetProtocol, loadTracker: new LoadTracker(), health: new TargetHealth(), pauses: new TargetPauses(), rateLimits: loneRateLimits(() => 100),
 		capacity: new LearnedCapacity(), metrics: new EntryMetrics(),
 		connections: connections as TargetConnections,
 		log: {info: write, warn: write, debug: () => undefined} as unknown as Logger, now: () => 100, gatewayCount: () => 20, service: () => undefined,
--- a/test/entry/learned-capacity.test.ts
+++ b/test/entry/learned-capacity.test.ts
@@ -8,6 +8,7 @@
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 import type {PlatformTargetStandIn} from '../../stand-ins/platform-target-stand-in.js';
 import {EntryFleet} from '../support/entry-fleet.js';
+import {loneRateLimits} from '../support/lone-rate-limits.js';
 
 const calls = {
 	name: 'prices', pathPrefix: '/prices/', routeType: 'idempotent', service: 'floor', maxAttempts: 3,
@@ -82,8 +83,10 @@
 // Guards against a malformed report that ends an answer, or that nobody can see.
 test('a malformed report is counted, and the call is answered', t => {
 	const counted: string[] = [];
-	const facts: Partial<AnswerFacts> = {isLeaving: false, pauseMilliseconds: undefined, isLoadMalformed: true};
-	const context: Partial<EntryContext> = {metrics: {count: (name: string) => counted.push(name)} as unknown as EntryContext['metrics'], now: () => 0};
+	const facts: Partial<AnswerFacts> = {
+		isLeaving: false, pauseMilliseconds: undefined, isLoadMalformed: true, rateLimit: {kind: 'none'},
+	};
+	const context: Partial<EntryContext> = {metrics: {count: (name: string) => counted.push(name)} as unknown as EntryContext['metrics'], rateLimits: loneRateLimits(() => 0), now: () => 0};
 	recordTargetState(context as EntryContext, {incarnation: 'i-1 1', id: 'i-1', address: ''} as unknown as TargetRecord, facts as AnswerFacts);
 	t.strictSame(counted, ['target.load-malformed']);
 	t.end();
--- a/test/entry/request-usage.test.ts
+++ b/test/entry/request-usage.test.ts
@@ -29,6 +29,7 @@
 import type {ServiceDescription} from '../../source/fleet/service-description.js';
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 import type {TargetProtocol} from '../../source/ports/target-protocol.js';
+import {loneRateLimits} from '../support/lone-rate-limits.js';
 
 /** What happens to one attempt: it is sent, takes so long, and ends so. */
 type Attempt = {readonly milliseconds: number; readonly outcome: AttemptOutcome; readonly events?: readonly string[]};
@@ -74,6 +75,7 @@
 		prefixCache: new PrefixCacheIndex(),
 		health: new TargetHealth(),
 		pauses: new TargetPauses(),
+		rateLimits: loneRateLimits(() => now),
 		openRequests: new Set(),
 		metrics: {count: () => undefined, record: () => undefined, gauge: () => undefined} as unknown as EntryMetrics,
 		log: {info: () => undefined, warn: () => undefined} as unknown as Logger,
--- a/test/entry/team-fairness.test.ts
+++ b/test/entry/team-fairness.test.ts
@@ -18,6 +18,7 @@
 import {TeamFairness} from '../../source/entry/team-fairness.js';
 import {validatePeerMessages} from '../../source/generated/validators.js';
 import type {PeerMessage} from '../../source/generated/peer-messages.js';
+import {loneRateLimits} from '../support/lone-rate-limits.js';
 import {LoneGateway} from '../support/lone-gateway.js';
 import {VirtualQueueGateway} from '../support/virtual-queue-gateway.js';
 import {VirtualTime} from '../support/virtual-time.js';
@@ -77,6 +78,7 @@
 		capacity: new LearnedCapacity(),
 		health: new TargetHealth(),
 		pauses: new TargetPauses(),
+		rateLimits: loneRateLimits(() => time.now),
 		openRequests: new Set(),
 		metrics,
 		log: {
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -236,3 +236,19 @@
 	t.notOk('x-replica-load' in targetProtocol.readAnswer(200, {'x-replica-load': '3,0,8'}).headers);
 	t.end();
 });
+
+// Guards against a malformed limit that is kept, or that counts as the end of one.
+test('the rate limit that a target names is decoded, and anything but one decimal number is malformed', t => {
+	const read = (value: string | readonly string[] | undefined) => targetProtocol.readAnswer(200, value === undefined ? {} : {'server-limit': value}).rateLimit;
+	t.strictSame(read(undefined), {kind: 'none'});
+	for (const [text, requestsPerSecond] of [['8.6', 8.6], [' 4.2 ', 4.2], ['0', 0], ['0.4', 0.4], ['120', 120]] as const) {
+		t.strictSame(read(text), {kind: 'named', requestsPerSecond}, text);
+	}
+
+	for (const text of ['', 'abc', '-3', '+3', '1e400', '1e2', '8,6', '8.6.1', '.5', '5.', '0x8', 'NaN', 'Infinity', '1'.repeat(10), '1'.repeat(100_000), ['8.6', '4.2']]) {
+		t.strictSame(read(text), {kind: 'malformed'}, String(text).slice(0, 40));
+	}
+
+	t.notOk('server-limit' in targetProtocol.readAnswer(200, {'server-limit': '8.6'}).headers);
+	t.end();
+});
--- /dev/null
+++ b/test/support/lone-rate-limits.ts
@@ -0,0 +1,20 @@
+/**
+The rate limits of targets as a gateway without peers keeps them.
+*/
+import type {Logger} from 'roarr';
+import {EntryMetrics} from '../../source/entry/entry-metrics.js';
+import {TargetRateLimits} from '../../source/entry/target-rate-limits.js';
+
+/**
+Returns an instance that writes no log.
+
+@example
+```
+const context = {rateLimits: loneRateLimits(() => time.now)};
+```
+*/
+export const loneRateLimits = (now: () => number): TargetRateLimits => new TargetRateLimits({
+	log: {info: () => undefined, warn: () => undefined} as unknown as Logger,
+	metrics: new EntryMetrics(),
+	now,
+});
--- a/test/support/virtual-entry.ts
+++ b/test/support/virtual-entry.ts
@@ -26,6 +26,7 @@
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 import type {ServiceDescription} from '../../source/fleet/service-description.js';
 import type {TargetProtocol} from '../../source/ports/target-protocol.js';
+import {loneRateLimits} from './lone-rate-limits.js';
 import type {RetryJudge} from './retry-judge.js';
 import type {RetryTrouble} from './retry-trouble.js';
 import {VirtualProcess} from './virtual-process.js';
@@ -246,6 +247,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
+			rateLimits: loneRateLimits(() => time.now),
 			capacity: new LearnedCapacity(),
 			openRequests: new Set(),
 			metrics: metrics as EntryMetrics,
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -20,6 +20,7 @@
 import type {TargetRecord} from '../../source/fleet/target-record.js';
 import type {PeerMessage} from '../../source/generated/peer-messages.js';
 import type {VirtualTime} from './virtual-time.js';
+import {loneRateLimits} from './lone-rate-limits.js';
 
 type Verdict = Parameters<Parameters<PromptQueues['enqueue']>[2]>[0];
 
@@ -157,6 +158,7 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
+			rateLimits: loneRateLimits(() => time.now),
 			capacity: new LearnedCapacity(),
 			metrics: new EntryMetrics(),
 			log: {info: () => undefined, warn: () => undefined} as unknown as Logger,
