Keep the rate limits that targets name, for all gateways together

Callers saw: a target that had named 8.6 requests a second got 88 in 4 s, one with 4.2 got 101 (the users' record); its need got no better.

Cause: a bound for all gateways together that nothing read, and that no gateway can keep alone: each would send the whole limit.

Change: while a target has a limit, each request to it needs a permit. One gateway a target, by rendezvous hashing, issues them at the rate of the limit to those that ask, and only the part that belongs to the gateways it reaches. Targets without a permit are no candidates; a call waits 25 ms for one, a prompt in its queue; then code 1024 with a Retry-After from the limits, in order.

--- a/source/decisions/entry/prompts/engine-view.ts
+++ b/source/decisions/entry/prompts/engine-view.ts
@@ -20,4 +20,8 @@
 	readonly isAvoided: boolean;
 	/** Share of failures among its recent outcomes. */
 	readonly failureShare: number;
+	/** Requests that it may get from this gateway now; undefined while it names no rate limit. */
+	readonly permits?: number | undefined;
+	/** Requests a second that it is likely to take from this gateway; undefined while it names no rate limit. */
+	readonly permitsPerSecond?: number | undefined;
 };
--- a/source/decisions/entry/prompts/has-capacity.ts
+++ b/source/decisions/entry/prompts/has-capacity.ts
@@ -20,6 +20,12 @@
 hasCapacity(view, 'onTime');
 ```
 */
-export const hasCapacity = ({role, slots, attempts, readMilliseconds, speed = 1}: Pick<EngineView, 'role' | 'slots' | 'attempts' | 'readMilliseconds' | 'speed'>, lane: Lane): boolean => role === 'prefill'
-	? readMilliseconds / speed < maxBacklog[lane]
-	: attempts < slots * maxUsedSlotShare && readMilliseconds / speed < maxBacklogInPlace[lane];
+export const hasCapacity = ({role, slots, attempts, readMilliseconds, speed = 1, permits}: Pick<EngineView, 'role' | 'slots' | 'attempts' | 'readMilliseconds' | 'speed' | 'permits'>, lane: Lane): boolean => {
+	if (permits === 0) {
+		return false;
+	}
+
+	return role === 'prefill'
+		? readMilliseconds / speed < maxBacklog[lane]
+		: attempts < slots * maxUsedSlotShare && readMilliseconds / speed < maxBacklogInPlace[lane];
+};
--- a/source/decisions/entry/prompts/place-decode.ts
+++ b/source/decisions/entry/prompts/place-decode.ts
@@ -49,7 +49,7 @@
 */
 export const placeDecode = (context: DecodeContext): option.Option<EngineView> => {
 	const {engines, avoid} = context;
-	const candidates = withoutAvoided(engines.filter(engine => engine.role === 'decode' && !avoid.has(engine.id)));
+	const candidates = withoutAvoided(engines.filter(engine => engine.role === 'decode' && engine.permits !== 0 && !avoid.has(engine.id)));
 	return candidates.length === 0
 		? option.none
 		: option.some(candidates.reduce((best, engine) => cost(engine, context) < cost(best, context) ? engine : best));
--- a/source/decisions/entry/prompts/prompt-queue.ts
+++ b/source/decisions/entry/prompts/prompt-queue.ts
@@ -20,6 +20,7 @@
 import type {PromptRank} from '../../fairness/prompt-rank.js';
 import {rendezvousOrder} from '../../routing/rendezvous-order.js';
 import type {EngineRates} from '../../capacity/engine-rates.js';
+import {limitedWaitMilliseconds} from '../../limits/limited-wait-milliseconds.js';
 import {hasCapacity} from './has-capacity.js';
 import {firstEventMilliseconds} from './first-event-milliseconds.js';
 import {isTimely} from './is-timely.js';
@@ -217,15 +218,18 @@
 	const prefillRate = Math.max(inPlacePrefillShare, totalPrefillRate(context.engines)) / Math.max(1, gateways);
 	const averageBacklog = context.engines.reduce((sum, {readMilliseconds, speed = 1}) => sum + (readMilliseconds / speed), 0) / Math.max(1, context.engines.length);
 	const mayRejectFirst = ranks === undefined || usedSlotShare(context.engines) >= minUsedSlotShare;
+	const decodeEngines = context.engines.filter(({role}) => role === 'decode');
 	let queuedMilliseconds = 0;
+	let queued = 0;
 	return byGiveUp
 		.flatMap(prompt => {
 			const rate = Math.max(prefillRate * minRateShare, prefillRate - (ranks?.get(prompt)?.rateBefore ?? 0));
-			const waitMilliseconds = averageBacklog + (queuedMilliseconds / rate);
+			const waitMilliseconds = Math.max(averageBacklog + (queuedMilliseconds / rate), limitedWaitMilliseconds(decodeEngines, queued));
 			const prefillMilliseconds = idlePrefillMilliseconds(prompt, context);
 			const margin = prefillMilliseconds + (prefillMilliseconds < longPrefillMilliseconds ? giveUpMargin.short : giveUpMargin.long);
 			const isUnservable = now + waitMilliseconds + margin > prompt.giveUpAt && (mayRejectFirst || queuedMilliseconds > 0);
 			queuedMilliseconds += isUnservable ? 0 : prefillMilliseconds;
+			queued += isUnservable ? 0 : 1;
 			return isUnservable ? [{prompt, waitMilliseconds, workMilliseconds: prefillMilliseconds / prefillRate}] : [];
 		});
 };
--- a/source/decisions/entry/targets/call-target.ts
+++ b/source/decisions/entry/targets/call-target.ts
@@ -21,4 +21,6 @@
 	readonly slowdown?: number | undefined;
 	/** Time of a call at a target of speed 1. */
 	readonly callMilliseconds?: number | undefined;
+	/** Requests that it may get from this gateway now; undefined while it names no rate limit. */
+	readonly permits?: number | undefined;
 };
--- a/source/decisions/entry/targets/place-call.ts
+++ b/source/decisions/entry/targets/place-call.ts
@@ -68,7 +68,7 @@
 
 /**
 Returns the target that takes the call, with a preference for the gateway's own zone; none
-when there is no target.
+when there is no target, or none that its rate limit lets take one now.
 
 Each gateway learns of the others' calls with a delay. The random part keeps them from
 all choosing the same idle target.
@@ -80,7 +80,8 @@
 */
 export const placeCall = (context: CallContext): option.Option<CallTarget> => {
 	const {targets, avoid} = context;
-	const untried = targets.filter(target => !avoid.has(target.id));
-	const candidates = withoutAvoided(untried.length > 0 ? untried : targets);
+	const permitted = targets.filter(({permits}) => permits !== 0);
+	const untried = permitted.filter(target => !avoid.has(target.id));
+	const candidates = withoutAvoided(untried.length > 0 ? untried : permitted);
 	return targets.every(target => isOrdinary(target)) ? lowestShare(candidates, context) : leastExpected(candidates, context);
 };
--- a/source/entry/attempt-plan.ts
+++ b/source/entry/attempt-plan.ts
@@ -21,6 +21,8 @@
 	readonly readMilliseconds: number;
 	/** Its entry in the load tracker, if one was reserved. */
 	readonly entry?: LoadEntry;
+	/** True when a permit was taken for it with its placement, which a target with a rate limit needs. */
+	readonly hasPermit?: boolean;
 	/** Time within which the target is expected to send something; 0 when left out. */
 	readonly expectedMilliseconds?: number;
 	/** Time until the answer is due. The attempt is aborted if the target is silent after that; never when left out. */
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -46,11 +46,32 @@
 		return this.#holdings.largest;
 	}
 
-	/** Sends an attempt, which ends as `not sent` if no connection is free or its target holds too much; `cancel` aborts it. */
+	/** Sends an attempt, which ends as `not sent` if its target's rate limit does not allow it now, no connection is free or its target holds too much; `cancel` aborts it. */
 	send(plan: AttemptPlan): RunningAttempt {
-		const {loadTracker, connections, service, gatewayCount, now} = this.#context;
-		const {target} = plan;
+		const {loadTracker, rateLimits} = this.#context;
+		const {target, hasPermit = false} = plan;
 		const entry = plan.entry ?? loadTracker.add(target.id, plan.readMilliseconds);
+		return hasPermit || rateLimits.tryTake(target.incarnation) ? this.#start(plan, entry) : this.#unsent(entry, 'rate limit of the target');
+	}
+
+	/** Releases the KV cache that a prefill engine holds for a transfer that will not happen. */
+	async releaseHandle(target: TargetRecord, handleId: string, facts: RequestFacts): Promise<void> {
+		const {method, path} = this.#context.protocol.releaseHandleRequest(handleId);
+		const releaseFacts: RequestFacts = {...facts, headers: ['Host', target.address]};
+		const instructions = {
+			targetId: target.id, remainingMilliseconds: 1000, rank: undefined, isPrefillOnly: false, handle: undefined, fetchFrom: undefined, lastEventId: undefined,
+		};
+		// No request of a caller, so the rate limit does not count it.
+		const {outcome} = this.send({
+			target, facts: releaseFacts, method, path, body: undefined, instructions, readMilliseconds: 0, hasPermit: true,
+		});
+		const result = await outcome;
+		this.#context.log.debug({request: facts.requestId, target: target.id, outcome: result.kind}, 'attempted to release an unused KV handle');
+	}
+
+	#start(plan: AttemptPlan, entry: LoadEntry): RunningAttempt {
+		const {connections, service, gatewayCount, now} = this.#context;
+		const {target} = plan;
 		const bytes = plan.body !== undefined && plan.body.byteLength >= countedBytes ? plan.body.byteLength : 0;
 		if (!this.#holdings.tryReplace(target.id, 0, bytes)) {
 			this.#logFull(plan);
@@ -76,20 +97,6 @@
 		};
 	}
 
-	/** Releases the KV cache that a prefill engine holds for a transfer that will not happen. */
-	async releaseHandle(target: TargetRecord, handleId: string, facts: RequestFacts): Promise<void> {
-		const {method, path} = this.#context.protocol.releaseHandleRequest(handleId);
-		const releaseFacts: RequestFacts = {...facts, headers: ['Host', target.address]};
-		const instructions = {
-			targetId: target.id, remainingMilliseconds: 1000, rank: undefined, isPrefillOnly: false, handle: undefined, fetchFrom: undefined, lastEventId: undefined,
-		};
-		const {outcome} = this.send({
-			target, facts: releaseFacts, method, path, body: undefined, instructions, readMilliseconds: 0,
-		});
-		const result = await outcome;
-		this.#context.log.debug({request: facts.requestId, target: target.id, outcome: result.kind}, 'attempted to release an unused KV handle');
-	}
-
 	async #releaseAfter(attempt: TargetAttempt, target: string, bytes: number): Promise<AttemptOutcome> {
 		const outcome = await attempt.outcome;
 		this.#holdings.tryReplace(target, bytes, 0);
--- a/source/entry/engine-cache-poller.ts
+++ b/source/entry/engine-cache-poller.ts
@@ -14,6 +14,8 @@
 const longPollMilliseconds = 1000;
 /** Pause after an answer, so that the next poll returns many changes at once. */
 const pollPauseMilliseconds = 500;
+/** The same while the engine names a rate limit, so that polls take little of what it can do. */
+const limitedPollPauseMilliseconds = 2000;
 /** Pause after a poll that failed. */
 const retryMilliseconds = 1500;
 const callTimeoutMilliseconds = 2500;
@@ -72,7 +74,15 @@
 		}
 
 		this.#logTransition(isAnswered);
-		this.#schedule(isAnswered ? pollPauseMilliseconds : retryMilliseconds);
+		this.#schedule(this.#pauseAfter(isAnswered));
+	}
+
+	#pauseAfter(isAnswered: boolean): number {
+		if (this.#context.rateLimits.limitOf(this.#target.incarnation) !== undefined) {
+			return limitedPollPauseMilliseconds;
+		}
+
+		return isAnswered ? pollPauseMilliseconds : retryMilliseconds;
 	}
 
 	#schedule(milliseconds: number): void {
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -260,7 +260,23 @@
 			prefixCache: new PrefixCacheIndex(),
 			health: new TargetHealth(),
 			pauses: new TargetPauses(),
-			rateLimits: new TargetRateLimits({log, metrics, now: clock}),
+			rateLimits: new TargetRateLimits({
+				fleet: () => this.#peers?.fleet ?? {own: '', linked: [], unlinked: []},
+				gatewayCount: () => this.#context.gatewayCount(),
+				send: (peer, message) => {
+					this.#peers?.send(peer, message);
+				},
+				broadcast: message => {
+					this.#peers?.broadcast(message);
+				},
+				onPermits: () => {
+					this.#queues.processSoon();
+				},
+				log,
+				metrics,
+				now: clock,
+				timers: systemTimers,
+			}),
 			capacity: new LearnedCapacity({waitsForReport: true}),
 			connections: new TargetConnections(pacer),
 			pacer,
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peer-exchange.ts
@@ -116,6 +116,7 @@
 				this.#storeRelay.removePeer(peer);
 				this.#options.context.duties?.addPeer(peer, message.incarnation);
 				this.#sendCrashReport(peer);
+				this.#options.context.rateLimits.sendTo(peer);
 				this.#options.peers.send(peer, this.#createDigest({sent: [], told: this.#options.context.prefixCache.allReported(this.#options.followedEngines())}, true, true));
 				return;
 			}
@@ -165,6 +166,13 @@
 				return;
 			}
 
+			case 'rate limit':
+			case 'permit ask':
+			case 'permits': {
+				this.#options.context.rateLimits.receive(peer, message);
+				return;
+			}
+
 			case 'usage':
 			case 'duty':
 			case 'reports': {
@@ -182,6 +190,7 @@
 		this.#options.fleetState.feed.discard(peer);
 		this.#storeRelay.removePeer(peer);
 		this.#options.context.loadTracker.removePeer(peer);
+		this.#options.context.rateLimits.removePeer(peer);
 		this.#options.context.duties?.removePeer(peer);
 	}
 
--- a/source/entry/peers.ts
+++ b/source/entry/peers.ts
@@ -6,6 +6,7 @@
 */
 import {WebSocket, WebSocketServer} from 'ws';
 import type {Logger} from 'roarr';
+import type {FleetView} from '../decisions/limits/fleet-view.js';
 import type {PeerMessage} from '../generated/peer-messages.js';
 import type {EntryMetrics} from './entry-metrics.js';
 import type {LoopActivity} from './loop-activity.js';
@@ -77,6 +78,19 @@
 		return [this.#ownAddress, ...[...this.#peers.values()].map(({address}) => address)];
 	}
 
+	/** The gateways that can be reached, and the addresses at which others may be running. */
+	get fleet(): FleetView {
+		const linked = [...this.#peers.values()].map(({name, address}) => ({name, address}));
+		const reached = new Set(this.addresses);
+		const now = this.#options.now();
+		const others = new Set([...this.#options.seeds(), ...this.#knownAddresses.keys()].filter(address => !reached.has(address)));
+		return {
+			own: this.#ownAddress,
+			linked,
+			unlinked: [...others].map(address => ({address, ageMilliseconds: now - (this.#knownAddresses.get(address) ?? Number.NEGATIVE_INFINITY)})),
+		};
+	}
+
 	start(): void {
 		this.#server = new WebSocketServer({...this.#options.address, perMessageDeflate: false, maxPayload: maxFrameBytes});
 		this.#server.on('connection', socket => {
@@ -214,6 +228,8 @@
 		}
 
 		this.#peers.delete(peer.name);
+		// It may still be running, out of reach.
+		this.#knownAddresses.set(peer.address, this.#options.now());
 		this.#options.log.warn({
 			event: 'peer lost', peer: peer.name, address: peer.address, reason,
 		}, 'peer lost');
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -15,6 +15,7 @@
 import {RequestLifecycle} from './request-lifecycle.js';
 import {StreamAnswer} from './stream-answer.js';
 import {targetViews} from './target-views.js';
+import {wantPermits} from './want-permits.js';
 
 type Chosen = {readonly target: TargetRecord; readonly view: CallTarget};
 
@@ -66,7 +67,11 @@
 	}
 
 	async #runAttempts(): Promise<void> {
-		const chosen = this.#selectTarget();
+		const chosen = await this.#selectTarget();
+		if (this.#lifecycle.isEnded) {
+			return;
+		}
+
 		if (option.isNone(chosen)) {
 			this.#lifecycle.refuseWithoutTarget();
 			return;
@@ -78,7 +83,25 @@
 		}
 	}
 
-	#selectTarget(): option.Option<Chosen> {
+	/** Selects a target; while the rate limits of all are used up, it waits for a moment for the permits that it has asked for. */
+	async #selectTarget(): Promise<option.Option<Chosen>> {
+		wantPermits(this.#context, this.#request.service);
+		const chosen = this.#findTarget();
+		if (option.isSome(chosen) || !this.#context.rateLimits.hasLimits) {
+			return chosen;
+		}
+
+		await new Promise<void>(resolve => {
+			const end = this.#context.rateLimits.waitForPermits(resolve);
+			this.#lifecycle.setCancelAttempt(() => {
+				end();
+				resolve();
+			});
+		});
+		return this.#findTarget();
+	}
+
+	#findTarget(): option.Option<Chosen> {
 		const {random, settings} = this.#context;
 		const {views, record} = targetViews(this.#context, this.#request.service);
 		const chosen = placeCall({
--- a/source/entry/prompt-queues.ts
+++ b/source/entry/prompt-queues.ts
@@ -10,6 +10,7 @@
 import type {WaitingPrompt} from '../decisions/entry/prompts/waiting-prompt.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import {targetViews} from './target-views.js';
+import {wantPermits} from './want-permits.js';
 import type {EntryContext} from './entry-context.js';
 import type {LoadEntry} from './load-entry.js';
 import type {PrefillGrants} from './prefill-grants.js';
@@ -98,6 +99,7 @@
 		queue.set(prompt, {
 			prompt, decide, denials: 0, checkedChanges: this.#context.quarantine.changes,
 		});
+		wantPermits(this.#context, service);
 		if (queue.size === 1) {
 			this.#process(service, queue);
 		} else {
@@ -173,20 +175,35 @@
 			const chosen = promptQueue.next(order, context, now);
 			if (option.isNone(chosen)) {
 				this.#rejectUnservable(service, queue, order, context, now);
+				this.#wantForWaiting(queue, views, record);
 				return;
 			}
 
 			order = promptQueue.without(order, chosen.value.prompt);
 			const {engine, readMilliseconds} = chosen.value.placement;
-			engines = engines.map(view => view.id === engine.id ? {...view, attempts: view.attempts + 1, readMilliseconds: view.readMilliseconds + readMilliseconds} : view);
+			engines = engines.map(view => view.id === engine.id
+				? {
+					...view, attempts: view.attempts + 1, readMilliseconds: view.readMilliseconds + readMilliseconds, permits: view.permits === undefined ? undefined : view.permits - 1,
+				}
+				: view);
 			this.#send(service, queue, chosen.value, record);
 		}
 	}
 
+	/** Asks for permits again while prompts wait: what they wanted at first may have been used by others. */
+	#wantForWaiting(queue: Map<WaitingPrompt, Entry>, views: readonly EngineView[], record: (id: string) => TargetRecord): void {
+		const {rateLimits} = this.#context;
+		if (queue.size > 0 && rateLimits.hasLimits) {
+			rateLimits.wantForWaiting(views.map(({id}) => record(id).incarnation));
+		}
+	}
+
 	/** Places a prompt at its engine; a long one only after the engine's owner gateway was asked. */
 	#send(service: string, queue: Map<WaitingPrompt, Entry>, {prompt, placement, lane, rank}: Choice, record: (id: string) => TargetRecord): void {
 		const {engine, fetchFrom, readMilliseconds} = placement;
 		const target = record(engine.id);
+		// The engine has one, as it has capacity.
+		this.#context.rateLimits.tryTake(target.incarnation);
 		const entry = this.#context.loadTracker.add(engine.id, readMilliseconds, prefillWork(prompt, placement));
 		const waiting = queue.get(prompt)!;
 		queue.delete(prompt);
--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -225,13 +225,20 @@
 		}));
 	}
 
-	/** Ends the request because no target can take it now: none is known, or all have asked for a pause. */
+	/** Ends the request because no target can take it now: none is known, all have asked for a pause, or their rate limits are used up. */
 	refuseWithoutTarget(): void {
-		const {targetRegistry, pauses, now} = this.#context;
-		const incarnations = targetRegistry.usable(this.request.service).map(({incarnation}) => incarnation);
+		const {targetRegistry, pauses, rateLimits, now} = this.#context;
+		const {service} = this.request;
+		const incarnations = targetRegistry.usable(service).map(({incarnation}) => incarnation);
 		const pauseMilliseconds = pauses.shortest(incarnations, now());
 		if (pauseMilliseconds > 0) {
 			this.refuse(resultCode.targetsPaused, pauseMilliseconds);
+			return;
+		}
+
+		const unpaused = incarnations.filter(incarnation => !pauses.isPaused(incarnation, now()));
+		if (rateLimits.areAllLimited(unpaused)) {
+			this.refuse(resultCode.targetsRateLimited, rateLimits.returnMilliseconds(service, unpaused), true);
 		} else {
 			this.refuse(resultCode.noTarget, targetAppearsMilliseconds);
 		}
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -14,6 +14,7 @@
 import type {AttemptOutcome} from './attempt-outcome.js';
 import {targetListStatus} from './target-list-status.js';
 import {targetViews} from './target-views.js';
+import {wantPermits} from './want-permits.js';
 import type {LoadEntry} from './load-entry.js';
 import {placedFacts} from './placed-facts.js';
 import type {PromptQueues} from './prompt-queues.js';
@@ -147,7 +148,7 @@
 			...this.#context.fairness.facts(this.#request),
 			...targetListStatus(this.#context),
 		}, this.#context.now());
-		return way === 'prefill first' ? this.#prefillPrompt(target, entry, latency, fetchFrom?.address) : this.#sendStream(target, entry, {fetchFrom: fetchFrom?.address});
+		return way === 'prefill first' ? this.#prefillPrompt(target, entry, latency, fetchFrom?.address) : this.#sendStream(target, entry, {fetchFrom: fetchFrom?.address}, true);
 	}
 
 	/** Records that an engine prefills or fetches this prompt, which puts its shared parts into the prefix cache. */
@@ -185,6 +186,7 @@
 			instructions: this.#createInstructions(target, {isPrefillOnly: true, fetchFrom}),
 			readMilliseconds: entry.readMilliseconds,
 			entry,
+			hasPermit: true,
 			expectedMilliseconds: latency * 2,
 			answerDueMilliseconds: (latency * 2) + overdueMarginMilliseconds,
 			mayStart: () => this.#gate.mayStartAttempt(),
@@ -218,6 +220,7 @@
 
 	/** Selects a decode engine, which fetches the KV cache of the prompt and generates the answer. */
 	async #decodeWithHandle(handle: Handle): Promise<boolean> {
+		wantPermits(this.#context, this.#request.service);
 		const {views, record} = targetViews(this.#context, this.#request.service);
 		const chosen = placeDecode({
 			engines: views, availabilityZone: this.#context.settings().availabilityZone, prefillZone: handle.engine.availabilityZone, bodyBytes: this.#request.body?.byteLength ?? 0, avoid: this.#lifecycle.avoid, rates: this.#context.capacity.rates(this.#request.service, this.#context.now()),
@@ -242,7 +245,8 @@
 		return shouldContinue;
 	}
 
-	async #sendStream(target: TargetRecord, entry: LoadEntry, parts: Partial<SendInstructions>): Promise<boolean> {
+	/** `hasPermit` is true when a permit was taken with the placement. */
+	async #sendStream(target: TargetRecord, entry: LoadEntry, parts: Partial<SendInstructions>, hasPermit = false): Promise<boolean> {
 		const {facts, method, path, body} = this.#request;
 		// A slow engine is not silent while it prefills for longer than one of speed 1 would.
 		const expectedMilliseconds = entry.readMilliseconds * 4 / Math.min(1, this.#context.capacity.of(target, this.#context.now()).speed);
@@ -255,6 +259,7 @@
 			instructions: this.#createInstructions(target, parts),
 			readMilliseconds: entry.readMilliseconds,
 			entry,
+			hasPermit,
 			expectedMilliseconds,
 			// Only a repeatable stream is aborted when its engine is silent.
 			answerDueMilliseconds: this.#assembly.isRepeatable ? expectedMilliseconds + overdueMarginMilliseconds : undefined,
--- a/source/entry/target-maintenance.ts
+++ b/source/entry/target-maintenance.ts
@@ -50,7 +50,7 @@
 		prefixCache.retainOnly(incarnations);
 		health.keepOnly(incarnations);
 		pauses.keepOnly(incarnations);
-		rateLimits.keepOnly(incarnations);
+		rateLimits.keepOnly(new Map(records.map(record => [record.incarnation, record])));
 		capacity.keepOnly(incarnations);
 		connections.keepOnly(new Set(records.map(({address}) => address)));
 	}
--- a/source/entry/target-views.ts
+++ b/source/entry/target-views.ts
@@ -18,7 +18,7 @@
 const {views, record} = targetViews(context, 'appraiser-models');
 ```
 */
-export const targetViews = ({targetRegistry, loadTracker, health, pauses, capacity, now}: EntryContext, service: string): TargetViews => {
+export const targetViews = ({targetRegistry, loadTracker, health, pauses, rateLimits, capacity, now}: EntryContext, service: string): TargetViews => {
 	const at = now();
 	const records = new Map(targetRegistry.usable(service)
 		.filter(({incarnation}) => !pauses.isPaused(incarnation, at))
@@ -40,6 +40,8 @@
 				capacity: limit,
 				slowdown: reported?.slowdown,
 				callMilliseconds,
+				permits: rateLimits.permits(record.incarnation),
+				permitsPerSecond: rateLimits.permitsPerSecond(record.incarnation),
 			};
 		}),
 		record: id => records.get(id)!,
--- a/test/support/rate-limit-judge.ts
+++ b/test/support/rate-limit-judge.ts
@@ -89,6 +89,13 @@
 		}
 	}
 
+	/** The gateway was restarted, frozen or cut off: what it was told counts no more. */
+	excuse(gateway: string): void {
+		for (const {toldAt} of this.#limits.values()) {
+			toldAt.delete(gateway);
+		}
+	}
+
 	/** A request of the gateway reaches the target. */
 	arrive(target: string, gateway: string, at: number): void {
 		const limit = this.#limits.get(target);
--- a/test/support/virtual-duty-gateway.ts
+++ b/test/support/virtual-duty-gateway.ts
@@ -163,6 +163,9 @@
 			case 'crashes':
 			case 'want':
 			case 'zone load':
+			case 'rate limit':
+			case 'permit ask':
+			case 'permits':
 			case 'targets':
 			case 'configuration': {
 				throw new Error(`unexpected message ${message.kind}`);
--- a/test/support/virtual-gateway.ts
+++ b/test/support/virtual-gateway.ts
@@ -16,6 +16,7 @@
 import {QuarantineStore} from '../../source/entry/quarantine-store.js';
 import {TeamFairness} from '../../source/entry/team-fairness.js';
 import type {Timers} from '../../source/shared/timers.js';
+import {loneRateLimits} from './lone-rate-limits.js';
 import type {StoreFault} from './store-fault.js';
 import type {VirtualLinks} from './virtual-links.js';
 import {VirtualProcess} from './virtual-process.js';
@@ -240,6 +241,7 @@
 			targetRegistry: this.beliefs,
 			loadTracker: new LoadTracker(),
 			fairness: this.fairness,
+			rateLimits: loneRateLimits(() => time.now),
 			prefixCache: new PrefixCacheIndex(),
 			metrics: new EntryMetrics(),
 			quarantine: this.quarantine,
--- a/test/support/virtual-queue-gateway.ts
+++ b/test/support/virtual-queue-gateway.ts
@@ -122,6 +122,9 @@
 			case 'crashes':
 			case 'want':
 			case 'zone load':
+			case 'rate limit':
+			case 'permit ask':
+			case 'permits':
 			case 'targets':
 			case 'usage':
 			case 'duty':
