Drop no header of a request: a length behind a thousand others stopped the process

Callers saw: one POST with 999 short headers before its content-length, and the gateway answered nobody any more, at a full core.

Cause: Node.js keeps a thousand headers of a request and drops the rest, while its parser has acted on them.

Change: no limit by number. The size of a head is limited by the configuration, its cost by the account of heads.

A head with two lengths, with a length and chunks, or two hosts, is refused wherever the second stands.

--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -58,6 +58,8 @@
 		}, (request, response) => {
 			this.#receive(request, response);
 		});
+		// By default the server drops all headers after the thousandth, which its parser has acted on. Their size is limited already.
+		this.#server.maxHeadersCount = 0;
 		this.#server.on('connection', (socket: Socket) => {
 			handlers.guard.add(socket);
 		});
--- a/stand-ins/loopback-server.ts
+++ b/stand-ins/loopback-server.ts
@@ -19,6 +19,8 @@
 
 	constructor(answer: http.RequestListener) {
 		this.#server = http.createServer(answer);
+		// A stand-in shows all headers that came, however many.
+		this.#server.maxHeadersCount = 0;
 	}
 
 	/** Known once it has started. */
