Close a connection on which the feed has nothing to hand over, in place of looping

Cause: the loop over pending bytes went on as long as there were some, also when by the announced length none of them belonged to the request. With a body taken beyond its length it even stepped back.

Change: a step that hands over nothing closes the connection, with the reason misread in the counter and the log line.

--- a/source/callers/caller-guard.ts
+++ b/source/callers/caller-guard.ts
@@ -27,7 +27,7 @@
 /** What a connection held, and what it did, when it was given up. */
 type Given = {readonly bytes: number; readonly phase: RequestFeed['phase']};
 
-type Reason = 'memory' | 'heads' | 'connections' | 'stalled';
+type Reason = 'memory' | 'heads' | 'connections' | 'stalled' | 'misread';
 
 /** Lines of closed connections and refused requests that are written each second. */
 const maxLinesPerSecond = 2;
@@ -140,6 +140,12 @@
 		this.#schedule();
 	}
 
+	/** Closes a connection on which the parser expects other bytes than its request announced. */
+	closeMisread(feed: RequestFeed): void {
+		this.#log('misread', feed, 'closed', {bytes: feed.pendingBytes});
+		feed.socket.destroy();
+	}
+
 	/** Closes connections whose request has stopped in its middle for this long. */
 	closeStalled(milliseconds: number): void {
 		const now = this.now();
--- a/source/callers/feed-owner.ts
+++ b/source/callers/feed-owner.ts
@@ -27,6 +27,8 @@
 	readonly enforceSoon: () => void;
 	/** Lets the connection go on when it is its turn. */
 	readonly askForTurn: (feed: Feed) => void;
+	/** Closes the connection, because the parser expects other bytes of its request than were announced. */
+	readonly closeMisread: (feed: Feed) => void;
 	/** The connection has been closed. */
 	readonly remove: (feed: Feed) => void;
 };
--- a/source/callers/request-feed.ts
+++ b/source/callers/request-feed.ts
@@ -36,7 +36,8 @@
 /**
 One instance a connection, created when the HTTP server has set the connection up.
 
-Invariant: the parser is handed no byte of a request before the answer to the one before it has been written.
+Invariants: the parser is handed no byte of a request before the answer to the one before it has been written;
+each step hands over bytes, or closes the connection.
 
 @example
 ```
@@ -241,11 +242,16 @@
 		this.run();
 	}
 
-	/** Hands over the bytes up to where the request may end. */
+	/** Hands over the bytes up to where the request may end; closes the connection if by what was announced it has ended, and the parser waits for more. */
 	#handOver(): void {
 		const bytes = this.#pending[0]!;
 		const isInBody = this.#state === 'body';
 		const end = this.#cut(bytes);
+		if (end <= this.#offset) {
+			this.#owner.closeMisread(this);
+			return;
+		}
+
 		const piece = this.#offset === 0 && end === bytes.length ? bytes : bytes.subarray(this.#offset, end);
 		this.#take(bytes, end);
 		if (!isInBody) {
--- a/test/callers/many-headers.test.ts
+++ b/test/callers/many-headers.test.ts
@@ -109,7 +109,7 @@
 				t.equal(Object.keys(arrivals[0]?.headers ?? {}).filter(name => /^a\d+$/.test(name)).length, others, `nothing is dropped, ${what}`);
 				t.equal(statuses.length, played.isLast ? 1 : 2, what);
 			} else {
-				t.ok(played.isAmbiguous || others > 999, `a proper head inside the limits is served, ${what}`);
+				t.ok(played.isAmbiguous === true || others > 999, `a proper head inside the limits is served, ${what}`);
 				t.match(String(statuses[0]), /^4\d\d$/, what);
 				t.strictSame([statuses.length, arrivals.length], [1, 0], what);
 			}
