--- a/test/entry/request-feed.test.ts
+++ b/test/entry/request-feed.test.ts
@@ -21,7 +21,8 @@
 	| {readonly kind: 'complete'}
 	| {readonly kind: 'answer'};
 
-class FakeSocket extends EventEmitter {
+/** A socket of Node.js is an emitter. */
+class FakeSocket extends EventEmitter { // eslint-disable-line unicorn/prefer-event-target
 	destroyed = false;
 
 	pause(): this {
@@ -54,32 +55,33 @@
 	const mostSteps = pieces.reduce((sum, {length}) => sum + length, 0) + pieces.length + 1;
 	let steps = 0;
 	let handed = '';
-	let feed: RequestFeed | undefined;
-	const act = (): void => {
+	const act = (feed: RequestFeed): void => {
 		const deed = left.shift();
-		switch (deed?.kind) {
+		if (deed === undefined) {
+			// The parser waits for more.
+			return;
+		}
+
+		switch (deed.kind) {
 			case 'begin': {
-				feed!.begin({bodyBytes: deed.bodyBytes, isAnswered: () => false, refuse: () => undefined});
+				feed.begin({bodyBytes: deed.bodyBytes, isAnswered: () => false, refuse: () => undefined});
 				return;
 			}
 
 			case 'take': {
-				feed!.takeBody(deed.bytes, deed.bytes);
+				feed.takeBody(deed.bytes, deed.bytes);
 				return;
 			}
 
 			case 'complete': {
-				feed!.completeBody();
+				feed.completeBody();
 				return;
 			}
 
 			case 'answer': {
-				feed!.completeBody();
-				feed!.end();
+				feed.completeBody();
+				feed.end();
 			}
-
-			case undefined:
-				// The parser waits for more.
 		}
 	};
 
@@ -90,7 +92,7 @@
 		}
 
 		handed += Buffer.from(bytes).toString('latin1');
-		act();
+		act(feed);
 	});
 	const owner: FeedOwner<RequestFeed> = {
 		now: () => 0,
@@ -106,7 +108,7 @@
 		},
 		remove: () => undefined,
 	};
-	feed = new RequestFeed(socket as unknown as Socket, owner);
+	const feed = new RequestFeed(socket as unknown as Socket, owner);
 	for (const bytes of pieces) {
 		socket.emit('data', bytes);
 		for (let turn = turns.shift(); turn !== undefined; turn = turns.shift()) {
