Keep connections to targets for callers that wait for their answers

Callers saw: beside 200 connections that sent requests ahead and read no answers, ordinary bids to the same target got 503, code 1015 target unreachable.

Cause: each connection of the crowd always had a request ready, so all connections to the target were in use whenever a bid came. Ruled out: the event loop (with an immediate target all bids were answered beside the same crowd).

Change: requests that were sent before the one before them was answered use three quarters of a gateway's connections to a target at most. An attempt that finds no connection free is refused with code 1025, no free connection.

--- a/source/callers/create-caller-server.ts
+++ b/source/callers/create-caller-server.ts
@@ -38,9 +38,9 @@
 		}),
 		limits,
 		isClosing,
-		onRequest(request, body, answer, startedAt) {
+		onRequest(request, body, answer, arrival) {
 			activity.measure('request', body?.byteLength ?? 0, () => {
-				router.route(request, body, answer, startedAt);
+				router.route(request, body, answer, arrival);
 			});
 		},
 		onRefused(request, answer, reason) {
--- a/source/callers/request-feed.ts
+++ b/source/callers/request-feed.ts
@@ -9,6 +9,7 @@
 import {ChunkJoiner} from '../decisions/callers/chunk-joiner.js';
 import {MessageCutter} from '../decisions/callers/message-cutter.js';
 import type {FeedOwner} from './feed-owner.js';
+import type {RequestArrival} from './request-arrival.js';
 
 /** What a request brings: its framing, and what to do when it is given up. */
 type BegunRequest = {
@@ -67,6 +68,7 @@
 	#isRunning = false;
 	/** True while the connection waits for its turn: its next request came before the answer to the one before it, or its body is cut finely. */
 	#needsTurn = false;
+	#isSentAhead = false;
 	readonly #owner: FeedOwner<RequestFeed>;
 	readonly #cutter = new MessageCutter();
 	readonly #joiner = new ChunkJoiner();
@@ -105,6 +107,11 @@
 		return this.#request?.isAnswered() === false ? 'running' : 'answered';
 	}
 
+	/** How the present request came. */
+	get arrival(): RequestArrival {
+		return {at: this.activeAt, isSentAhead: this.#isSentAhead};
+	}
+
 	/** Bytes that have been read and not handed over. */
 	get pendingBytes(): number {
 		return this.#pendingBytes;
@@ -154,7 +161,8 @@
 		}
 
 		this.#state = 'between';
-		if (this.#pendingBytes > 0) {
+		this.#isSentAhead = this.#pendingBytes > 0;
+		if (this.#isSentAhead) {
 			this.#askForTurn();
 		}
 	}
--- a/source/entry/attempt-plan.ts
+++ b/source/entry/attempt-plan.ts
@@ -21,6 +21,8 @@
 	readonly readMilliseconds: number;
 	/** Its entry in the load tracker, if one was reserved. */
 	readonly entry?: LoadEntry;
+	/** True when its caller did not wait for an answer before it sent the request. */
+	readonly isSentAhead?: boolean | undefined;
 	/** True when a permit was taken for it with its placement, which a target with a rate limit needs. */
 	readonly hasPermit?: boolean;
 	/** Time within which the target is expected to send something; 0 when left out. */
--- a/source/entry/attempt-sender.ts
+++ b/source/entry/attempt-sender.ts
@@ -10,6 +10,7 @@
 import type {AttemptPlan} from './attempt-plan.js';
 import type {EntryContext} from './entry-context.js';
 import type {LoadEntry} from './load-entry.js';
+import {unsentReasons} from './unsent-reasons.js';
 import {TargetAttempt} from './target-attempt.js';
 
 /** Smaller bodies are not counted for their target; its connections bound their number. */
@@ -51,7 +52,7 @@
 		const {loadTracker, rateLimits} = this.#context;
 		const {target, hasPermit = false} = plan;
 		const entry = plan.entry ?? loadTracker.add(target.id, plan.readMilliseconds);
-		return hasPermit || rateLimits.tryTake(target.incarnation) ? this.#start(plan, entry) : this.#unsent(entry, 'rate limit of the target');
+		return hasPermit || rateLimits.tryTake(target.incarnation) ? this.#start(plan, entry) : this.#unsent(entry, unsentReasons.rateLimit);
 	}
 
 	/** Releases the KV cache that a prefill engine holds for a transfer that will not happen. */
@@ -75,16 +76,16 @@
 		const bytes = plan.body !== undefined && plan.body.byteLength >= countedBytes ? plan.body.byteLength : 0;
 		if (!this.#holdings.tryReplace(target.id, 0, bytes)) {
 			this.#logFull(plan);
-			return this.#unsent(entry, 'target holds too much');
+			return this.#unsent(entry, unsentReasons.targetFull);
 		}
 
 		const maxConnections = service(target.service)?.mostConnections ?? 1;
 		const connection = connections.acquire({
-			address: target.address, requestId: plan.facts.requestId, maxConnections, gateways: gatewayCount(), now: now(),
+			address: target.address, requestId: plan.facts.requestId, maxConnections, gateways: gatewayCount(), isSentAhead: plan.isSentAhead ?? false, now: now(),
 		});
 		if (option.isNone(connection)) {
 			this.#holdings.tryReplace(target.id, bytes, 0);
-			return this.#unsent(entry, 'no free connection');
+			return this.#unsent(entry, unsentReasons.noConnection);
 		}
 
 		const attempt = new TargetAttempt(plan, entry, this.#context, this.#onCapacity);
--- a/source/entry/caller-request.ts
+++ b/source/entry/caller-request.ts
@@ -28,5 +28,7 @@
 	readonly body: Uint8Array | undefined;
 	readonly answer: CallerAnswer;
 	readonly startedAt: number;
+	/** True when its caller sent it before the request before it on the same connection was answered; false when left out. */
+	readonly isSentAhead?: boolean;
 	readonly deadlineAt: number;
 };
--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -11,6 +11,7 @@
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
 import {CallerMessage} from '../callers/caller-message.js';
 import type {CallerGuard} from '../callers/caller-guard.js';
+import type {RequestArrival} from '../callers/request-arrival.js';
 import type {RequestFeed} from '../callers/request-feed.js';
 import {BytePieces} from '../shared/byte-pieces.js';
 import {CallerAnswer} from './caller-answer.js';
@@ -23,7 +24,7 @@
 	readonly limits: () => FleetConfiguration['limits'] | undefined;
 	/** True once each answer has to close its connection. */
 	readonly isClosing: () => boolean;
-	readonly onRequest: (request: http.IncomingMessage, body: Uint8Array | undefined, answer: CallerAnswer, startedAt: number) => void;
+	readonly onRequest: (request: http.IncomingMessage, body: Uint8Array | undefined, answer: CallerAnswer, arrival: RequestArrival) => void;
 	readonly onRefused: (request: http.IncomingMessage, answer: CallerAnswer, reason: RefusalReason) => void;
 };
 
@@ -161,7 +162,7 @@
 
 	#readBody(request: CallerMessage, feed: RequestFeed, answer: CallerAnswer, maxBytes: number): void {
 		const body = new BytePieces(bodyBytes(request));
-		const startedAt = feed.activeAt;
+		const {arrival} = feed;
 		request.receiver = {
 			receive: piece => {
 				if (answer.isDone) {
@@ -185,7 +186,7 @@
 		request.once('end', () => {
 			if (!answer.isDone) {
 				const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
-				this.#handlers.onRequest(request, hasBody ? body.take() : undefined, answer, startedAt);
+				this.#handlers.onRequest(request, hasBody ? body.take() : undefined, answer, arrival);
 			}
 		});
 		request.once('close', () => {
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -122,6 +122,7 @@
 		const {outcome, cancel} = this.#sender.send({
 			target,
 			facts,
+			isSentAhead: this.#request.isSentAhead,
 			method,
 			path,
 			body,
--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -13,6 +13,7 @@
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {CallerRequest} from './caller-request.js';
 import type {EntryContext} from './entry-context.js';
+import {unsentReasons} from './unsent-reasons.js';
 import {RequestLog} from './request-log.js';
 import {RetryPermit} from './retry-permit.js';
 import {teamInLogs} from './team-in-logs.js';
@@ -195,7 +196,7 @@
 			}
 
 			case 'refuse': {
-				this.refuse(isRetryDenied ? resultCode.retriesExhausted : this.#refusalCode(outcome.kind));
+				this.refuse(isRetryDenied ? resultCode.retriesExhausted : this.#refusalCode(outcome));
 				return false;
 			}
 
@@ -349,8 +350,12 @@
 		return fairness.facts(this.request);
 	}
 
-	#refusalCode(outcome: AttemptOutcome['kind']): number {
-		return outcome === 'not run' ? resultCode.queueFull : resultCode.targetUnreachable;
+	#refusalCode(outcome: AttemptOutcome): number {
+		if (outcome.kind === 'not sent' && outcome.reason === unsentReasons.noConnection) {
+			return resultCode.noFreeConnection;
+		}
+
+		return outcome.kind === 'not run' ? resultCode.queueFull : resultCode.targetUnreachable;
 	}
 
 	#countDeniedRetry(): void {
--- a/source/entry/request-router.ts
+++ b/source/entry/request-router.ts
@@ -3,6 +3,7 @@
 */
 import type http from 'node:http';
 import * as option from 'fp-ts/lib/Option.js';
+import type {RequestArrival} from '../callers/request-arrival.js';
 import type {ConfigurationInForce} from '../decisions/entry/store/configuration-in-force.js';
 import type {AccessDecision} from '../decisions/teams/access-decision.js';
 import type {FleetConfiguration} from '../fleet/fleet-configuration.js';
@@ -49,7 +50,7 @@
 
 @example
 ```
-router.route(request, body, answer, startedAt);
+router.route(request, body, answer, {at: startedAt, isSentAhead: false});
 ```
 */
 export class RequestRouter {
@@ -62,7 +63,7 @@
 	}
 
 	/** Routes a request that was read completely. */
-	route(request: http.IncomingMessage, body: Uint8Array | undefined, answer: CallerAnswer, startedAt: number): void {
+	route(request: http.IncomingMessage, body: Uint8Array | undefined, answer: CallerAnswer, arrival: RequestArrival): void {
 		const {protocol} = this.#options.context;
 		const facts = protocol.readRequest(request.rawHeaders);
 		if (this.#options.isDraining()) {
@@ -103,8 +104,9 @@
 			path,
 			body,
 			answer,
-			startedAt,
-			deadlineAt: startedAt + timeLimitMilliseconds,
+			startedAt: arrival.at,
+			isSentAhead: arrival.isSentAhead,
+			deadlineAt: arrival.at + timeLimitMilliseconds,
 		});
 	}
 
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -180,6 +180,7 @@
 		const {outcome, cancel} = this.#sender.send({
 			target,
 			facts,
+			isSentAhead: this.#request.isSentAhead,
 			method,
 			path,
 			body,
@@ -253,6 +254,7 @@
 		const {outcome, cancel} = this.#sender.send({
 			target,
 			facts,
+			isSentAhead: this.#request.isSentAhead,
 			method,
 			path,
 			body,
--- a/source/entry/target-connections.ts
+++ b/source/entry/target-connections.ts
@@ -2,13 +2,11 @@
 Pools the connections of a gateway to its targets, with a limit for each target.
 */
 import * as option from 'fp-ts/lib/Option.js';
+import {connectionShares} from '../decisions/entry/targets/connection-shares.js';
 import type {AnswerPacer} from './answer-pacer.js';
 import {requestKey} from './request-key.js';
 import {TargetConnection} from './target-connection.js';
 
-/** Share of a target's connection limit that all gateways together use. */
-const usableShare = 0.9;
-
 type Wanted = {
 	readonly address: string;
 	/** The request that is to be sent. */
@@ -16,6 +14,8 @@
 	/** Connections that the target accepts from all gateways together. */
 	readonly maxConnections: number;
 	readonly gateways: number;
+	/** True when the caller did not wait for an answer before it sent the request; false when left out. */
+	readonly isSentAhead?: boolean;
 	readonly now: number;
 };
 
@@ -45,11 +45,16 @@
 		this.#pacer = pacer;
 	}
 
-	/** Returns a free connection; none when this gateway's share of the target's connections is in use. */
-	acquire({address, requestId, maxConnections, gateways, now}: Wanted): option.Option<TargetConnection> {
+	/** Returns a free connection; none when this gateway's share of the target's connections is in use, or the part of it that such a request may use. */
+	acquire({address, requestId, maxConnections, gateways, isSentAhead = false, now}: Wanted): option.Option<TargetConnection> {
 		const connections = this.#byAddress.get(address) ?? [];
 		this.#byAddress.set(address, connections);
 		const free = connections.filter(connection => !connection.isBusy);
+		const shares = connectionShares({maxConnections, gateways});
+		if (isSentAhead && connections.length - free.length >= shares.sentAhead) {
+			return option.none;
+		}
+
 		const key = requestKey(requestId);
 		const fitting = free.filter(connection => !connection.hasCarried(key));
 		if (fitting.length > 0) {
@@ -58,7 +63,7 @@
 
 		if (free.length > 0) {
 			this.#close(connections, longestIdle(free));
-		} else if (connections.length >= Math.max(1, Math.floor(maxConnections * usableShare / Math.max(1, gateways)))) {
+		} else if (connections.length >= shares.all) {
 			return option.none;
 		}
 
--- a/test/support/caller-gateway.ts
+++ b/test/support/caller-gateway.ts
@@ -32,7 +32,7 @@
 /** Limits that the gateway is told of in its settings and its configuration. */
 const limits = {memoryMegabytes: 180, descriptors: 300, bodyBytes: 1_000_000} as const;
 
-const configuration = JSON.stringify({
+const configurationOf = (crowdedConnections: number): string => JSON.stringify({
 	version: 3,
 	routes: [
 		{name: 'ordinary', pathPrefix: '/ordinary/', service: 'sound'},
@@ -40,7 +40,7 @@
 	].map(route => ({
 		host: 'a.example', routeType: 'idempotent', timeoutMs: 20_000, targetLatencyMs: 5000, priority: 0, maxAttempts: 1, ...route,
 	})),
-	services: [{name: 'sound', healthPath: '/healthz', maxConnections: 200}, {name: 'crowded', healthPath: '/healthz', maxConnections: 200}],
+	services: [{name: 'sound', healthPath: '/healthz', maxConnections: 200}, {name: 'crowded', healthPath: '/healthz', maxConnections: crowdedConnections}],
 	limits: {
 		maxHeaderBytes: 16_384, maxBodyBytes: limits.bodyBytes, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 	},
@@ -71,10 +71,10 @@
 export class CallerGateway {
 	static readonly limits = limits;
 
-	/** `descriptors` is the limit that the gateway is told. */
-	static async start(t: Test, descriptors: number = limits.descriptors): Promise<CallerGateway> {
+	/** `descriptors` is the limit that the gateway is told; `crowdedConnections` is what the target of the crowd accepts. */
+	static async start(t: Test, descriptors: number = limits.descriptors, crowdedConnections = 200): Promise<CallerGateway> {
 		bundle();
-		const gateway = new CallerGateway(t.testdir(), {callers: await freePort(), readiness: await freePort(), peers: await freePort()}, descriptors);
+		const gateway = new CallerGateway(t.testdir(), {callers: await freePort(), readiness: await freePort(), peers: await freePort()}, descriptors, crowdedConnections);
 		t.teardown(() => {
 			gateway.#stop();
 		});
@@ -93,13 +93,13 @@
 	#child: ChildProcess | undefined;
 	#sampler: NodeJS.Timeout | undefined;
 
-	private constructor(folder: string, readonly ports: {readonly callers: number; readonly readiness: number; readonly peers: number}, readonly descriptors: number) {
+	private constructor(folder: string, readonly ports: {readonly callers: number; readonly readiness: number; readonly peers: number}, readonly descriptors: number, readonly crowdedConnections: number) {
 		this.#folder = folder;
 	}
 
 	/** Sends one ordinary request, again if it is refused as not run or its connection is closed; resolves with the last status, 0 for none. */
 	async askOrdinary(tries = maxOrdinaryTries): Promise<number> {
-		const status = await this.#ask('/ordinary/1', `ordinary-${tries}`);
+		const status = await this.ask('/ordinary/1', `ordinary-${tries}`);
 		if (status === 200 || tries <= 1 || this.end !== undefined) {
 			return status;
 		}
@@ -108,7 +108,8 @@
 		return this.askOrdinary(tries - 1);
 	}
 
-	async #ask(target: string, requestId: string): Promise<number> {
+	/** Sends one request on a connection of its own; resolves with its status, 0 for none. */
+	async ask(target: string, requestId: string): Promise<number> {
 		return new Promise(resolve => {
 			const request = http.request({
 				host: '127.0.0.1', port: this.ports.callers, method: 'POST', path: target, agent: false, timeout: tryTimeoutMilliseconds, headers: {
@@ -133,7 +134,7 @@
 
 	async #start(): Promise<void> {
 		await Promise.all([this.#store.start(), this.#sound.start(), this.crowded.start()]);
-		this.#store.put('op/config', configuration);
+		this.#store.put('op/config', configurationOf(this.crowdedConnections));
 		this.#store.put('servers/sound-1', this.#sound.entry('sound'));
 		this.#store.put('servers/crowded-1', this.crowded.entry('crowded'));
 		const settings = path.join(this.#folder, 'settings.toml');
