Let prefilled prompts wait for permits, and ask limited targets again sooner

Change: the decode step waits up to half a second for a permit; prompts are prefilled elsewhere only while some decode engine may take them; a target that takes nothing gets 0.4 requests a second, times the share of reachable gateways. Issuing ends with the process.

--- a/source/decisions/entry/prompts/place-prompt.ts
+++ b/source/decisions/entry/prompts/place-prompt.ts
@@ -133,7 +133,7 @@
 */
 export const placePrompt = (prompt: Prompt, context: PlaceContext): option.Option<PromptPlacement> => {
 	const decodeEngines = candidatesOf(context, 'decode');
-	const hasDecodeEngine = (context.allEngines ?? context.engines).some(({role, id}) => role === 'decode' && !context.avoid.has(id));
+	const hasDecodeEngine = (context.allEngines ?? context.engines).some(({role, id, permits}) => role === 'decode' && permits !== 0 && !context.avoid.has(id));
 	const prefillEngines = hasDecodeEngine ? candidatesOf(context, 'prefill') : [];
 	const affinityEngine = prompt.sharedTokens >= minSharedTokens ? affinityEngineOf(prefillEngines, prompt.sharedKey) : undefined;
 	const placements = [...prefillEngines, ...decodeEngines].map(engine => placement(engine, prompt, affinityEngine, context));
--- a/source/decisions/limits/permit-issue.ts
+++ b/source/decisions/limits/permit-issue.ts
@@ -9,8 +9,6 @@
 
 /** What may be saved up while nobody asks, in milliseconds of the rate; one permit at least. */
 const savedMilliseconds = 250;
-/** A target that takes nothing, or next to nothing, is asked that often whether it does again. */
-const minRequestsPerSecond = 0.2;
 
 /** `askedAt` is the time of the ask on the asking gateway's clock, which is returned with its permits. */
 type Ask = {readonly wanted: number; readonly askedAt: number; readonly expiresAt: number};
@@ -50,9 +48,8 @@
 		this.#asks.delete(gateway);
 	}
 
-	/** Returns the permits that may be issued now. */
-	take(limit: number, now: number): readonly Issued[] {
-		const rate = Math.max(limit, minRequestsPerSecond);
+	/** Returns the permits that may be issued now, at a rate in permits a second, which is above 0. */
+	take(rate: number, now: number): readonly Issued[] {
 		this.#save(rate, now);
 		this.#dropExpired(now);
 		const issued = new Map<string, Issued>();
@@ -66,8 +63,8 @@
 	}
 
 	/** Time until the next permit, in milliseconds; undefined when nobody asks. */
-	waitMilliseconds(limit: number): number | undefined {
-		return this.#asks.size === 0 ? undefined : Math.max(1, Math.ceil((1 - this.#saved) * 1000 / Math.max(limit, minRequestsPerSecond)));
+	waitMilliseconds(rate: number): number | undefined {
+		return this.#asks.size === 0 ? undefined : Math.max(1, Math.ceil((1 - this.#saved) * 1000 / rate));
 	}
 
 	/** Serves the ask whose turn it is, and moves it behind all others while it wants more. */
--- a/source/decisions/limits/rate-limit-knowledge.ts
+++ b/source/decisions/limits/rate-limit-knowledge.ts
@@ -37,6 +37,11 @@
 export class RateLimitKnowledge {
 	readonly #known = new Map<string, Known>();
 
+	/** True while any target has a limit. */
+	get hasLimits(): boolean {
+		return this.#known.size > 0 && [...this.#known.values()].some(({requestsPerSecond}) => requestsPerSecond !== undefined);
+	}
+
 	/** Targets with a limit. */
 	get limited(): ReadonlyArray<{readonly incarnation: string; readonly requestsPerSecond: number; readonly at: number}> {
 		return [...this.#known].flatMap(([incarnation, {requestsPerSecond, at}]) => requestsPerSecond === undefined ? [] : [{incarnation, requestsPerSecond, at}]);
--- a/source/entry/entry-gateway.ts
+++ b/source/entry/entry-gateway.ts
@@ -224,6 +224,7 @@
 		this.#cachePollers.stop();
 		this.#quarantineStore.stop();
 		this.#exchange?.stop();
+		this.#context.rateLimits.stop();
 		await this.#context.duties?.stop();
 		this.#peers?.stop();
 		this.#context.connections.close();
--- a/source/entry/plain-relay.ts
+++ b/source/entry/plain-relay.ts
@@ -7,6 +7,7 @@
 import {resultCode} from '../generated/result-codes.js';
 import type {TargetRecord} from '../fleet/target-record.js';
 import type {AnswerAssembly} from './answer-assembly.js';
+import {awaitPermits} from './await-permits.js';
 import type {AttemptSender} from './attempt-sender.js';
 import {CallAnswer} from './call-answer.js';
 import type {CallerRequest} from './caller-request.js';
@@ -91,13 +92,7 @@
 			return chosen;
 		}
 
-		await new Promise<void>(resolve => {
-			const end = this.#context.rateLimits.waitForPermits(resolve);
-			this.#lifecycle.setCancelAttempt(() => {
-				end();
-				resolve();
-			});
-		});
+		await awaitPermits(this.#context, this.#lifecycle);
 		return this.#findTarget();
 	}
 
--- a/source/entry/stream-relay.ts
+++ b/source/entry/stream-relay.ts
@@ -8,6 +8,7 @@
 import {engineRank} from '../decisions/entry/prompts/engine-rank.js';
 import {placeDecode} from '../decisions/entry/prompts/place-decode.js';
 import {sharedPrefix} from '../decisions/entry/prompts/shared-prefix.js';
+import type {EngineView} from '../decisions/entry/prompts/engine-view.js';
 import {resultCode} from '../generated/result-codes.js';
 import type {SendInstructions} from '../fleet/send-instructions.js';
 import type {TargetRecord} from '../fleet/target-record.js';
@@ -19,6 +20,7 @@
 import {placedFacts} from './placed-facts.js';
 import type {PromptQueues} from './prompt-queues.js';
 import type {AttemptSender} from './attempt-sender.js';
+import {awaitPermits} from './await-permits.js';
 import type {CallerRequest} from './caller-request.js';
 import {createWaitingPrompt} from './create-waiting-prompt.js';
 import type {EntryContext} from './entry-context.js';
@@ -30,6 +32,8 @@
 
 type Handle = {readonly engine: TargetRecord; readonly id: string};
 
+/** How often a prefilled prompt waits for permits of decode engines before it is refused: half a second in all. */
+const maxPermitWaits = 20;
 /** Time beyond a multiple of the estimate after which an answer is overdue. */
 const overdueMarginMilliseconds = 1200;
 
@@ -221,21 +225,21 @@
 
 	/** Selects a decode engine, which fetches the KV cache of the prompt and generates the answer. */
 	async #decodeWithHandle(handle: Handle): Promise<boolean> {
-		wantPermits(this.#context, this.#request.service);
-		const {views, record} = targetViews(this.#context, this.#request.service);
-		const chosen = placeDecode({
-			engines: views, availabilityZone: this.#context.settings().availabilityZone, prefillZone: handle.engine.availabilityZone, bodyBytes: this.#request.body?.byteLength ?? 0, avoid: this.#lifecycle.avoid, rates: this.#context.capacity.rates(this.#request.service, this.#context.now()),
-		});
-		if (option.isNone(chosen)) {
+		const found = await this.#findDecodeEngine(handle, maxPermitWaits);
+		if (this.#lifecycle.isEnded) {
+			return false;
+		}
+
+		if (option.isNone(found)) {
 			this.#lifecycle.refuseWithoutTarget();
 			return false;
 		}
 
-		const target = record(chosen.value.id);
+		const {target, view} = found.value;
 		this.#handleAttempts++;
 		this.#recordCachedParts(target);
 		this.#lifecycle.log.add('tokens placed', {
-			target: target.id, attempts: chosen.value.attempts, readMilliseconds: Math.round(chosen.value.readMilliseconds), speed: chosen.value.speed, ...targetListStatus(this.#context),
+			target: target.id, attempts: view.attempts, readMilliseconds: Math.round(view.readMilliseconds), speed: view.speed, ...targetListStatus(this.#context),
 		}, this.#context.now());
 		const shouldContinue = await this.#sendStream(target, this.#context.loadTracker.add(target.id, 0), {handle: {address: handle.engine.address, id: handle.id}});
 		if (shouldContinue && this.#handleAttempts > 1) {
@@ -246,6 +250,25 @@
 		return shouldContinue;
 	}
 
+	/** Selects a decode engine. While the rate limits of all are used up, it waits for permits, as the prompt has been prefilled for nothing otherwise. */
+	async #findDecodeEngine(handle: Handle, waits: number): Promise<option.Option<{readonly target: TargetRecord; readonly view: EngineView}>> {
+		wantPermits(this.#context, this.#request.service);
+		const {views, record} = targetViews(this.#context, this.#request.service);
+		const chosen = placeDecode({
+			engines: views, availabilityZone: this.#context.settings().availabilityZone, prefillZone: handle.engine.availabilityZone, bodyBytes: this.#request.body?.byteLength ?? 0, avoid: this.#lifecycle.avoid, rates: this.#context.capacity.rates(this.#request.service, this.#context.now()),
+		});
+		if (option.isSome(chosen)) {
+			return option.some({target: record(chosen.value.id), view: chosen.value});
+		}
+
+		if (waits === 0 || !this.#context.rateLimits.hasLimits) {
+			return option.none;
+		}
+
+		await awaitPermits(this.#context, this.#lifecycle);
+		return this.#lifecycle.isEnded ? option.none : this.#findDecodeEngine(handle, waits - 1);
+	}
+
 	/** `hasPermit` is true when a permit was taken with the placement. */
 	async #sendStream(target: TargetRecord, entry: LoadEntry, parts: Partial<SendInstructions>, hasPermit = false): Promise<boolean> {
 		const {facts, method, path, body} = this.#request;
--- a/source/entry/target-rate-limits.ts
+++ b/source/entry/target-rate-limits.ts
@@ -46,6 +46,8 @@
 const startMilliseconds = 3000;
 /** How long a determined owner counts, so that the fleet is not ranked again for each request. */
 const ownerMilliseconds = 100;
+/** A target that takes nothing, or next to nothing, gets so many requests a second, as nobody would learn otherwise when it takes more. */
+const minIssuedPerSecond = 0.4;
 /** What this gateway expects of a limit at least, so that an estimate stays finite. */
 const minPermitsPerSecond = 0.05;
 /** Lines about limits in force are written that often, for so many targets at most. */
@@ -107,7 +109,7 @@
 
 	/** True while any target has a limit. */
 	get hasLimits(): boolean {
-		return this.#knowledge.limited.length > 0;
+		return this.#knowledge.hasLimits;
 	}
 
 	/** The limit that a target names, in requests a second; undefined when it names none. */
@@ -205,6 +207,11 @@
 		}
 	}
 
+	/** Issues nothing more. */
+	stop(): void {
+		this.#issuer.keepOnly(new Set());
+	}
+
 	removePeer(peer: string): void {
 		this.#issuer.removePeer(peer);
 	}
@@ -245,7 +252,7 @@
 		const limit = this.limitOf(incarnation);
 		const owner = this.#ownerOf(incarnation);
 		const isSettled = this.#options.now() - this.#startedAt >= startMilliseconds;
-		return limit === undefined || owner.kind !== 'own' || !isSettled ? undefined : limit * owner.share;
+		return limit === undefined || owner.kind !== 'own' || !isSettled ? undefined : Math.max(limit, minIssuedPerSecond) * owner.share;
 	}
 
 	/** Asks the owner of a target's permits, and says which limit this gateway knows of. */
