Let only answers that name their request end a rate limit; play limits in the soak

Cause: a refusal without an id is taken for one of the request's own, and may be the rest of an earlier answer; without the header it would have ended a limit. Change: an answer that names another request, or none, ends no limit.

The soak's targets name limits of 0 to 20 a second for 5 to 10 s; what they get is judged while no gateway is stopped, killed or frozen.

--- a/experiments/soak/run-soak.ts
+++ b/experiments/soak/run-soak.ts
@@ -26,7 +26,7 @@
 
 type Trouble = {
 	/** Troubles of one group do not overlap: a gateway that is being stopped is not started in between. */
-	readonly group: 'gateway' | 'target' | 'store fault' | 'store delay' | 'store copy' | 'configuration' | 'wire';
+	readonly group: 'gateway' | 'target' | 'target limit' | 'store fault' | 'store delay' | 'store copy' | 'configuration' | 'wire';
 	/** True when bounds in time do not hold meanwhile. */
 	readonly isDisturbing: boolean;
 	/** Returns once it is healed. */
@@ -77,6 +77,9 @@
 	{
 		group: 'target', isDisturbing: false, act: async fleet => pickTarget(fleet).leave(fleet.random.between(500, 3000)),
 	},
+	{
+		group: 'target limit', isDisturbing: false, act: async fleet => pickTarget(fleet).limit(fleet.random.pick([0, 0.4, 3.1, 4.2, 8.6, 20]), fleet.random.between(5000, 10_000)),
+	},
 	{
 		group: 'store fault', isDisturbing: true, async act({store, random}) {
 			store.fault = random.pick(['busy', 'reset', 'silent', 'endless']);
@@ -135,12 +138,13 @@
 ];
 
 /** Starts troubles until the time is up, so that several overlap; resolves once all are healed. */
-const makeTrouble = async (fleet: Fleet, calm: SoakCalm, until: number): Promise<void> => {
+const makeTrouble = async (fleet: Fleet, {calm, gatewayCalm}: {readonly calm: SoakCalm; readonly gatewayCalm: SoakCalm}, until: number): Promise<void> => {
 	const running: Array<Promise<void>> = [];
 	const busy = new Set<Trouble['group']>();
 	const run = async ({group, isDisturbing, act}: Trouble): Promise<void> => {
 		busy.add(group);
-		await (isDisturbing ? calm.disturb(async () => act(fleet)) : act(fleet));
+		const disturb = async (): Promise<void> => isDisturbing ? calm.disturb(async () => act(fleet)) : act(fleet);
+		await (group === 'gateway' ? gatewayCalm.disturb(disturb) : disturb());
 		busy.delete(group);
 	};
 
@@ -157,10 +161,10 @@
 	await Promise.all(running);
 };
 
-const addTargets = async ({store, record, calm, seed}: Pick<ConstructorParameters<typeof SoakTarget>[0], 'store' | 'record' | 'calm'> & {readonly seed: number}): Promise<readonly SoakTarget[]> => {
+const addTargets = async ({store, record, calm, gatewayCalm, seed}: Pick<ConstructorParameters<typeof SoakTarget>[0], 'store' | 'record' | 'calm' | 'gatewayCalm'> & {readonly seed: number}): Promise<readonly SoakTarget[]> => {
 	const roles = ['plain', 'plain', 'plain', 'plain', 'prefill', 'prefill', 'decode', 'decode', 'decode', 'decode'] as const;
 	const targets = roles.map((role, index) => new SoakTarget({
-		id: `${role}-${index}`, service: role === 'plain' ? 'floor' : 'models', role, store, record, calm, random: new SoakRandom(seed + 100 + index),
+		id: `${role}-${index}`, service: role === 'plain' ? 'floor' : 'models', role, store, record, calm, gatewayCalm, random: new SoakRandom(seed + 100 + index),
 	}));
 	await Promise.all(targets.map(async target => target.start()));
 	return targets;
@@ -192,12 +196,13 @@
 	const store = new PlatformStoreStandIn();
 	await store.start();
 	const calm = new SoakCalm();
+	const gatewayCalm = new SoakCalm();
 	const configuration = new SoakConfiguration(calm);
 	configuration.write(text => {
 		store.put('op/config', text);
 	});
 	const targets = await addTargets({
-		store, record, calm, seed,
+		store, record, calm, gatewayCalm, seed,
 	});
 	const gateways = await addGateways({
 		store, record, folder, count: gatewayCount,
@@ -213,7 +218,7 @@
 	}).run(() => isGoing)));
 	await makeTrouble({
 		gateways, targets, store, configuration, random: new SoakRandom(seed),
-	}, calm, performance.now() + (seconds * 1000));
+	}, {calm, gatewayCalm}, performance.now() + (seconds * 1000));
 	isGoing = false;
 	await Promise.all(callers);
 	for (const gateway of gateways) {
--- a/experiments/soak/soak-target.ts
+++ b/experiments/soak/soak-target.ts
@@ -7,6 +7,7 @@
 import {listenOnLoopback} from '../../stand-ins/listen-on-loopback.js';
 import type {PlatformStoreStandIn} from '../../stand-ins/platform-store-stand-in.js';
 import type {SoakCalm} from './soak-calm.js';
+import {SoakLimit} from './soak-limit.js';
 import type {SoakRandom} from './soak-random.js';
 import {SoakRecord} from './soak-record.js';
 import {SoakWire} from './soak-wire.js';
@@ -21,6 +22,8 @@
 	readonly record: SoakRecord;
 	readonly random: SoakRandom;
 	readonly calm: SoakCalm;
+	/** Since when no gateway has been stopped, killed or frozen. */
+	readonly gatewayCalm: SoakCalm;
 };
 
 /** What a target does to one answer. */
@@ -50,6 +53,7 @@
 export class SoakTarget {
 	/** The network before it; its address is the one in the list. */
 	readonly wire: SoakWire;
+	readonly #limit: SoakLimit;
 	#incarnation = 0;
 	#port = 0;
 	#sequence = 0;
@@ -66,6 +70,7 @@
 
 	constructor(options: SoakTargetOptions) {
 		this.#options = options;
+		this.#limit = new SoakLimit(options.gatewayCalm);
 		this.wire = new SoakWire(() => this.#port, options.random);
 		this.#server.on('connection', socket => {
 			this.#sockets.add(socket);
@@ -82,6 +87,7 @@
 
 	async crash(milliseconds: number): Promise<void> {
 		clearInterval(this.#timer);
+		this.#limit.end();
 		for (const socket of this.#sockets) {
 			socket.resetAndDestroy();
 		}
@@ -103,6 +109,13 @@
 		await this.crash(milliseconds);
 	}
 
+	/** Names a rate limit for a while. */
+	async limit(requestsPerSecond: number, milliseconds: number): Promise<void> {
+		this.#limit.begin(requestsPerSecond);
+		await pause(milliseconds);
+		this.#limit.end();
+	}
+
 	stop(): void {
 		clearInterval(this.#timer);
 		this.wire.stop();
@@ -155,6 +168,7 @@
 		}
 
 		this.#checkLeaving(requestId);
+		this.#checkLimit(requestId, response);
 		if (this.#leavesSince !== undefined) {
 			response.setHeader('server-leaving', '1');
 		}
@@ -191,6 +205,14 @@
 		}
 	}
 
+	#checkLimit(requestId: string, response: http.ServerResponse): void {
+		const {id, record} = this.#options;
+		const problem = this.#limit.receive(response);
+		if (problem !== undefined) {
+			record.report(`LIMIT: with ${requestId}, ${id} got ${problem}`);
+		}
+	}
+
 	/** Runs a request, unless it is a prefill only, and writes an earlier refusal, which names none, where its answer is expected. */
 	#refuseAgain({socket}: http.ServerResponse, requestId: string, isPrefill: boolean): void {
 		const {id, record} = this.#options;
--- a/source/entry/target-attempt.ts
+++ b/source/entry/target-attempt.ts
@@ -168,7 +168,9 @@
 		metrics.record('target-head', now() - this.#startedAt);
 		this.#received.receiveHead(facts, kind);
 		if (!this.#received.isOfOther && kind !== 'other target') {
-			recordTargetState(this.#context, target, facts, kind === 'failure' ? undefined : this.#sentAt);
+			// Only an answer that names this request, and is no failure, can show that the target has no rate limit any more.
+			const isOwnWord = facts.requestId === requestId && kind !== 'failure';
+			recordTargetState(this.#context, target, facts, isOwnWord ? this.#sentAt : undefined);
 			this.#timing.recordHead(facts, answerKinds[kind]);
 		}
 
