--- a/test/entry/attempt-sender.test.ts
+++ b/test/entry/attempt-sender.test.ts
@@ -25,7 +25,7 @@
 };
 
 /** Returns a sender with one connection, and the handlers with which the attempt waits for that connection. */
-const startSender = (): {readonly sender: AttemptSender; readonly beliefs: TargetRegistry; readonly getHandlers: () => Handlers; readonly events: unknown[]} => {
+const startSender = (rateLimits = loneRateLimits(() => 100)): {readonly sender: AttemptSender; readonly beliefs: TargetRegistry; readonly getHandlers: () => Handlers; readonly events: unknown[]} => {
 	const beliefs = new TargetRegistry(1200);
 	beliefs.adopt({era: 1, revision: 10, targets: [target]}, 0, 0);
 	let handlers: Handlers | undefined;
@@ -42,7 +42,7 @@
 	};
 	const connections: Pick<TargetConnections, 'acquire'> = {acquire: () => option.some(connection as TargetConnection)};
 	const parts: Partial<EntryContext> = {
-		targetRegistry: beliefs, protocol: targetProtocol, loadTracker: new LoadTracker(), health: new TargetHealth(), pauses: new TargetPauses(), rateLimits: loneRateLimits(() => 100),
+		targetRegistry: beliefs, protocol: targetProtocol, loadTracker: new LoadTracker(), health: new TargetHealth(), pauses: new TargetPauses(), rateLimits,
 		capacity: new LearnedCapacity(), metrics: new EntryMetrics(),
 		connections: connections as TargetConnections,
 		log: {info: write, warn: write, debug: () => undefined} as unknown as Logger, now: () => 100, gatewayCount: () => 20, service: () => undefined,
@@ -116,3 +116,13 @@
 	t.equal(checkCount, 0);
 	t.end();
 });
+
+// Guards against a request to a target with a rate limit that nobody has counted.
+test('LIMIT: an attempt at a target with a rate limit is not sent without a permit', async t => {
+	const rateLimits = loneRateLimits(() => 100);
+	rateLimits.record(target, {kind: 'named', requestsPerSecond: 4.2}, 50);
+	const {sender, getHandlers} = startSender(rateLimits);
+	const {outcome} = send(sender);
+	t.strictSame(await outcome, {kind: 'not sent', reason: 'rate limit of the target'});
+	t.equal(getHandlers(), undefined);
+});
