Bound the permits that are asked for at once, whatever limit a target names

Cause: a gateway could ask for half a second's worth of a limit of any size, and keeps permits one by one. A limit of 999,999,999 a second and a thousand requests a second would not have needed that many, but nothing bounded it.

--- a/source/decisions/limits/permit-stock.ts
+++ b/source/decisions/limits/permit-stock.ts
@@ -7,8 +7,10 @@
 
 /** From the ask. It bounds how far permits may be carried from one span into the next, also if they arrive late. */
 const validMilliseconds = 1500;
-/** Most permits that are wanted at once, in milliseconds of the target's limit; one at least. */
+/** Permits that are wanted at once, in milliseconds of the target's limit; one at least. */
 const wantedMilliseconds = 500;
+/** Most of them, as permits are kept one by one and a target may name any limit. The schema of messages has the same bound. */
+const maxWanted = 1000;
 /** Span over which the permits received are counted. */
 const receivedMilliseconds = 2000;
 
@@ -44,7 +46,7 @@
 
 	/** Records that so many more requests could use a permit. */
 	want(added: number, limit: number): void {
-		this.#wanted = Math.min(this.#wanted + added, Math.max(1, Math.ceil(limit * wantedMilliseconds / 1000)));
+		this.#wanted = Math.min(this.#wanted + added, Math.max(1, Math.ceil(limit * wantedMilliseconds / 1000)), maxWanted);
 	}
 
 	/** Records that there are requests that wait for a permit. */
--- a/test/decisions/limits/permits.test.ts
+++ b/test/decisions/limits/permits.test.ts
@@ -93,6 +93,12 @@
 	}
 
 	t.equal(stock.takeAsk(lifetimeMilliseconds, 0), 4);
+	const boundless = new PermitStock();
+	for (let index = 0; index < 3000; index++) {
+		boundless.want(1, 999_999_999);
+	}
+
+	t.equal(boundless.takeAsk(lifetimeMilliseconds, 0), 1000, 'whatever the limit');
 	t.end();
 });
 
--- a/test/platform/outside-values.test.ts
+++ b/test/platform/outside-values.test.ts
@@ -5,12 +5,17 @@
 import fc from 'fast-check';
 import * as option from 'fp-ts/lib/Option.js';
 import {test} from 'tap';
+import type {Logger} from 'roarr';
 import {decodeCacheChanges} from '../../platform/decode-cache-changes.js';
 import {targetProtocol} from '../../platform/target-protocol.js';
 import {PrefixCacheIndex} from '../../source/decisions/entry/caches/prefix-cache-index.js';
 import {sharedPrefix} from '../../source/decisions/entry/prompts/shared-prefix.js';
+import {EntryMetrics} from '../../source/entry/entry-metrics.js';
 import {LoadTracker} from '../../source/entry/load-tracker.js';
+import {TargetRateLimits} from '../../source/entry/target-rate-limits.js';
+import type {PeerMessage} from '../../source/generated/peer-messages.js';
 import {validatePeerMessages} from '../../source/generated/validators.js';
+import {VirtualTime} from '../support/virtual-time.js';
 import {LoneGateway} from '../support/lone-gateway.js';
 
 const seed = Number(process.env.SEED ?? 20_261_207);
@@ -76,3 +81,38 @@
 	const headers = ['X-Token-Count', '1e200,5', 'X-Prompt-Prefix', `${'x'.repeat(65)}:0.5`];
 	t.strictSame(targetProtocol.readRequest(headers).headers, headers, 'what the caller wrote is forwarded as it is');
 });
+
+// Guards against a target whose rate limit makes messages that all peers refuse.
+test('whatever a target writes as its rate limit, the messages that hold it are valid, and no permit is issued without end', async t => {
+	const target = {...LoneGateway.target('i-1'), service: 'floor'};
+	await fc.assert(fc.asyncProperty(fc.oneof(hostileCount, fc.constantFrom('999999999', '0.000000001', '999999999.999999999')), fc.boolean(), fc.integer({min: 1, max: 1000}), async (text, isOwner, wanted) => {
+		const time = new VirtualTime();
+		const sent: PeerMessage[] = [];
+		const peer = {name: 'gateway-2', address: isOwner ? '10.0.0.1:1' : '10.0.0.9:1'};
+		const limits = new TargetRateLimits({
+			fleet: () => ({own: '10.0.0.5:1', linked: [peer], unlinked: []}),
+			gatewayCount: () => 2,
+			send(_, message) {
+				sent.push(message);
+			},
+			broadcast(message) {
+				sent.push(message);
+			},
+			onPermits: () => undefined,
+			log: {info: () => undefined} as unknown as Logger,
+			metrics: new EntryMetrics(),
+			now: () => time.now,
+			timers: time,
+		});
+		await time.run(4000.5);
+		limits.record(target, targetProtocol.readAnswer(200, {'server-limit': text}).rateLimit, time.now);
+		limits.want([target.incarnation]);
+		limits.receive(peer.name, {
+			kind: 'permit ask', target: target.incarnation, wanted, askedAt: 1, requestsPerSecond: 4, ageMilliseconds: 60_000,
+		});
+		await time.run(5000.5);
+		const delay = limits.returnMilliseconds('floor', [target.incarnation]);
+		return sent.every(message => validatePeerMessages(message)) && sent.length < 100 && Number.isFinite(delay);
+	}), {seed, numRuns: Math.min(numberRuns, 200)});
+	t.pass(`seed ${seed}`);
+});
