Name used up rate limits as the reason of a refusal where prefill engines have room

Cause: a request was refused as if there were no target when every engine that could answer it had used up its limit, but some engine only prefills and has none. Change: engines that only prefill do not count. entry/request-lifecycle, failing before. Limits are looked up for the views of targets only while there are some.

--- a/source/entry/request-lifecycle.ts
+++ b/source/entry/request-lifecycle.ts
@@ -230,16 +230,17 @@
 	refuseWithoutTarget(): void {
 		const {targetRegistry, pauses, rateLimits, now} = this.#context;
 		const {service} = this.request;
-		const incarnations = targetRegistry.usable(service).map(({incarnation}) => incarnation);
-		const pauseMilliseconds = pauses.shortest(incarnations, now());
+		const targets = targetRegistry.usable(service);
+		const pauseMilliseconds = pauses.shortest(targets.map(({incarnation}) => incarnation), now());
 		if (pauseMilliseconds > 0) {
 			this.refuse(resultCode.targetsPaused, pauseMilliseconds);
 			return;
 		}
 
-		const unpaused = incarnations.filter(incarnation => !pauses.isPaused(incarnation, now()));
-		if (rateLimits.areAllLimited(unpaused)) {
-			this.refuse(resultCode.targetsRateLimited, rateLimits.returnMilliseconds(service, unpaused), true);
+		// An engine that only prefills cannot answer.
+		const answering = targets.filter(({role, incarnation}) => role !== 'prefill' && !pauses.isPaused(incarnation, now())).map(({incarnation}) => incarnation);
+		if (rateLimits.areAllLimited(answering)) {
+			this.refuse(resultCode.targetsRateLimited, rateLimits.returnMilliseconds(service, answering), true);
 		} else {
 			this.refuse(resultCode.noTarget, targetAppearsMilliseconds);
 		}
--- a/source/entry/target-views.ts
+++ b/source/entry/target-views.ts
@@ -20,6 +20,7 @@
 */
 export const targetViews = ({targetRegistry, loadTracker, health, pauses, rateLimits, capacity, now}: EntryContext, service: string): TargetViews => {
 	const at = now();
+	const {hasLimits} = rateLimits;
 	const records = new Map(targetRegistry.usable(service)
 		.filter(({incarnation}) => !pauses.isPaused(incarnation, at))
 		.map(record => [record.id, record]));
@@ -40,8 +41,8 @@
 				capacity: limit,
 				slowdown: reported?.slowdown,
 				callMilliseconds,
-				permits: rateLimits.permits(record.incarnation),
-				permitsPerSecond: rateLimits.permitsPerSecond(record.incarnation),
+				permits: hasLimits ? rateLimits.permits(record.incarnation) : undefined,
+				permitsPerSecond: hasLimits ? rateLimits.permitsPerSecond(record.incarnation) : undefined,
 			};
 		}),
 		record: id => records.get(id)!,
--- a/test/entry/request-lifecycle.test.ts
+++ b/test/entry/request-lifecycle.test.ts
@@ -5,11 +5,15 @@
 import type {Logger} from 'roarr';
 import type {AccessChange} from '../../source/decisions/teams/access-change.js';
 import {WindowedRetryBudget} from '../../source/decisions/entry/requests/windowed-retry-budget.js';
+import {TargetPauses} from '../../source/decisions/entry/targets/target-pauses.js';
+import {TargetRegistry} from '../../source/decisions/entry/targets/target-registry.js';
 import type {CallerRequest} from '../../source/entry/caller-request.js';
 import type {EntryContext} from '../../source/entry/entry-context.js';
 import {RequestLifecycle} from '../../source/entry/request-lifecycle.js';
 import {TeamFairness} from '../../source/entry/team-fairness.js';
+import type {TargetRecord} from '../../source/fleet/target-record.js';
 import {LoneGateway} from '../support/lone-gateway.js';
+import {loneRateLimits} from '../support/lone-rate-limits.js';
 
 const target = LoneGateway.target('i-1');
 const denied: AccessChange = {kind: 'denied', key: 'unknown'};
@@ -27,7 +31,7 @@
 };
 
 /** A request that was admitted, with what its caller was sent and what was counted. */
-const start = ({isRepeatable = true} = {}) => {
+const start = ({isRepeatable = true, targets = [target]}: {readonly isRepeatable?: boolean; readonly targets?: readonly TargetRecord[]} = {}) => {
 	const state: State = {
 		access: {kind: 'unchanged'}, hasLiveAttempt: false, errors: [], counted: [], logged: [], aborted: 0,
 	};
@@ -44,7 +48,13 @@
 	const budget = new WindowedRetryBudget({
 		share: 0.2, windowMilliseconds: 10_000, extra: 56, isFirstStart: false,
 	});
+	const targetRegistry = new TargetRegistry(1200);
+	targetRegistry.adopt({era: 1, revision: 1, targets}, 0, 0);
+	const rateLimits = loneRateLimits(() => 0);
 	const context = {
+		targetRegistry,
+		rateLimits,
+		pauses: new TargetPauses(),
 		retryBudget: () => budget,
 		now: () => 0,
 		random: () => 0,
@@ -80,7 +90,7 @@
 	const lifecycle = new RequestLifecycle(request, context, {isRepeatable: () => isRepeatable, hasLiveAttempt: () => state.hasLiveAttempt});
 	lifecycle.begin();
 	return {
-		state, answer, lifecycle, budget,
+		state, answer, lifecycle, budget, rateLimits,
 	};
 };
 
@@ -156,3 +166,21 @@
 	t.notOk(running.lifecycle.isEnded);
 	t.end();
 });
+
+// Guards against a refusal that says that there is no target, where all that could answer have used up their limits.
+test('a request that only targets with used up rate limits could answer is refused for that reason', t => {
+	const targets = ['i-1', 'i-22'].map(id => ({...LoneGateway.target(id), service: 'floor'}));
+	const prefillEngine = {...LoneGateway.target('i-333'), service: 'floor', role: 'prefill'} as const;
+	const {state, lifecycle, rateLimits} = start({targets: [...targets, prefillEngine]});
+	for (const limited of targets) {
+		rateLimits.record(limited, {kind: 'named', requestsPerSecond: 2}, 0);
+	}
+
+	lifecycle.refuseWithoutTarget();
+	t.match(state.errors, [[1024, {}, 0.25]]);
+	const free = start({targets});
+	free.rateLimits.record(targets[0]!, {kind: 'named', requestsPerSecond: 2}, 0);
+	free.lifecycle.refuseWithoutTarget();
+	t.not((free.state.errors[0] as readonly unknown[])[0], 1024);
+	t.end();
+});
