Choose the owner of permits with the function that chooses the owner of engines

The rendezvous hashing stood a second time in permit-owner. Same ranking, same choice on ties; no behaviour changes.

--- a/source/decisions/limits/permit-owner.ts
+++ b/source/decisions/limits/permit-owner.ts
@@ -11,7 +11,7 @@
 - An owner issues only the part of the limit that belongs to the gateways that it reaches, of all
   that may be running. Two halves of a divided fleet then issue no more than the whole.
 */
-import {rendezvousScore} from '../routing/rendezvous-score.js';
+import {engineOwner} from '../entry/prompts/engine-owner.js';
 import type {FleetView} from './fleet-view.js';
 
 /** A gateway that nobody has reported for this long owns nothing. Gateways report each other every second, or every two in a large fleet. */
@@ -38,13 +38,11 @@
 export const permitOwner = (incarnation: string, fleet: FleetView): PermitOwner => {
 	const {own, linked, unlinked} = fleet;
 	const reported = unlinked.filter(({ageMilliseconds}) => ageMilliseconds < candidateMilliseconds);
-	const [owner] = [own, ...linked.map(({address}) => address), ...reported.map(({address}) => address)]
-		.map(address => ({address, score: rendezvousScore(address, incarnation)}))
-		.toSorted((first, second) => second.score - first.score);
-	if (owner!.address === own) {
+	const owner = engineOwner(incarnation, [own, ...linked.map(({address}) => address), ...reported.map(({address}) => address)]);
+	if (owner === own) {
 		return {kind: 'own', share: shareOf(fleet)};
 	}
 
-	const peer = linked.find(({address}) => address === owner!.address);
+	const peer = linked.find(({address}) => address === owner);
 	return peer === undefined ? {kind: 'unreachable'} : {kind: 'peer', name: peer.name};
 };
